Land the skeleton and the thin whole path

Cause: nothing existed yet; the other work needs packages, protocols and typed messages. Conclusion: the way caller -> host -> backend server and back stands; the width follows.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Two commands matter on a fresh machine with Python 3.11: `make demo` and `make test`.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := records store peers shares routing host client
+SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/standin/src
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(strip $(SOURCES)))
+CODE := packages standin tests features bench
+
+.PHONY: venv demo test lint types unit features format
+
+venv: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: venv
+	$(BIN)/python -m radishbridge_standin.demo
+
+test: lint types unit features
+
+lint: venv
+	$(BIN)/black --check --quiet $(CODE)
+	$(BIN)/ruff check $(CODE)
+
+types: venv
+	$(BIN)/mypy
+
+unit: venv
+	$(BIN)/python -m pytest
+
+features: venv
+	$(BIN)/behave --format progress features
+
+format: venv
+	$(BIN)/black --quiet $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+	$(BIN)/black --quiet $(CODE)
--- /dev/null
+++ b/bench/passthrough.py
@@ -0,0 +1,51 @@
+"""The baseline of ``bench/forward.py``: a bare aiohttp pass-through with no decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import aiohttp
+from aiohttp import web
+
+CHUNK_BYTES = 65_536
+
+
+class PassThrough:
+    """Forwards each request to one backend server."""
+
+    __slots__ = ("backend", "session")
+
+    def __init__(self, session: aiohttp.ClientSession, backend: str) -> None:
+        self.session = session
+        self.backend = backend
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        async with self.session.request(
+            request.method,
+            f"http://{self.backend}{request.raw_path}",
+            headers=request.headers,
+            data=request.content if request.body_exists else None,
+            allow_redirects=False,
+        ) as answer:
+            response = web.StreamResponse(status=answer.status, headers=answer.headers)
+            await response.prepare(request)
+            async for chunk in answer.content.iter_chunked(CHUNK_BYTES):
+                await response.write(chunk)
+            await response.write_eof()
+            return response
+
+
+async def serve(port: int, backend: str) -> None:
+    """Serve on 127.0.0.1 until cancelled."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
+        runner = web.ServerRunner(web.Server(PassThrough(session, backend).handle))
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), sys.argv[2]))
--- /dev/null
+++ b/packages/host/src/radishbridge/host/command.py
@@ -0,0 +1,51 @@
+"""The command line of ``radishbridged``."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import pathlib
+import signal
+import sys
+import typing as t
+
+import cappa
+
+from radishbridge.host.compose import run_host
+from radishbridge.records import Failure, Settings, load_settings
+
+EXIT_USAGE = 2
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """Run one entry host of radishbridge."""
+
+    config: t.Annotated[pathlib.Path, cappa.Arg(long=True, help="Settings file of this host.")]
+
+
+def main() -> None:
+    """Run ``radishbridged`` with the process's arguments."""
+    daemon = cappa.parse(Daemon)
+    settings = load_settings(daemon.config)
+    if isinstance(settings, list):
+        _report(settings)
+        sys.exit(EXIT_USAGE)
+    logging.basicConfig(level=settings.log.level.upper())
+    asyncio.run(_serve(settings))
+
+
+def _report(failures: list[Failure]) -> None:
+    for failure in failures:
+        print(f"radishbridged: error {int(failure.code)}: {failure.reason}", file=sys.stderr)
+
+
+async def _serve(settings: Settings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await run_host(settings, stop)
--- /dev/null
+++ b/packages/routing/src/radishbridge/routing/protocol.py
@@ -0,0 +1,60 @@
+"""The interface of the choice of a backend server, as the request path sees it."""
+
+from __future__ import annotations
+
+import typing as t
+
+from radishbridge.records import Backend, Failure, Route, Service
+
+
+class ServiceRoute:
+    """The service and route that a path belongs to."""
+
+    __slots__ = ("name", "route", "service")
+
+    def __init__(self, name: str, service: Service, route: Route) -> None:
+        self.name = name
+        self.service = service
+        self.route = route
+
+
+class Permit:
+    """The right to run one request on a backend server; give it back with ``Router.release``."""
+
+    __slots__ = ("backend", "service", "started_at")
+
+    def __init__(self, service: str, backend: Backend, started_at: float) -> None:
+        self.service = service
+        self.backend = backend
+        self.started_at = started_at
+
+
+class AttemptOutcome:
+    """How an attempt at a backend server ended.
+
+    :param latency_s: seconds to the first byte of the answer.
+    :param failed: connection error, reset or a status of 500 and above.
+    :param shed: the backend server refused before running it.
+    """
+
+    __slots__ = ("failed", "latency_s", "shed")
+
+    def __init__(self, latency_s: float, failed: bool = False, shed: bool = False) -> None:
+        self.latency_s = latency_s
+        self.failed = failed
+        self.shed = shed
+
+
+class Router(t.Protocol):
+    """Chooses the region and the backend server of each attempt."""
+
+    def find(self, path: str) -> ServiceRoute | Failure:
+        """Return the service and route of a path, or ``SERVICE_UNKNOWN``."""
+
+    def choose(
+        self, target: ServiceRoute, tried: t.Collection[str], now: float
+    ) -> Permit | Failure:
+        """Take a slot at a backend server that was not tried yet, or ``NO_BACKEND``."""
+
+    def release(self, permit: Permit, outcome: AttemptOutcome, now: float) -> None:
+        """Give a slot back and note how the attempt ended."""
--- /dev/null
+++ b/packages/store/src/radishbridge/store/http.py
@@ -0,0 +1,117 @@
+"""The object API over HTTP; ``docs/STORE-API.md`` gives the wire form."""
+
+from __future__ import annotations
+
+import typing as t
+
+import aiohttp
+import msgspec
+
+from radishbridge.records import Failure, ResultCode
+from radishbridge.store.protocol import HostList, Listing, StoredObject, WatchEvent
+
+WATCH_SILENCE_S = 5.0
+
+
+class HttpStore:
+    """An ``ObjectStore`` that speaks to the platform over HTTP.
+
+    :param session: client session, owned by the caller.
+    :param url: base URL of the platform.
+    :param timeout_s: longest wait for one call, in seconds.
+    """
+
+    __slots__ = ("_read_timeout", "_watch_timeout", "session", "url")
+
+    def __init__(self, session: aiohttp.ClientSession, url: str, timeout_s: float) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+        self._read_timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._watch_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=timeout_s, sock_read=WATCH_SILENCE_S
+        )
+
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+        body = await self._read(f"/v1/objects/{kind}/{name}", {})
+        return body if isinstance(body, Failure) else _decode(body, StoredObject)
+
+    async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
+        """Read all objects of the kinds."""
+        body = await self._read("/v1/objects", {"kinds": ",".join(kinds)})
+        return body if isinstance(body, Failure) else _decode(body, Listing)
+
+    async def hosts(self) -> HostList | Failure:
+        """Read the platform's list of hosts."""
+        body = await self._read("/v1/hosts", {})
+        return body if isinstance(body, Failure) else _decode(body, HostList)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> StoredObject | Failure:
+        """Write conditionally; an unclear write gives ``WRITE_UNCLEAR``."""
+        headers = {"If-Match": f'"{expected_version}"', "Content-Type": "application/json"}
+        url = f"{self.url}/v1/objects/{kind}/{name}"
+        try:
+            async with self.session.put(
+                url, data=value, headers=headers, timeout=self._read_timeout
+            ) as answer:
+                body = await answer.read()
+        except aiohttp.ClientConnectorError as error:
+            return Failure(ResultCode.STORE_UNAVAILABLE, str(error.os_error))
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return Failure(ResultCode.WRITE_UNCLEAR, type(error).__name__)
+        if answer.status == 200:
+            return _decode(body, StoredObject)
+        if answer.status == 412:
+            return Failure(ResultCode.VERSION_CONFLICT, f"{kind}/{name} has another version")
+        if answer.status == 503:
+            return Failure(ResultCode.STORE_UNAVAILABLE, "the store answered 503")
+        return Failure(ResultCode.WRITE_UNCLEAR, f"the store answered {answer.status}")
+
+    async def watch(
+        self, kinds: t.Sequence[str], after_revision: int
+    ) -> t.AsyncIterator[WatchEvent | Failure]:
+        """Yield the lines of a watch as they come."""
+        params = {"kinds": ",".join(kinds), "after": str(after_revision)}
+        try:
+            async with self.session.get(
+                f"{self.url}/v1/watch", params=params, timeout=self._watch_timeout
+            ) as answer:
+                if answer.status != 200:
+                    yield _status_failure(answer.status)
+                    return
+                async for line in answer.content:
+                    yield _decode(line, WatchEvent)
+        except (TimeoutError, aiohttp.ClientError) as error:
+            yield Failure(ResultCode.STORE_UNAVAILABLE, type(error).__name__)
+            return
+        yield Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended")
+
+    async def _read(self, path: str, params: dict[str, str]) -> bytes | Failure:
+        try:
+            async with self.session.get(
+                self.url + path, params=params, timeout=self._read_timeout
+            ) as answer:
+                body = await answer.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return Failure(ResultCode.STORE_UNAVAILABLE, type(error).__name__)
+        return body if answer.status == 200 else _status_failure(answer.status)
+
+
+def _status_failure(status: int) -> Failure:
+    if status == 404:
+        return Failure(ResultCode.NOT_FOUND, "no such object")
+    if status == 410:
+        return Failure(ResultCode.WATCH_EXPIRED, "the revision is no longer kept")
+    return Failure(ResultCode.STORE_UNAVAILABLE, f"the store answered {status}")
+
+
+_T = t.TypeVar("_T")
+
+
+def _decode(body: bytes, type_: type[_T]) -> _T | Failure:
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except msgspec.MsgspecError as error:
+        return Failure(ResultCode.STORE_UNAVAILABLE, f"malformed answer: {error}")
--- /dev/null
+++ b/standin/src/radishbridge_standin/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the platform's object API and for backend servers, for demo and tests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standin/src/radishbridge_standin/processes.py
@@ -0,0 +1,139 @@
+"""Starts the daemon and the stand-ins as plain processes on 127.0.0.1, for demo and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import typing as t
+
+import aiohttp
+import msgspec
+
+from radishbridge.store import HostEntry, HostList
+
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+POLL_PAUSE_S = 0.05
+
+
+def free_port() -> int:
+    """Return a TCP port of 127.0.0.1 that is free now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
+class Place:
+    """Where a host is."""
+
+    __slots__ = ("data_center", "host", "region")
+
+    def __init__(self, host: str, region: str, data_center: str) -> None:
+        self.host = host
+        self.region = region
+        self.data_center = data_center
+
+
+class Fleet:
+    """A running fleet: object API, backend servers and hosts; use as a context manager.
+
+    :param directory: where settings files and logs go.
+    """
+
+    __slots__ = ("directory", "hosts", "processes", "store_url")
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self.directory = directory
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.hosts: list[HostEntry] = []
+        self.store_url = ""
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def start_store(self) -> None:
+        """Start the object API."""
+        port = free_port()
+        self.store_url = f"http://{LOOPBACK}:{port}"
+        self.start("store", "radishbridge_standin", "objects", str(port))
+
+    def start_backend(self, name: str) -> str:
+        """Start a backend server and return its address."""
+        port = free_port()
+        self.start(name, "radishbridge_standin", "backend", name, str(port))
+        return f"{LOOPBACK}:{port}"
+
+    def start_host(self, place: Place, **settings: t.Any) -> HostEntry:
+        """Start a host; ``settings`` add to or replace those of its file."""
+        addresses = [f"{LOOPBACK}:{free_port()}" for _ in range(3)]
+        entry = HostEntry(
+            name=place.host,
+            region=place.region,
+            data_center=place.data_center,
+            address=addresses[0],
+            admin_address=addresses[1],
+            peer_address=addresses[2],
+        )
+        document = {
+            "host": place.host,
+            "region": place.region,
+            "data_center": place.data_center,
+            "listen": entry.address,
+            "admin_listen": entry.admin_address,
+            "peer_listen": entry.peer_address,
+            "store": {"url": self.store_url, "region": place.region},
+        }
+        path = self.directory / f"{place.host}.jsonc"
+        path.write_text(json.dumps(document | settings))
+        self.start(place.host, "radishbridge.host", "--config", str(path))
+        self.hosts.append(entry)
+        return entry
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start a module as a process whose output goes to ``NAME.log``."""
+        with open(self.directory / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            )
+
+    async def announce_hosts(self, session: aiohttp.ClientSession) -> None:
+        """Put the hosts on the platform's list."""
+        body = msgspec.json.encode(HostList(hosts=self.hosts))
+        async with session.put(f"{self.store_url}/control/hosts", data=body) as answer:
+            answer.raise_for_status()
+
+    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every host is ready."""
+        urls = [f"http://{host.admin_address}/ready" for host in self.hosts]
+        await asyncio.gather(*(wait_for_status(session, url, 200) for url in urls))
+
+
+async def wait_for_status(session: aiohttp.ClientSession, url: str, status: int) -> None:
+    """Wait until a URL answers with a status; raises ``TimeoutError`` after 30 s."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while await _status(session, url) != status:
+            await asyncio.sleep(POLL_PAUSE_S)
+
+
+async def _status(session: aiohttp.ClientSession, url: str) -> int:
+    try:
+        async with session.get(url) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 0
