--- /dev/null
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -0,0 +1,124 @@
+"""The sending side of the connection to one peer."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from radishbridge.peers.messages import Envelope, Heartbeat, PeerMessage
+
+QUEUE_LENGTH = 1_024
+SEND_TIMEOUT_MS = 1_000
+
+
+class MeshCounters:
+    """What a mesh has sent, received and dropped since it started."""
+
+    __slots__ = (
+        "duplicate",
+        "failed_handlers",
+        "malformed",
+        "queue_full",
+        "received",
+        "received_bytes",
+        "sent",
+        "sent_bytes",
+        "unknown_sender",
+        "unreachable",
+    )
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        self.queue_full = 0
+        self.unreachable = 0
+        self.malformed = 0
+        self.duplicate = 0
+        self.unknown_sender = 0
+        self.failed_handlers = 0
+
+
+class Link:
+    """Sends queued messages to one peer, and a heartbeat whenever none was due for a while.
+
+    :param socket: connected socket of the peer; the link closes it.
+    :param heartbeat: builds the present heartbeat.
+    :param heartbeat_s: seconds between heartbeats.
+    """
+
+    __slots__ = (
+        "counters",
+        "heartbeat",
+        "heartbeat_s",
+        "incarnation",
+        "queue",
+        "sender",
+        "sequence",
+        "socket",
+    )
+
+    def __init__(
+        self,
+        socket: zmq.asyncio.Socket,
+        sender: str,
+        incarnation: int,
+        heartbeat: t.Callable[[], Heartbeat],
+        heartbeat_s: float,
+        counters: MeshCounters,
+    ) -> None:
+        self.socket = socket
+        self.sender = sender
+        self.incarnation = incarnation
+        self.heartbeat = heartbeat
+        self.heartbeat_s = heartbeat_s
+        self.counters = counters
+        self.queue: asyncio.Queue[PeerMessage] = asyncio.Queue(QUEUE_LENGTH)
+        self.sequence = 0
+
+    def offer(self, message: PeerMessage) -> bool:
+        """Queue a message; ``False`` where the queue is full."""
+        try:
+            self.queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self.counters.queue_full += 1
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout_at(due):
+                        message = await self.queue.get()
+                except TimeoutError:
+                    message = self.heartbeat()
+                    due = loop.time() + self.heartbeat_s
+                await self._send(message)
+        finally:
+            self.socket.close(linger=0)
+
+    async def _send(self, message: PeerMessage) -> None:
+        self.sequence += 1
+        envelope = Envelope(
+            sender=self.sender,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            body=msgspec.Raw(msgspec.msgpack.encode(message)),
+        )
+        frame = msgspec.msgpack.encode(envelope)
+        try:
+            await self.socket.send(frame)
+        except zmq.Again:
+            self.counters.unreachable += 1
+            return
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(frame)
--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -30,6 +30,22 @@
     leaving: bool = False
 
 
+class HostAddress(msgspec.Struct, kw_only=True, frozen=True):
+    """Where a host is and on which ``IP:port`` it takes messages from other hosts."""
+
+    name: str
+    region: str
+    data_center: str
+    address: str
+    leaving: bool = False
+
+
+class DirectoryUpdate(msgspec.Struct, kw_only=True, tag="directory"):
+    """The platform's list of hosts, passed on by a relay that has just read it."""
+
+    hosts: list[HostAddress]
+
+
 class RelayedObject(msgspec.Struct, kw_only=True, tag="object"):
     """An object of the store passed on; ``value`` is its JSON text."""
 
@@ -61,4 +77,4 @@
     deadline: float
 
 
-PeerMessage = Heartbeat | RelayedObject | TokenRequest | TokenTransfer
+PeerMessage = Heartbeat | DirectoryUpdate | RelayedObject | TokenRequest | TokenTransfer
