Report every fault of a settings file with field and line

Cause: load_settings returned the first fault only, without a line, and quoted values. Change: records/jsonc.py parses files in JSON with comments and traces fields to lines; records/check.py walks a value along a struct type and returns every fault; constraints sit at the fields (records/fields.py). check_document(document, type, code, at) is for the client's files as well. Reasons never quote values, and PeerSettings leaves the secret key out of its repr. Plain JSON is parsed by the standard library, json5 only where needed.

--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -11,8 +11,11 @@
     InForce,
     RejectedRecord,
 )
+from radishbridge.records.check import check_value, find_faults, unknown_fields
 from radishbridge.records.codes import CODE_INFO, CodeInfo, Execution, ResultCode
 from radishbridge.records.failures import Failure
+from radishbridge.records.fields import FieldFault, FieldRule, SelfChecking, is_address
+from radishbridge.records.jsonc import Document, check_document, load_document, parse_document
 from radishbridge.records.record import (
     SCHEMA_VERSIONS,
     Record,
@@ -54,10 +57,13 @@
     "Candidate",
     "ClientBlocks",
     "CodeInfo",
+    "Document",
     "Drain",
     "Execution",
     "Explanation",
     "Failure",
+    "FieldFault",
+    "FieldRule",
     "HostStatus",
     "InForce",
     "Key",
@@ -72,13 +78,21 @@
     "RejectedRecord",
     "ResultCode",
     "Route",
+    "SelfChecking",
     "Service",
     "Settings",
     "Site",
     "StoreSettings",
     "StoredValue",
     "Workspace",
+    "check_document",
+    "check_value",
     "decode_record",
     "encode_record",
+    "find_faults",
+    "is_address",
+    "load_document",
     "load_settings",
+    "parse_document",
+    "unknown_fields",
 ]
--- /dev/null
+++ b/packages/records/src/radishbridge/records/check.py
@@ -0,0 +1,141 @@
+"""Checks plain values against struct types and returns every fault, not only the first."""
+
+from __future__ import annotations
+
+import functools
+import math
+import typing as t
+
+import msgspec
+
+from radishbridge.records.codes import ResultCode
+from radishbridge.records.failures import Failure
+from radishbridge.records.fields import FieldFault, FieldRule
+
+StructT = t.TypeVar("StructT", bound=msgspec.Struct)
+
+
+def check_value(
+    value: object, type_: type[StructT], code: ResultCode = ResultCode.RECORD_INVALID
+) -> StructT | list[Failure]:
+    """Convert a value of maps, lists, texts and numbers to a struct.
+
+    :param type_: the struct type; its fields' constraints, rules and ``faults`` are applied.
+    :param code: result code of the faults.
+    :return: the struct, or a failure for each fault, with the dotted path of its field.
+    """
+    faults = [Failure(code, fault.reason, fault.field) for fault in find_faults(value, type_)]
+    return faults or msgspec.convert(value, type_)
+
+
+def find_faults(value: object, type_: t.Any, at: str = "") -> list[FieldFault]:
+    """Return every fault of a value.
+
+    :param type_: any type that msgspec converts to.
+    :param at: dotted path of the value.
+    """
+    shape = _shape(type_)
+    if shape.struct is not None:
+        below = _struct_faults(value, shape.struct, at)
+    elif shape.item is not None and isinstance(value, list):
+        below = _list_faults(value, shape.item, at)
+    else:
+        below = []
+    return below or _own_faults(value, shape, at)
+
+
+def unknown_fields(value: object, type_: t.Any, at: str = "") -> list[str]:
+    """Return the dotted paths of the fields in a value that its type does not name."""
+    shape = _shape(type_)
+    if shape.item is not None and isinstance(value, list):
+        parts = [unknown_fields(one, shape.item, join(at, str(i))) for i, one in enumerate(value)]
+        return [path for part in parts for path in part]
+    if shape.struct is None or not isinstance(value, dict):
+        return []
+    known = fields_of(shape.struct)
+    parts = [
+        unknown_fields(one, known[name].type, join(at, name)) if name in known else [join(at, name)]
+        for name, one in value.items()
+    ]
+    return [path for part in parts for path in part]
+
+
+def join(at: str, name: str) -> str:
+    """Return the dotted path of a field below another."""
+    return f"{at}.{name}" if at else name
+
+
+@functools.cache
+def fields_of(struct: type[msgspec.Struct]) -> dict[str, msgspec.structs.FieldInfo]:
+    """Return the fields of a struct type by their names in JSON."""
+    return {field.encode_name: field for field in msgspec.structs.fields(struct)}
+
+
+@functools.cache
+def item_type(type_: t.Any) -> t.Any:
+    """Return the type of a list type's items, ``None`` for other types."""
+    return _shape(type_).item
+
+
+class _Shape:
+    """What the checks need to know of a type."""
+
+    __slots__ = ("choices", "item", "rules", "struct", "type")
+
+    def __init__(self, type_: t.Any) -> None:
+        self.type = type_
+        base, *metas = t.get_args(type_) if t.get_origin(type_) is t.Annotated else (type_,)
+        extras = [meta.extra or {} for meta in metas if isinstance(meta, msgspec.Meta)]
+        self.rules: list[FieldRule] = [extra["rule"] for extra in extras if "rule" in extra]
+        self.item = t.get_args(base)[0] if t.get_origin(base) is list else None
+        self.choices = t.get_args(base) if t.get_origin(base) is t.Literal else ()
+        is_struct = isinstance(base, type) and issubclass(base, msgspec.Struct)
+        self.struct: type[msgspec.Struct] | None = base if is_struct else None
+
+
+@functools.cache
+def _shape(type_: t.Any) -> _Shape:
+    return _Shape(type_)
+
+
+def _struct_faults(value: object, struct: type[msgspec.Struct], at: str) -> list[FieldFault]:
+    if not isinstance(value, dict):
+        return [FieldFault(at, "expected an object")]
+    known = fields_of(struct)
+    strict = struct.__struct_config__.forbid_unknown_fields
+    unknown = [name for name in value if strict and name not in known]
+    missing = [name for name, field in known.items() if field.required and name not in value]
+    below = [
+        fault
+        for name, field in known.items()
+        if name in value
+        for fault in find_faults(value[name], field.type, join(at, name))
+    ]
+    return [
+        *(FieldFault(join(at, name), "unknown field") for name in unknown),
+        *(FieldFault(join(at, name), "missing field") for name in missing),
+        *below,
+    ]
+
+
+def _list_faults(values: list[t.Any], item: t.Any, at: str) -> list[FieldFault]:
+    return [
+        fault
+        for index, value in enumerate(values)
+        for fault in find_faults(value, item, join(at, str(index)))
+    ]
+
+
+def _own_faults(value: object, shape: _Shape, at: str) -> list[FieldFault]:
+    if shape.choices and value not in shape.choices:
+        return [FieldFault(at, f"expected one of {', '.join(map(repr, shape.choices))}")]
+    if isinstance(value, float) and not math.isfinite(value):
+        return [FieldFault(at, "expected a finite number")]
+    try:
+        converted = msgspec.convert(value, shape.type)
+    except msgspec.ValidationError as error:
+        return [FieldFault(at, str(error).partition(" - at ")[0])]
+    broken = [FieldFault(at, rule.reason) for rule in shape.rules if not rule.holds(converted)]
+    if broken or not hasattr(converted, "faults"):
+        return broken
+    return [FieldFault(join(at, fault.field), fault.reason) for fault in converted.faults()]
--- /dev/null
+++ b/packages/records/src/radishbridge/records/fields.py
@@ -0,0 +1,113 @@
+"""Constrained field types, and the faults that checks of fields find."""
+
+from __future__ import annotations
+
+import base64
+import ipaddress
+import typing as t
+import urllib.parse
+
+import msgspec
+
+PORT_MAX = 65_535
+Z85_KEY_CHARACTERS = 40
+
+_Z85_ALPHABET = (
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()[]{}@%$#"
+)
+_B85_ALPHABET = (
+    "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz!#$%&()*+-;<=>?@^_`{|}~"
+)
+_B85_OF = dict(zip(_Z85_ALPHABET, _B85_ALPHABET, strict=True))
+
+
+class FieldFault:
+    """A field that breaks a rule.
+
+    :param field: dotted path of the field, list items by index; empty for the whole value.
+    :param reason: the rule; never quotes the value, which may be secret.
+    """
+
+    __slots__ = ("field", "reason")
+
+    def __init__(self, field: str, reason: str) -> None:
+        self.field = field
+        self.reason = reason
+
+
+class FieldRule:
+    """A rule for one field, attached to its type by ``msgspec.Meta(extra={"rule": ...})``.
+
+    :param holds: whether a value of the right type keeps the rule.
+    :param reason: what to tell the operator where it does not.
+    """
+
+    __slots__ = ("holds", "reason")
+
+    def __init__(self, holds: t.Callable[[t.Any], bool], reason: str) -> None:
+        self.holds = holds
+        self.reason = reason
+
+
+class SelfChecking(t.Protocol):
+    """A struct with rules over several of its fields."""
+
+    def faults(self) -> t.Iterable[FieldFault]:
+        """Return what is wrong with fields that are valid one by one."""
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``IP:port``, with brackets around an IPv6 address."""
+    host, _, port = text.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        address = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        return False
+    digits = port.isascii() and port.isdigit() and not port.startswith("0")
+    return bracketed == (address.version == 6) and digits and int(port[:6]) <= PORT_MAX
+
+
+def is_http_url(text: str) -> bool:
+    """Return whether a text is an ``http`` or ``https`` URL with a host."""
+    try:
+        url = urllib.parse.urlsplit(text)
+        return url.scheme in ("http", "https") and bool(url.hostname) and url.port != 0
+    except ValueError:
+        return False
+
+
+def is_z85_key(text: str) -> bool:
+    """Return whether a text is a 32-byte key in Z85; the empty text stands for no key."""
+    if len(text) != Z85_KEY_CHARACTERS:
+        return not text
+    try:
+        # Z85 and the library's code differ in their alphabets only.
+        base64.b85decode("".join(_B85_OF.get(character, " ") for character in text))
+    except ValueError:
+        return False
+    return True
+
+
+def _rule(holds: t.Callable[[t.Any], bool], reason: str) -> msgspec.Meta:
+    return msgspec.Meta(extra={"rule": FieldRule(holds, reason)})
+
+
+Address = t.Annotated[str, _rule(is_address, "expected IP:port with a port of 1 to 65535")]
+HttpUrl = t.Annotated[str, _rule(is_http_url, "expected an http or https URL")]
+Z85Key = t.Annotated[str, _rule(is_z85_key, "expected a key of 40 characters in Z85")]
+Name = t.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=128, min_length=1)
+]
+OptionalName = t.Annotated[
+    str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?$", max_length=128)
+]
+PathPrefix = t.Annotated[str, msgspec.Meta(pattern=r"^/[^\s?#]*$", max_length=1024)]
+Digest = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
+SecondsOrZero = t.Annotated[float, msgspec.Meta(ge=0)]
+PositiveInt = t.Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeInt = t.Annotated[int, msgspec.Meta(ge=0)]
+PositiveFloat = t.Annotated[float, msgspec.Meta(gt=0)]
+Fraction = t.Annotated[float, msgspec.Meta(gt=0, le=1)]
+NonNegativeFloat = t.Annotated[float, msgspec.Meta(ge=0)]
--- a/packages/records/src/radishbridge/records/settings.py
+++ b/packages/records/src/radishbridge/records/settings.py
@@ -5,11 +5,22 @@
 import pathlib
 import typing as t
 
-import json5
 import msgspec
 
 from radishbridge.records.codes import ResultCode
 from radishbridge.records.failures import Failure
+from radishbridge.records.fields import (
+    Address,
+    FieldFault,
+    HttpUrl,
+    Name,
+    NonNegativeInt,
+    PositiveInt,
+    Seconds,
+    SecondsOrZero,
+    Z85Key,
+)
+from radishbridge.records.jsonc import check_document, load_document
 
 
 class StoreSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -19,9 +30,9 @@
     :param timeout_s: longest wait for one call, in seconds.
     """
 
-    url: str
-    region: str
-    timeout_s: float = 2.0
+    url: HttpUrl
+    region: Name
+    timeout_s: Seconds = 2.0
 
 
 class LogSettings(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
@@ -37,12 +48,12 @@
     Sizes are in bytes, times in seconds.
     """
 
-    header_bytes: int = 16_384
-    body_bytes: int = 2_147_483_648
-    idle_s: float = 30.0
-    key_freshness_s: float = 5.0
-    shutdown_s: float = 30.0
-    shutdown_lookup_s: float = 5.0
+    header_bytes: PositiveInt = 16_384
+    body_bytes: NonNegativeInt = 2_147_483_648
+    idle_s: Seconds = 30.0
+    key_freshness_s: Seconds = 5.0
+    shutdown_s: SecondsOrZero = 30.0
+    shutdown_lookup_s: SecondsOrZero = 5.0
 
 
 class PeerSettings(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
@@ -51,35 +62,51 @@
     Without keys the traffic between hosts is neither encrypted nor authenticated.
     """
 
-    public_key: str = ""
-    secret_key: str = ""
-    accepted_keys: list[str] = []
+    public_key: Z85Key = ""
+    secret_key: Z85Key = ""
+    accepted_keys: list[Z85Key] = []
+
+    def __repr__(self) -> str:
+        return f"PeerSettings(public_key={self.public_key!r})"
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return what is wrong with the keys together."""
+        if bool(self.public_key) != bool(self.secret_key):
+            yield FieldFault("", "public_key and secret_key are given together or not at all")
+        if self.accepted_keys and not self.secret_key:
+            yield FieldFault("accepted_keys", "needs public_key and secret_key")
+        if self.secret_key and not self.accepted_keys:
+            yield FieldFault("accepted_keys", "names no host, so none could connect")
 
 
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """All settings of one host; addresses are ``IP:port``."""
 
-    host: str
-    region: str
-    data_center: str
-    listen: str
-    admin_listen: str
-    peer_listen: str
+    host: Name
+    region: Name
+    data_center: Name
+    listen: Address
+    admin_listen: Address
+    peer_listen: Address
     store: StoreSettings
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
     peers: PeerSettings = PeerSettings()
 
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return the listeners whose addresses clash."""
+        if self.admin_listen == self.listen:
+            yield FieldFault("admin_listen", "is the same as listen")
+        if self.peer_listen in (self.listen, self.admin_listen):
+            yield FieldFault("peer_listen", "is the same as another listener")
+
 
 def load_settings(path: pathlib.Path) -> Settings | list[Failure]:
     """Read and check a settings file.
 
     :return: the settings, or every fault found, each with its field and line.
     """
-    try:
-        document = json5.loads(path.read_text(encoding="utf-8"))
-        return msgspec.convert(document, type=Settings)
-    except OSError as error:
-        return [Failure(ResultCode.FILE_UNREADABLE, f"{path}: {error.strerror}")]
-    except Exception as error:
-        return [Failure(ResultCode.SETTINGS_INVALID, f"{path}: {error}")]
+    document = load_document(path)
+    if isinstance(document, Failure):
+        return [document]
+    return check_document(document, Settings, ResultCode.SETTINGS_INVALID)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,195 @@
+from __future__ import annotations
+
+import json
+import pathlib
+import typing as t
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.records import (
+    Document,
+    Failure,
+    ResultCode,
+    Settings,
+    check_document,
+    load_settings,
+    parse_document,
+)
+
+GOOD = """// settings of one host
+{
+  host: "host-1", region: "oberbayern", data_center: "ob-a",
+  listen: "127.0.0.1:8080",
+  admin_listen: "127.0.0.1:8081",
+  peer_listen: "[::1]:8082", /* IPv6
+  in brackets */
+  store: {
+    url: "http://127.0.0.1:9000",
+    region: "oberbayern",
+  },
+}
+"""
+SECRET_KEY = "JTKVSB%%)wK0E.X)V>+}o?pNmC{O&4W4b!Ni{Lh6"
+PUBLIC_KEY = "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7"
+
+
+def load(directory: pathlib.Path, text: str) -> Settings | list[Failure]:
+    path = directory / "host.jsonc"
+    path.write_text(text, encoding="utf-8")
+    return load_settings(path)
+
+
+def found(result: Settings | list[Failure]) -> list[tuple[str, int]]:
+    assert isinstance(result, list)
+    return sorted((failure.field, failure.line) for failure in result)
+
+
+def parsed(text: str) -> Document:
+    document = parse_document(text)
+    assert isinstance(document, Document), document
+    return document
+
+
+class TestLoadSettings:
+    def test_reads_json_with_comments(self, tmp_path: pathlib.Path) -> None:
+        result = load(tmp_path, GOOD)
+        assert isinstance(result, Settings), result
+        assert (result.peer_listen, result.store.timeout_s) == ("[::1]:8082", 2.0)
+
+    def test_returns_every_fault_with_its_line(self, tmp_path: pathlib.Path) -> None:
+        text = """{
+          host: 7, region: "r", data_center: "d",
+          listen: "127.0.0.1:99999",
+          admin_listen: "localhost:1",
+          store: {
+            url: "ftp://x", timeout_s: -1
+          },
+          log: { level: "loud" },
+          colour: "red",
+          limits: {
+            idle_s: "x", header_bytes: 0 },
+          peers: { public_key: "short" }
+        }"""
+        assert found(load(tmp_path, text)) == [
+            ("admin_listen", 4),
+            ("colour", 9),
+            ("host", 2),
+            ("limits.header_bytes", 11),
+            ("limits.idle_s", 11),
+            ("listen", 3),
+            ("log.level", 8),
+            ("peer_listen", 1),
+            ("peers.public_key", 12),
+            ("store.region", 5),
+            ("store.timeout_s", 6),
+            ("store.url", 6),
+        ]
+
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:65536",
+            "127.0.0.1:080",
+            "127.0.0.1:+8",
+            "127.0.0.1:٨",
+            "127.0.0.256:80",
+            "::1:80",
+            "[127.0.0.1]:80",
+            "host:80",
+            ":80",
+        ],
+    )
+    def test_refuses_a_bad_address(self, tmp_path: pathlib.Path, address: str) -> None:
+        result = load(tmp_path, GOOD.replace("127.0.0.1:8080", address))
+        assert found(result) == [("listen", 4)]
+
+    @pytest.mark.parametrize(
+        ("peers", "field"),
+        [
+            ({"public_key": PUBLIC_KEY}, "peers"),
+            ({"public_key": PUBLIC_KEY, "secret_key": SECRET_KEY}, "peers.accepted_keys"),
+            ({"accepted_keys": [PUBLIC_KEY]}, "peers.accepted_keys"),
+            ({"public_key": PUBLIC_KEY[:-1]}, "peers.public_key"),
+            ({"secret_key": "#####" * 8}, "peers.secret_key"),
+            ({"accepted_keys": [PUBLIC_KEY, PUBLIC_KEY[:-1] + " "]}, "peers.accepted_keys.1"),
+        ],
+    )
+    def test_refuses_bad_keys(self, tmp_path: pathlib.Path, peers: t.Any, field: str) -> None:
+        text = GOOD.replace("  store:", f"  peers: {json.dumps(peers)},\n  store:")
+        assert found(load(tmp_path, text)) == [(field, 8)]
+
+    def test_shows_no_secret_key(self, tmp_path: pathlib.Path) -> None:
+        for secret in (SECRET_KEY, SECRET_KEY + "x"):
+            peers = {"public_key": PUBLIC_KEY, "secret_key": secret, "accepted_keys": [PUBLIC_KEY]}
+            text = GOOD.replace("  store:", f"  peers: {json.dumps(peers)},\n  store:")
+            assert secret not in repr(load(tmp_path, text))
+            assert secret not in repr(load(tmp_path, text.replace(f'"{secret}"', f'"{secret}')))
+
+    def test_refuses_listeners_that_clash(self, tmp_path: pathlib.Path) -> None:
+        result = load(tmp_path, GOOD.replace("8081", "8080"))
+        assert found(result) == [("admin_listen", 5)]
+
+    def test_refuses_a_field_given_twice(self, tmp_path: pathlib.Path) -> None:
+        result = load(tmp_path, GOOD.replace("  store:", '  host: "host-2",\n  store:'))
+        assert found(result) == [("host", 8)]
+
+    @pytest.mark.parametrize("number", ["NaN", "Infinity", "1e999", "true", "null"])
+    def test_refuses_what_is_no_number(self, tmp_path: pathlib.Path, number: str) -> None:
+        result = load(
+            tmp_path, GOOD.replace("  store:", f"  limits: {{idle_s: {number}}},\nstore:")
+        )
+        assert found(result) == [("limits.idle_s", 8)]
+
+    def test_reports_a_missing_file(self, tmp_path: pathlib.Path) -> None:
+        result = load_settings(tmp_path / "none.jsonc")
+        assert isinstance(result, list)
+        assert [failure.code for failure in result] == [ResultCode.FILE_UNREADABLE]
+
+
+class TestParseDocument:
+    @pytest.mark.parametrize(
+        ("text", "line"),
+        [
+            ("{a: 1,\n b: }", 2),
+            ("{a: 1,\n\n @}", 3),
+            ('{\n"a": "open\n}', 2),
+            ("[1,\n2", 2),
+            ("", 1),
+            ("[" * 20_000, 0),
+        ],
+    )
+    def test_reports_the_line_of_a_syntax_error(self, text: str, line: int) -> None:
+        result = parse_document(text, "file")
+        assert isinstance(result, Failure)
+        assert (result.code, result.line) == (ResultCode.FILE_UNREADABLE, line)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.text(alphabet="{}[]:,/*'\"ab01 \n\\-+.eNI", max_size=30))
+    def test_never_raises(self, text: str) -> None:
+        assert isinstance(parse_document(text), Document | Failure)
+
+
+class TestDocument:
+    def test_finds_the_line_of_any_field(self) -> None:
+        document = parsed('// c\n[\n {a: [1,\n  {"b": 2}],\n  c: {}}\n]')
+        fields = ["", "0", "0.a", "0.a.0", "0.a.1", "0.a.1.b", "0.c", "0.c.missing", "0.a.7"]
+        assert [document.line(field) for field in fields] == [2, 3, 3, 3, 4, 4, 5, 5, 3]
+
+    def test_finds_lines_in_plain_json(self) -> None:
+        document = parsed(json.dumps({"a": [1, {"b": 2}]}, indent=1))
+        assert document.line("a.1.b") == 5
+
+    def test_checks_a_part(self) -> None:
+        class Point(msgspec.Struct, forbid_unknown_fields=True):
+            x: int
+
+        document = parsed("[{x: 1},\n {x: 2,\n y: 3}]")
+        assert check_document(document, Point, at="0") == Point(1)
+        faults = check_document(document, Point, at="1")
+        assert isinstance(faults, list)
+        assert [(fault.field, fault.line) for fault in faults] == [("1.y", 3)]
