Validate records of every kind, convert older schemas, keep unknown fields

Cause: records were checked for types only, so that a negative or infinite rate, a host name as an address or two backend servers of one name came into force; there was one schema version; an edit dropped the fields that the editor did not know. Change: constraints at the fields of each kind, rules over several fields in `faults()`; validate_body(kind, name, spec, schema, lookup) returns every fault, references included where lookup is given; decode_record applies the same rules. Rate and service have two schemas, converted on read (records/schemas.py). merge_spec and encode_edit keep unknown fields, nested ones by name or prefix. encode_tombstone keeps the schema, and deletions are read whatever their schema, so that a deletion by a newer client is in force on older hosts. Conclusion: a record is in force as a whole or kept aside as a whole.

--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -16,12 +16,21 @@
 from radishbridge.records.failures import Failure
 from radishbridge.records.fields import FieldFault, FieldRule, SelfChecking, is_address
 from radishbridge.records.jsonc import Document, check_document, load_document, parse_document
+from radishbridge.records.merge import merge_spec
 from radishbridge.records.record import (
-    SCHEMA_VERSIONS,
     Record,
     StoredValue,
     decode_record,
+    encode_edit,
     encode_record,
+    encode_tombstone,
+)
+from radishbridge.records.schemas import (
+    SCHEMA_VERSIONS,
+    RateV1,
+    ServiceV1,
+    form_of,
+    upgrade_spec,
 )
 from radishbridge.records.settings import (
     LimitSettings,
@@ -46,6 +55,7 @@
     Site,
     Workspace,
 )
+from radishbridge.records.validation import Lookup, validate_body
 
 __all__ = [
     "CODE_INFO",
@@ -70,9 +80,11 @@
     "LimitSettings",
     "Link",
     "LogSettings",
+    "Lookup",
     "Move",
     "PeerSettings",
     "Rate",
+    "RateV1",
     "Record",
     "RecordBody",
     "RejectedRecord",
@@ -80,6 +92,7 @@
     "Route",
     "SelfChecking",
     "Service",
+    "ServiceV1",
     "Settings",
     "Site",
     "StoreSettings",
@@ -88,11 +101,17 @@
     "check_document",
     "check_value",
     "decode_record",
+    "encode_edit",
     "encode_record",
+    "encode_tombstone",
     "find_faults",
+    "form_of",
     "is_address",
     "load_document",
     "load_settings",
+    "merge_spec",
     "parse_document",
     "unknown_fields",
+    "upgrade_spec",
+    "validate_body",
 ]
--- a/packages/records/src/radishbridge/records/check.py
+++ b/packages/records/src/radishbridge/records/check.py
@@ -71,7 +71,11 @@
     return {field.encode_name: field for field in msgspec.structs.fields(struct)}
 
 
-@functools.cache
+def struct_type(type_: t.Any) -> type[msgspec.Struct] | None:
+    """Return the struct type that a type stands for, ``None`` for other types."""
+    return _shape(type_).struct
+
+
 def item_type(type_: t.Any) -> t.Any:
     """Return the type of a list type's items, ``None`` for other types."""
     return _shape(type_).item
--- a/packages/records/src/radishbridge/records/fields.py
+++ b/packages/records/src/radishbridge/records/fields.py
@@ -89,6 +89,28 @@
     return True
 
 
+def is_base64(text: str) -> bool:
+    """Return whether a text is base64 with padding."""
+    try:
+        base64.b64decode(text, validate=True)
+    except ValueError:
+        return False
+    return True
+
+
+def find_repeated(items: str, key: str, values: t.Sequence[str]) -> t.Iterator[FieldFault]:
+    """Return a fault for each value that stands earlier in its list already.
+
+    :param items: field that holds the list.
+    :param key: field of an item that must be unique; empty where the item itself must be.
+    """
+    first = {value: index for index, value in reversed(list(enumerate(values)))}
+    for index, value in enumerate(values):
+        if first[value] != index:
+            field = f"{items}.{index}.{key}".rstrip(".")
+            yield FieldFault(field, f"is the same as in {items}.{first[value]}")
+
+
 def _rule(holds: t.Callable[[t.Any], bool], reason: str) -> msgspec.Meta:
     return msgspec.Meta(extra={"rule": FieldRule(holds, reason)})
 
@@ -111,3 +133,5 @@
 PositiveFloat = t.Annotated[float, msgspec.Meta(gt=0)]
 Fraction = t.Annotated[float, msgspec.Meta(gt=0, le=1)]
 NonNegativeFloat = t.Annotated[float, msgspec.Meta(ge=0)]
+Title = t.Annotated[str, msgspec.Meta(max_length=256)]
+Base64Text = t.Annotated[str, _rule(is_base64, "expected base64")]
--- a/packages/records/src/radishbridge/records/record.py
+++ b/packages/records/src/radishbridge/records/record.py
@@ -8,9 +8,10 @@
 
 from radishbridge.records.codes import ResultCode
 from radishbridge.records.failures import Failure
+from radishbridge.records.merge import merge_spec
+from radishbridge.records.schemas import SCHEMA_VERSIONS, check_schema, upgrade_spec
 from radishbridge.records.types import KINDS, RecordBody
-
-SCHEMA_VERSIONS: dict[str, int] = dict.fromkeys(KINDS, 1)
+from radishbridge.records.validation import validate_body
 
 
 class StoredValue(msgspec.Struct, kw_only=True):
@@ -42,17 +43,18 @@
 def decode_record(kind: str, name: str, version: int, value: bytes) -> Record | Failure:
     """Decode a stored value into a typed record.
 
+    Tombstones are decoded whatever their schema, so that a deletion is in force on older hosts too.
+
     :return: the record, or ``RECORD_INVALID`` or ``SCHEMA_TOO_NEW``.
     """
-    try:
-        stored = msgspec.json.decode(value, type=StoredValue)
-        if stored.schema > SCHEMA_VERSIONS[kind]:
-            return Failure(ResultCode.SCHEMA_TOO_NEW, f"{kind}/{name}: schema {stored.schema}")
-        if stored.deleted:
-            return Record(kind=kind, name=name, version=version, body=None)
-        body = msgspec.convert(stored.spec, type=KINDS[kind])
-    except (msgspec.MsgspecError, KeyError) as error:
-        return Failure(ResultCode.RECORD_INVALID, f"{kind}/{name}: {error}")
+    stored = _decode_stored(value)
+    if isinstance(stored, Failure):
+        return _named(kind, name, stored)
+    if stored.deleted and kind in KINDS:
+        return Record(kind=kind, name=name, version=version, body=None)
+    body = validate_body(kind, name, stored.spec, stored.schema)
+    if isinstance(body, list):
+        return _named(kind, name, body[0])
     return Record(kind=kind, name=name, version=version, body=body)
 
 
@@ -60,3 +62,48 @@
     """Encode a body as the stored value in the kind's newest schema."""
     spec = msgspec.to_builtins(body)
     return msgspec.json.encode(StoredValue(schema=SCHEMA_VERSIONS[kind], spec=spec))
+
+
+def encode_edit(kind: str, body: RecordBody, value: bytes) -> bytes | Failure:
+    """Encode an edited body together with the fields of the stored value that are not known here.
+
+    :param value: the stored value that the edit started from.
+    :return: the value in the newest schema, or ``RECORD_INVALID``, or ``SCHEMA_TOO_NEW`` where the
+        stored value is newer than known.
+    """
+    stored = _decode_stored(value)
+    if isinstance(stored, Failure):
+        return stored
+    if stored.deleted:
+        return encode_record(kind, body)
+    failure = check_schema(kind, stored.schema)
+    if failure is not None:
+        return failure
+    spec = upgrade_spec(kind, stored.spec, stored.schema)
+    if isinstance(spec, list):
+        return spec[0]
+    merged = merge_spec(spec, msgspec.to_builtins(body), KINDS[kind])
+    return msgspec.json.encode(StoredValue(schema=SCHEMA_VERSIONS[kind], spec=merged))
+
+
+def encode_tombstone(value: bytes) -> bytes | Failure:
+    """Encode the tombstone of a stored value, which keeps the value's schema.
+
+    :return: the tombstone, or ``RECORD_INVALID`` where the value can't be read.
+    """
+    stored = _decode_stored(value)
+    if isinstance(stored, Failure):
+        return stored
+    return msgspec.json.encode(StoredValue(schema=stored.schema, deleted=True))
+
+
+def _decode_stored(value: bytes) -> StoredValue | Failure:
+    try:
+        return msgspec.json.decode(value, type=StoredValue)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return Failure(ResultCode.RECORD_INVALID, "not a stored value in JSON")
+
+
+def _named(kind: str, name: str, failure: Failure) -> Failure:
+    where = f"{kind}/{name}: {failure.field}".rstrip(": ")
+    return Failure(failure.code, f"{where}: {failure.reason}", failure.field)
--- a/packages/records/src/radishbridge/records/types.py
+++ b/packages/records/src/radishbridge/records/types.py
@@ -6,6 +6,24 @@
 
 import msgspec
 
+from radishbridge.records.fields import (
+    Address,
+    Base64Text,
+    Digest,
+    FieldFault,
+    Fraction,
+    Name,
+    NonNegativeFloat,
+    NonNegativeInt,
+    OptionalName,
+    PathPrefix,
+    PositiveFloat,
+    PositiveInt,
+    Seconds,
+    Title,
+    find_repeated,
+)
+
 
 class Workspace(msgspec.Struct, kw_only=True):
     """A customer's workspace, the unit of keys, rates and limits.
@@ -15,9 +33,9 @@
     :param weight: weight in fair queueing.
     """
 
-    title: str = ""
-    connections_per_host: int = 1000
-    weight: float = 1.0
+    title: Title = ""
+    connections_per_host: NonNegativeInt = 1000
+    weight: PositiveFloat = 1.0
 
 
 class Key(msgspec.Struct, kw_only=True):
@@ -28,8 +46,8 @@
     :param withdrawn: a withdrawn key is refused everywhere.
     """
 
-    workspace: str
-    digest: str
+    workspace: Name
+    digest: Digest
     withdrawn: bool = False
 
 
@@ -40,8 +58,13 @@
     :param burst: requests accepted at once after a quiet time.
     """
 
-    requests_per_second: float
-    burst: float
+    requests_per_second: NonNegativeFloat
+    burst: NonNegativeFloat
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return a burst that contradicts the rate."""
+        if self.requests_per_second > 0 and self.burst < 1:
+            yield FieldFault("burst", "below 1 it admits no request; set the rate to 0 as well")
 
 
 class Backend(msgspec.Struct, kw_only=True):
@@ -52,13 +75,13 @@
     :param connections: connections it accepts from all hosts together.
     """
 
-    name: str
-    address: str
-    region: str
-    data_center: str
-    version: str = "1"
-    slots: int = 4
-    connections: int = 300
+    name: Name
+    address: Address
+    region: Name
+    data_center: Name
+    version: Name = "1"
+    slots: PositiveInt = 4
+    connections: PositiveInt = 300
 
 
 class Route(msgspec.Struct, kw_only=True):
@@ -70,10 +93,10 @@
     :param answer_bytes: expected size of an answer in bytes.
     """
 
-    prefix: str
+    prefix: PathPrefix
     open: bool = False
     repeatable: bool = True
-    answer_bytes: int = 4096
+    answer_bytes: NonNegativeInt = 4096
 
 
 class Service(msgspec.Struct, kw_only=True):
@@ -84,19 +107,30 @@
     :param deadline_s: longest time for one request, in seconds.
     """
 
-    path_prefix: str
+    path_prefix: PathPrefix
     backends: list[Backend]
     routes: list[Route] = []
-    stable_version: str = "1"
-    deadline_s: float = 30.0
+    stable_version: Name = "1"
+    deadline_s: Seconds = 30.0
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return backend servers and routes given twice."""
+        yield from find_repeated("backends", "name", [one.name for one in self.backends])
+        yield from find_repeated("backends", "address", [one.address for one in self.backends])
+        yield from find_repeated("routes", "prefix", [one.prefix for one in self.routes])
 
 
 class Link(msgspec.Struct, kw_only=True):
     """The limit of a link between two regions, in bytes per second each way."""
 
-    from_region: str
-    to_region: str
-    bytes_per_second: int
+    from_region: Name
+    to_region: Name
+    bytes_per_second: PositiveInt
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return a link that ends where it starts."""
+        if self.from_region == self.to_region:
+            yield FieldFault("to_region", "is the same as from_region")
 
 
 class Drain(msgspec.Struct, kw_only=True):
@@ -106,9 +140,9 @@
     """
 
     scope: t.Literal["backend", "data_center", "region", "host"]
-    target: str
-    service: str = ""
-    deadline_s: float = 60.0
+    target: Name
+    service: OptionalName = ""
+    deadline_s: Seconds = 60.0
 
 
 class Move(msgspec.Struct, kw_only=True):
@@ -118,12 +152,17 @@
     :param exposure: largest share while the new version is unproven, 0 to 1.
     """
 
-    service: str
-    from_version: str
-    to_version: str
-    deadline_s: float = 600.0
-    step: float = 0.1
-    exposure: float = 0.01
+    service: Name
+    from_version: Name
+    to_version: Name
+    deadline_s: Seconds = 600.0
+    step: Fraction = 0.1
+    exposure: Fraction = 0.01
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return a move that ends where it starts."""
+        if self.from_version == self.to_version:
+            yield FieldFault("to_version", "is the same as from_version")
 
 
 class ClientBlocks(msgspec.Struct, kw_only=True):
@@ -135,14 +174,18 @@
     """
 
     family: t.Literal[4, 6]
-    sites: list[str]
-    packed: str
+    sites: list[Name]
+    packed: Base64Text
 
 
 class Site(msgspec.Struct, kw_only=True):
     """A place that clients are near to: the data centres in order of preference."""
 
-    data_centers: list[str]
+    data_centers: t.Annotated[list[Name], msgspec.Meta(min_length=1)]
+
+    def faults(self) -> t.Iterator[FieldFault]:
+        """Return data centres given twice."""
+        yield from find_repeated("data_centers", "", self.data_centers)
 
 
 RecordBody = Workspace | Key | Rate | Service | Link | Drain | Move | ClientBlocks | Site
