Decide version moves by a sequential test, split traffic exactly

Cause: a shift of traffic has to end in time or be taken back, and say which; a bad version may get little traffic. Change: packages/moves: a split that never exceeds its share on any host, a test by betting that may be looked at at any time (false alarms <= 0.5 % over all streams), a ramp with proof, steps, one second chance for slow answers, and an end that hosts apply themselves past the deadline.

--- /dev/null
+++ b/bench/steering_moves.py
@@ -0,0 +1,196 @@
+"""Runs version moves in virtual time against good and bad versions, beside a fixed-step move.
+
+Prints JSON: for each case and policy how the moves ended and what share of all requests a bad
+version got.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import concurrent.futures
+import math
+import statistics
+import sys
+import typing as t
+
+import msgspec
+import numpy as np
+
+from bench import _move_cases as cases
+from radishbridge.moves import (
+    FINAL_PHASES,
+    Fault,
+    Observations,
+    Phase,
+    Ramp,
+    StreamKey,
+    Tally,
+    effective_share,
+    start_move,
+)
+from radishbridge.records import Move
+
+REQUESTS_PER_S = 400.0
+LATENCY_SIGMA = 0.5
+SLOW_FACTOR = 1.5
+QUANTILE_Z = 1.2816
+PROCESSES = 3
+SILENCE_S = 10.0
+MOVE = Move(service="catalogue", from_version="1", to_version="2", deadline_s=600.0)
+
+
+class RunResult(msgspec.Struct):
+    """How one move ended.
+
+    :param new_share: share of all requests within the deadline that the new version got.
+    :param after_verdict: requests the new version got later than 2 s after the verdict.
+    """
+
+    phase: Phase
+    ended_s: float
+    new_share: float
+    after_verdict: int
+
+
+class CaseReport(msgspec.Struct, kw_only=True):
+    """All runs of one case under one policy."""
+
+    case: str
+    policy: str
+    runs: int
+    phases: dict[str, int]
+    median_end_s: float
+    mean_new_share: float
+    worst_new_share: float
+    after_verdict: int
+
+
+def slow_probability(factor: float) -> float:
+    """Return how often a log-normal latency times a factor is over the threshold for slow."""
+    z = (math.log(SLOW_FACTOR / factor) + LATENCY_SIGMA * QUANTILE_Z) / LATENCY_SIGMA
+    return 0.5 * math.erfc(z / math.sqrt(2.0))
+
+
+class Simulation:
+    """One move against one case, in steps of a second."""
+
+    __slots__ = ("case", "rng", "sent_new", "sent_total")
+
+    def __init__(self, case: cases.Case, seed: int) -> None:
+        self.case = case
+        self.rng = np.random.default_rng(seed)
+        self.sent_new = 0
+        self.sent_total = 0
+
+    def second(self, elapsed_s: float, share: float) -> Observations:
+        """Return what hosts observe in one second while the new version gets a share."""
+        total = self.rng.poisson(REQUESTS_PER_S * cases.CELL_SHARES)
+        new = self.rng.binomial(total, share)
+        old = total - new
+        self.sent_new += int(new.sum())
+        self.sent_total += int(total.sum())
+        conditions = cases.Conditions(elapsed_s, share)
+        new_errors = self.rng.binomial(new, self.case.errors(conditions))
+        old_errors = self.rng.binomial(old, self.case.old_errors(elapsed_s))
+        observations = Observations()
+        for axis, kind, names in ((1, "route", cases.ROUTES), (0, "workspace", cases.WORKSPACES)):
+            sums = [part.sum(axis=axis) for part in (new, new_errors, old, old_errors)]
+            for index, name in enumerate(names):
+                key = StreamKey(Fault.ERROR, f"{kind} {name}")
+                observations.tallies[key] = Tally(*(int(one[index]) for one in sums))
+        self._add_slow(observations, conditions, (new - new_errors), (old - old_errors))
+        return observations
+
+    def _add_slow(
+        self, observations: Observations, conditions: cases.Conditions, new: t.Any, old: t.Any
+    ) -> None:
+        new_probability = slow_probability(self.case.latency_factor(conditions))
+        for index, name in enumerate(cases.ROUTES):
+            new_total, old_total = int(new[index].sum()), int(old[index].sum())
+            observations.tallies[StreamKey(Fault.SLOW, f"route {name} idle")] = Tally(
+                new_total,
+                int(self.rng.binomial(new_total, new_probability)),
+                old_total,
+                int(self.rng.binomial(old_total, slow_probability(1.0))),
+            )
+
+
+def run_product(case: cases.Case, seed: int) -> RunResult:
+    """Run the product's ramp; evidence and shares each take a second to arrive."""
+    simulation = Simulation(case, seed)
+    ramp = Ramp(MOVE, start_move("m", MOVE, 0.0), 0.0)
+    in_force = ramp.status
+    ended_s = 0.0
+    after_verdict = 0
+    for second in range(int(MOVE.deadline_s)):
+        now = float(second)
+        before = simulation.sent_new
+        observations = simulation.second(now, effective_share(in_force, now))
+        if ended_s and in_force.phase is not Phase.DONE and now > ended_s + 2.0:
+            after_verdict += simulation.sent_new - before
+        in_force = ramp.status
+        if not case.silent_from_s <= now < case.silent_from_s + SILENCE_S:
+            ramp.observe(observations, now + 1.0)
+        if ramp.step(now + 1.0).phase in FINAL_PHASES and not ended_s:
+            ended_s = now + 1.0
+    share = simulation.sent_new / simulation.sent_total
+    return RunResult(ramp.step(MOVE.deadline_s).phase, ended_s, share, after_verdict)
+
+
+def run_fixed(case: cases.Case, seed: int) -> RunResult:
+    """Run the naive move: a tenth more each minute, taken back if most requests fail."""
+    simulation = Simulation(case, seed)
+    share = 0.0
+    for second in range(int(MOVE.deadline_s)):
+        share = min(1.0, 0.1 * (1 + second // 60))
+        observations = simulation.second(float(second), share)
+        tallies = [
+            tally
+            for key, tally in observations.tallies.items()
+            if key.fault is Fault.ERROR and key.group.startswith("route")
+        ]
+        if sum(one.new_faults for one in tallies) > 0.5 * sum(one.new_total for one in tallies):
+            rest = MOVE.deadline_s - second
+            total = simulation.sent_total + rest * REQUESTS_PER_S
+            return RunResult(Phase.TAKEN_BACK, float(second), simulation.sent_new / total, 0)
+    new_share = simulation.sent_new / simulation.sent_total
+    return RunResult(Phase.DONE, MOVE.deadline_s, new_share, 0)
+
+
+POLICIES = {"radishbridge": run_product, "fixed steps": run_fixed}
+
+
+def run_case(index: int, policy: str, seeds: int) -> CaseReport:
+    """Run one case over all seeds."""
+    case = cases.CASES[index]
+    results = [POLICIES[policy](case, seed) for seed in range(seeds)]
+    return CaseReport(
+        case=case.name,
+        policy=policy,
+        runs=seeds,
+        phases=dict(collections.Counter(result.phase.value for result in results)),
+        median_end_s=statistics.median(result.ended_s for result in results),
+        mean_new_share=statistics.fmean(result.new_share for result in results),
+        worst_new_share=max(result.new_share for result in results),
+        after_verdict=sum(result.after_verdict for result in results),
+    )
+
+
+def main() -> None:
+    """Print the reports of all cases."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=200)
+    seeds = parser.parse_args().seeds
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
+        jobs = [
+            pool.submit(run_case, index, policy, seeds)
+            for policy in POLICIES
+            for index in range(len(cases.CASES))
+        ]
+        reports = [job.result() for job in jobs]
+    sys.stdout.write(msgspec.json.format(msgspec.json.encode(reports)).decode() + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,233 @@
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.moves import (
+    Fault,
+    LatencyReference,
+    MoveStatus,
+    Observations,
+    Outcome,
+    Phase,
+    Ramp,
+    StreamKey,
+    StreamTest,
+    Tally,
+    VersionSplit,
+    effective_share,
+    merged,
+    start_move,
+    upper_bound,
+)
+from radishbridge.records import Move
+
+MOVE = Move(service="s", from_version="1", to_version="2", deadline_s=600.0)
+ERRORS = StreamKey(Fault.ERROR, "route /a")
+SLOW = StreamKey(Fault.SLOW, "route /a idle")
+
+
+def outcome(new: bool, failed: bool = False, latency_s: float = 0.1) -> Outcome:
+    return Outcome(
+        route="/a", workspace="w", new=new, busy=False, failed=failed, latency_s=latency_s
+    )
+
+
+def interval(
+    new: int, new_faults: int, old: int, old_faults: int, key: StreamKey = ERRORS
+) -> Observations:
+    return Observations({key: Tally(new, new_faults, old, old_faults)})
+
+
+def run(ramp: Ramp, start: int, stop: int, observations: Observations | None) -> MoveStatus:
+    for second in range(start, stop):
+        if observations is not None:
+            ramp.observe(observations, float(second))
+        ramp.step(float(second))
+    return ramp.status
+
+
+def new_ramp() -> Ramp:
+    return Ramp(MOVE, start_move("m", MOVE, 0.0), 0.0)
+
+
+class TestVersionSplit:
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(0, 200)), max_size=20))
+    def test_never_exceeds_the_shares_in_force(self, stages: list[tuple[float, int]]) -> None:
+        splits = [VersionSplit() for _ in range(3)]
+        sent, allowed = 0, 0.0
+        for share, requests in stages:
+            for split in splits:
+                split.set_share(share)
+                for _ in range(requests):
+                    allowed += share
+                    sent += split.next_is_new()
+                    assert sent <= allowed + 1e-6
+
+    @pytest.mark.parametrize("share", [0.0, 0.01, 0.5, 1.0])
+    def test_sends_the_share(self, share: float) -> None:
+        split = VersionSplit()
+        split.set_share(share)
+        sent = sum(split.next_is_new() for _ in range(1000))
+        assert 1000 * share - 1 <= sent <= 1000 * share
+
+    def test_sends_nothing_while_stopped(self) -> None:
+        split = VersionSplit()
+        split.set_share(1.0)
+        split.stop()
+        assert not any(split.next_is_new() for _ in range(10))
+        split.resume()
+        assert split.next_is_new()
+
+    def test_drops_credit_of_a_larger_share(self) -> None:
+        split = VersionSplit()
+        split.set_share(0.9)
+        split.next_is_new()
+        split.set_share(0.01)
+        assert not any(split.next_is_new() for _ in range(99))
+
+
+class TestStreamTest:
+    def test_false_alarms_stay_under_the_stated_rate(self) -> None:
+        rng = random.Random(20261204)
+        alarms = 0
+        for _ in range(200):
+            test = StreamTest(margin=0.01)
+            peak = 0.0
+            for _ in range(60):
+                new = sum(rng.random() < 0.02 for _ in range(20))
+                old = sum(rng.random() < 0.02 for _ in range(200))
+                test.update(Tally(20, new, 200, old))
+                peak = max(peak, test.capital_log())
+            alarms += peak >= 3.0  # a capital of 20: at most one run in 20 by Ville's inequality
+        assert alarms <= 10
+
+    def test_gains_on_more_faults_and_loses_on_fewer(self) -> None:
+        worse, better = StreamTest(0.01), StreamTest(0.01)
+        for _ in range(10):
+            worse.update(Tally(10, 5, 200, 1))
+            better.update(Tally(10, 0, 200, 1))
+        assert worse.capital_log() > 9.0
+        assert better.capital_log() < 0.0
+
+    def test_says_nothing_without_the_old_version(self) -> None:
+        test = StreamTest(0.01)
+        test.update(Tally(10, 10, 0, 0))
+        assert test.capital_log() == 0.0
+
+    @pytest.mark.parametrize(("faults", "total"), [(0, 10), (5, 10), (10, 10), (0, 10_000)])
+    def test_upper_bound_is_above_the_rate(self, faults: int, total: int) -> None:
+        assert faults / total <= upper_bound(faults, total) <= 1.0
+
+
+class TestLatencyReference:
+    def test_tells_nothing_at_first_and_then_slow_from_fast(self) -> None:
+        reference = LatencyReference()
+        assert reference.classify(outcome(new=True, latency_s=9.0)) is None
+        for number in range(100):
+            reference.classify(outcome(new=False, latency_s=0.1 + 0.0001 * number))
+        assert reference.classify(outcome(new=True, latency_s=0.3)) is True
+        assert reference.classify(outcome(new=True, latency_s=0.1)) is False
+
+    def test_does_not_learn_from_the_new_version(self) -> None:
+        reference = LatencyReference()
+        for _ in range(200):
+            reference.classify(outcome(new=True, latency_s=5.0))
+        assert reference.thresholds == {}
+
+
+class TestObservations:
+    def test_tallies_of_hosts_add_up(self) -> None:
+        parts = [Observations(), Observations()]
+        for part in parts:
+            part.add(outcome(new=True, failed=True), slow=None)
+            part.add(outcome(new=False), slow=False)
+        total = merged(parts)
+        assert total.tallies[ERRORS] == Tally(2, 2, 2, 0)
+        assert total.tallies[StreamKey(Fault.ERROR, "workspace w")] == Tally(2, 2, 2, 0)
+        assert total.tallies[SLOW] == Tally(0, 0, 2, 0)
+
+
+class TestRamp:
+    def test_a_good_version_is_moved(self) -> None:
+        status = run(new_ramp(), 0, 300, interval(20, 0, 200, 0))
+        assert status.phase is Phase.DONE
+        assert status.share == 1.0
+
+    def test_growth_stays_under_the_step(self) -> None:
+        ramp = new_ramp()
+        shares = [
+            run(ramp, second, second + 1, interval(20, 0, 200, 0)).share for second in range(300)
+        ]
+        tested = [share for share in shares if share < 1.0]
+        assert all(b - a <= MOVE.step + 1e-9 for a, b in itertools.pairwise(tested))
+        assert max(tested) <= 0.95
+
+    def test_a_failing_version_is_taken_back_with_the_reason(self) -> None:
+        status = run(new_ramp(), 0, 30, interval(4, 4, 200, 0))
+        assert status.phase is Phase.TAKEN_BACK
+        assert status.share == 0.0
+        assert status.reason == "error on route /a"
+
+    def test_gets_only_the_exposure_while_unproven(self) -> None:
+        status = run(new_ramp(), 0, 80, interval(100, 0, 200, 0))
+        assert status.phase is Phase.PROVING
+        assert status.share == MOVE.exposure
+
+    @pytest.mark.parametrize("silent_from", [50, 100])
+    def test_holds_while_measurements_are_missing(self, silent_from: int) -> None:
+        ramp = new_ramp()
+        run(ramp, 0, silent_from, interval(20, 0, 200, 0))
+        before = ramp.status.share
+        after = run(ramp, silent_from + 4, silent_from + 40, None)
+        assert after.share <= before + MOVE.step
+        assert after.phase in (Phase.PROVING, Phase.RAMPING)
+
+    def test_slow_answers_do_not_count_while_caches_are_cold(self) -> None:
+        status = run(new_ramp(), 0, 40, interval(20, 20, 200, 2, SLOW))
+        assert status.phase is Phase.PROVING
+
+    def test_a_version_that_stays_slow_is_taken_back(self) -> None:
+        status = run(new_ramp(), 0, 200, interval(20, 20, 200, 2, SLOW))
+        assert status.phase is Phase.TAKEN_BACK
+        assert status.slow_strikes == 1
+
+    def test_ends_late_at_the_deadline(self) -> None:
+        status = run(new_ramp(), 0, 601, None)
+        assert status.phase is Phase.LATE
+        assert status.share == 0.0
+
+    def test_an_ended_move_stays_ended(self) -> None:
+        ramp = new_ramp()
+        ended = run(ramp, 0, 30, interval(4, 4, 200, 0))
+        assert run(ramp, 30, 700, interval(20, 0, 200, 0)) == ended
+
+    def test_another_host_goes_on_from_the_record(self) -> None:
+        first = new_ramp()
+        run(first, 0, 100, interval(20, 0, 200, 0))
+        second = Ramp(MOVE, first.status, taken_over_at=100.0)
+        status = run(second, 100, 300, interval(20, 0, 200, 0))
+        assert status.phase is Phase.DONE
+
+
+class TestEffectiveShare:
+    @pytest.mark.parametrize(
+        ("phase", "now", "share"),
+        [
+            (Phase.RAMPING, 599.0, 0.5),
+            (Phase.RAMPING, 604.0, 0.5),
+            (Phase.RAMPING, 605.0, 0.0),
+            (Phase.DONE, 9_999.0, 0.5),
+        ],
+    )
+    def test_hosts_end_an_overdue_move_by_themselves(
+        self, phase: Phase, now: float, share: float
+    ) -> None:
+        status = start_move("m", MOVE, 0.0)
+        status.phase, status.share = phase, 0.5
+        assert effective_share(status, now) == share
