Add the table of client blocks and the ranking of hosts for callers

Cause: callers had no way to ask which entry hosts to use. Change: routing/blocks.py packs client blocks of both families into columns, resolves nested ones by longest match and keeps the last good part where a new one is damaged; routing/lookup.py ranks the live hosts for a caller's address from its site, spreads blocks over the hosts of a data centre by rendezvous hashing, and leaves out hosts that leave or are drained; bench/lookup.py measures both.

--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -1,8 +1,44 @@
-"""Choice of region and backend server for each request."""
+"""Choice of entry host for each caller, and of region and backend server for each request."""
 
 from __future__ import annotations
 
+from radishbridge.routing.blocks import (
+    Block,
+    BlockPart,
+    BlockTable,
+    pack_part,
+    parse_address,
+    unpack_part,
+)
+from radishbridge.routing.lookup import (
+    HOSTS_PER_ANSWER,
+    LOOKUP_TTL_S,
+    EntryHost,
+    HostIndex,
+    LookupAnswer,
+    RankedHost,
+    rank_hosts,
+)
 from radishbridge.routing.protocol import AttemptOutcome, Permit, Router, ServiceRoute
 from radishbridge.routing.router import LocalRouter
 
-__all__ = ["AttemptOutcome", "LocalRouter", "Permit", "Router", "ServiceRoute"]
+__all__ = [
+    "HOSTS_PER_ANSWER",
+    "LOOKUP_TTL_S",
+    "AttemptOutcome",
+    "Block",
+    "BlockPart",
+    "BlockTable",
+    "EntryHost",
+    "HostIndex",
+    "LocalRouter",
+    "LookupAnswer",
+    "Permit",
+    "RankedHost",
+    "Router",
+    "ServiceRoute",
+    "pack_part",
+    "parse_address",
+    "rank_hosts",
+    "unpack_part",
+]
