Refuse names with a newline, huge integers and records nested too deeply

Cause: `$` in a pattern matches before a final newline, so "a\n" passed as a name and as a digest; decode_record raised RecursionError on a value nested thousands of levels deep, which would have ended the configuration feed; an integer of 400 digits passed; half a surrogate pair in a file could be read but not sent on. Change: patterns end with \Z, integers are at most 2**53, these values are failures. BlockTable.find is a plain loop. Conclusion: what can be read from a file can be written to the store.

--- a/packages/records/src/radishbridge/records/fields.py
+++ b/packages/records/src/radishbridge/records/fields.py
@@ -10,6 +10,8 @@
 import msgspec
 
 PORT_MAX = 65_535
+# Largest integer up to which a float holds every one.
+INTEGER_MAX = 2**53
 Z85_KEY_CHARACTERS = 40
 
 _Z85_ALPHABET = (
@@ -118,18 +120,16 @@
 Address = t.Annotated[str, _rule(is_address, "expected IP:port with a port of 1 to 65535")]
 HttpUrl = t.Annotated[str, _rule(is_http_url, "expected an http or https URL")]
 Z85Key = t.Annotated[str, _rule(is_z85_key, "expected a key of 40 characters in Z85")]
-Name = t.Annotated[
-    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=128, min_length=1)
-]
+Name = t.Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*\Z", max_length=128)]
 OptionalName = t.Annotated[
-    str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?$", max_length=128)
+    str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]*)?\Z", max_length=128)
 ]
-PathPrefix = t.Annotated[str, msgspec.Meta(pattern=r"^/[^\s?#]*$", max_length=1024)]
-Digest = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+PathPrefix = t.Annotated[str, msgspec.Meta(pattern=r"^/[^\s?#]*\Z", max_length=1024)]
+Digest = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 SecondsOrZero = t.Annotated[float, msgspec.Meta(ge=0)]
-PositiveInt = t.Annotated[int, msgspec.Meta(ge=1)]
-NonNegativeInt = t.Annotated[int, msgspec.Meta(ge=0)]
+PositiveInt = t.Annotated[int, msgspec.Meta(ge=1, le=INTEGER_MAX)]
+NonNegativeInt = t.Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 PositiveFloat = t.Annotated[float, msgspec.Meta(gt=0)]
 Fraction = t.Annotated[float, msgspec.Meta(gt=0, le=1)]
 NonNegativeFloat = t.Annotated[float, msgspec.Meta(ge=0)]
--- a/packages/records/src/radishbridge/records/jsonc.py
+++ b/packages/records/src/radishbridge/records/jsonc.py
@@ -98,7 +98,10 @@
     :return: the document, or ``FILE_UNREADABLE``.
     """
     try:
-        return _parse_plain(text) or _parse_commented(text)
+        document = _parse_plain(text) or _parse_commented(text)
+        # Half a surrogate pair can be written as an escape, but not sent on.
+        json.dumps(document.value, ensure_ascii=False).encode()
+        return document
     except RecursionError:
         reason, line = "nested too deeply", 0
     except ValueError as error:
@@ -141,18 +144,24 @@
     def __init__(self, model: JSONText) -> None:
         self.by_field: dict[str, int] = {}
         self.repeated: list[tuple[str, int]] = []
-        self._add(model.value, "", model.value.lineno or 1)
-
-    def _add(self, node: Node, field: str, line: int) -> None:
-        if field in self.by_field:
-            self.repeated.append((field, line))
-        self.by_field[field] = line
-        if isinstance(node, JSONArray):
-            for index, item in enumerate(node.values):
-                self._add(item, join(field, str(index)), item.lineno or line)
-        elif isinstance(node, JSONObject):
-            for key, value in node.key_value_pairs:
-                self._add(value, join(field, _LOADER.load(key)), key.lineno or line)
+        waiting: list[tuple[Node, str, int]] = [(model.value, "", model.value.lineno or 1)]
+        # A loop, since plain JSON may be nested as deeply as the stack allows.
+        while waiting:
+            node, field, line = waiting.pop()
+            if field in self.by_field:
+                self.repeated.append((field, line))
+            self.by_field[field] = line
+            waiting.extend(reversed(list(_children(node, field, line))))
+
+
+def _children(node: Node, field: str, line: int) -> t.Iterator[tuple[Node, str, int]]:
+    """Yield the values below a node, each with its dotted path and line."""
+    if isinstance(node, JSONArray):
+        for index, item in enumerate(node.values):
+            yield item, join(field, str(index)), item.lineno or line
+    elif isinstance(node, JSONObject):
+        for key, value in node.key_value_pairs:
+            yield value, join(field, _LOADER.load(key)), key.lineno or line
 
 
 _LOADER = DefaultLoader(parse_json5_identifiers=str)
@@ -192,4 +201,4 @@
         return reason, int(at_line[1])
     if at_index := _ERROR_INDEX.search(reason):
         return reason, text.count("\n", 0, int(at_index[1])) + 1
-    return reason, text.count("\n") + 1
+    return reason, text.count("\n") + 1 if "EOF" in reason else 0
--- a/packages/records/src/radishbridge/records/record.py
+++ b/packages/records/src/radishbridge/records/record.py
@@ -100,7 +100,7 @@
 def _decode_stored(value: bytes) -> StoredValue | Failure:
     try:
         return msgspec.json.decode(value, type=StoredValue)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return Failure(ResultCode.RECORD_INVALID, "not a stored value in JSON")
 
 
--- a/packages/routing/src/radishbridge/routing/blocks.py
+++ b/packages/routing/src/radishbridge/routing/blocks.py
@@ -179,12 +179,12 @@
         index = self._indexes.get(family)
         if index is None:
             index = self._indexes[family] = _PartIndex(self._parts_of(family))
-        found = ((part, part.find(address)) for part in index.around(address))
-        matches = [(part, at) for part, at in found if at >= 0]
-        if not matches:
-            return None
-        part, at = max(matches, key=lambda match: match[0].lengths[match[1]])
-        return part.block(at)
+        best: Block | None = None
+        for part in index.around(address):
+            at = part.find(address)
+            if at >= 0 and (best is None or part.lengths[at] > best.length):
+                best = part.block(at)
+        return best
 
     @property
     def resident_bytes(self) -> int:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -84,10 +84,13 @@
         ("kind", "path", "value"),
         [
             ("workspace", "weight", 0),
+            ("workspace", "connections_per_host", 10**400),
             ("workspace", "connections_per_host", -1),
             ("key", "digest", "0F" * 32),
             ("key", "digest", "0f" * 31),
+            ("key", "digest", "0f" * 32 + "\n"),
             ("key", "workspace", "no/slash"),
+            ("key", "workspace", "newline\n"),
             ("rate", "requests_per_second", -1),
             ("rate", "requests_per_second", float("inf")),
             ("rate", "burst", float("nan")),
@@ -235,7 +238,17 @@
 
 
 class TestDecodeRecord:
-    @pytest.mark.parametrize("value", [b"", b"[]", b"\xff", b'{"schema": "1"}', b'{"spec": {}}'])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"[]",
+            b"\xff",
+            b'{"schema": "1"}',
+            b'{"spec": {}}',
+            pytest.param(b'{"spec": ' + b'{"a":' * 5000 + b"1" + b"}" * 5001, id="deep"),
+        ],
+    )
     def test_refuses_what_is_no_record(self, value: bytes) -> None:
         failure = decode_record("key", "k", 1, value)
         assert isinstance(failure, Failure)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -160,7 +160,8 @@
             ('{\n"a": "open\n}', 2),
             ("[1,\n2", 2),
             ("", 1),
-            ("[" * 20_000, 0),
+            pytest.param("[" * 20_000, 0, id="deep"),
+            ("[{a: '\\ud800'}]", 0),
         ],
     )
     def test_reports_the_line_of_a_syntax_error(self, text: str, line: int) -> None:
@@ -184,6 +185,13 @@
         document = parsed(json.dumps({"a": [1, {"b": 2}]}, indent=1))
         assert document.line("a.1.b") == 5
 
+    def test_finds_lines_however_deep_the_nesting(self) -> None:
+        depths = (
+            depth for depth in range(2000, 0, -1) if parse_document("[" * depth + "]" * depth)
+        )
+        depth = next(depths)
+        assert parsed("[" * depth + "]" * depth).line(".".join(["0"] * depth)) == 1
+
     def test_checks_a_part(self) -> None:
         class Point(msgspec.Struct, forbid_unknown_fields=True):
             x: int
