Allow encryption between hosts without accepted keys

Cause: the check of settings refused a key pair without accepted_keys, but all hosts share one pair and the mesh accepts its own public key (docs/operators/peers.md). Change: the rule is gone, its test case is replaced by one that such settings load. Measured: make test: passes. Conclusion: accepted_keys are for the change of the pair.

--- a/packages/records/src/radishbridge/records/settings.py
+++ b/packages/records/src/radishbridge/records/settings.py
@@ -75,8 +75,6 @@
             yield FieldFault("", "public_key and secret_key are given together or not at all")
         if self.accepted_keys and not self.secret_key:
             yield FieldFault("accepted_keys", "needs public_key and secret_key")
-        if self.secret_key and not self.accepted_keys:
-            yield FieldFault("accepted_keys", "names no host, so none could connect")
 
 
 class Settings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
