Give the stand-in store faults and counters, and resolve unclear writes

Cause: the stand-in could not fail, its sign of life could claim a revision whose events had not been sent, and the HTTP adapter took a malformed 200 for a write that certainly had no effect. aiohttp sends a PUT again by itself after a kept connection ended, which turns a write that took effect into a 412; its line reader fails on watch lines above 128 KiB although values reach 1 MB. Change: ObjectTable holds objects, history, counters and faults for both the HTTP stand-in and the in-memory FakeStore. Writes are sent once; ResolvedWriter reads an unclear one back. Conclusion: a write is reported as done, as certainly not done, or as unclear, never wrongly.

--- a/packages/store/src/radishbridge/store/__init__.py
+++ b/packages/store/src/radishbridge/store/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from radishbridge.store.backoff import Backoff
 from radishbridge.store.http import HttpStore
 from radishbridge.store.protocol import (
     HostEntry,
@@ -12,8 +13,10 @@
     WatchEvent,
 )
 from radishbridge.store.replica import Replica, ReplicaFeed
+from radishbridge.store.resolve import ResolvedWriter, write_resolved
 
 __all__ = [
+    "Backoff",
     "HostEntry",
     "HostList",
     "HttpStore",
@@ -21,6 +24,8 @@
     "ObjectStore",
     "Replica",
     "ReplicaFeed",
+    "ResolvedWriter",
     "StoredObject",
     "WatchEvent",
+    "write_resolved",
 ]
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -11,6 +11,9 @@
 from radishbridge.store.protocol import HostList, Listing, StoredObject, WatchEvent
 
 WATCH_SILENCE_S = 5.0
+VALUE_LIMIT_BYTES = 1_048_576
+# A line holds one value and its envelope.
+LINE_LIMIT_BYTES = 2 * VALUE_LIMIT_BYTES
 
 
 class HttpStore:
@@ -50,24 +53,22 @@
         self, kind: str, name: str, value: bytes, expected_version: int
     ) -> StoredObject | Failure:
         """Write conditionally; an unclear write gives ``WRITE_UNCLEAR``."""
+        if len(value) > VALUE_LIMIT_BYTES:
+            return Failure(ResultCode.RECORD_INVALID, f"{kind}/{name} exceeds 1 MB")
         headers = {"If-Match": f'"{expected_version}"', "Content-Type": "application/json"}
-        url = f"{self.url}/v1/objects/{kind}/{name}"
         try:
             async with self.session.put(
-                url, data=value, headers=headers, timeout=self._read_timeout
+                f"{self.url}/v1/objects/{kind}/{name}",
+                data=value,
+                headers=headers,
+                timeout=self._read_timeout,
+                middlewares=(_send_once,),
             ) as answer:
-                body = await answer.read()
+                return _written(answer.status, await answer.read())
         except aiohttp.ClientConnectorError as error:
             return Failure(ResultCode.STORE_UNAVAILABLE, str(error.os_error))
         except (TimeoutError, aiohttp.ClientError) as error:
             return Failure(ResultCode.WRITE_UNCLEAR, type(error).__name__)
-        if answer.status == 200:
-            return _decode(body, StoredObject)
-        if answer.status == 412:
-            return Failure(ResultCode.VERSION_CONFLICT, f"{kind}/{name} has another version")
-        if answer.status == 503:
-            return Failure(ResultCode.STORE_UNAVAILABLE, "the store answered 503")
-        return Failure(ResultCode.WRITE_UNCLEAR, f"the store answered {answer.status}")
 
     async def watch(
         self, kinds: t.Sequence[str], after_revision: int
@@ -81,8 +82,11 @@
                 if answer.status != 200:
                     yield _status_failure(answer.status)
                     return
-                async for line in answer.content:
-                    yield _decode(line, WatchEvent)
+                async for line in _lines(answer.content):
+                    event = _decode(line, WatchEvent)
+                    yield event
+                    if isinstance(event, Failure):
+                        return
         except (TimeoutError, aiohttp.ClientError) as error:
             yield Failure(ResultCode.STORE_UNAVAILABLE, type(error).__name__)
             return
@@ -99,6 +103,47 @@
         return body if answer.status == 200 else _status_failure(answer.status)
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # aiohttp sends a PUT a second time where a kept connection ends without an answer. The first
+    # may have taken effect, and the second would then be answered by 412 as if neither had.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(str(error)) from error
+
+
+async def _lines(content: aiohttp.StreamReader) -> t.AsyncIterator[bytes]:
+    # The reader's own line iterator fails on lines above its buffer's limit of 128 KiB.
+    pending = bytearray()
+    async for chunk in content.iter_any():
+        *ends, rest = chunk.split(b"\n")
+        for end in ends:
+            yield bytes(pending + end)
+            pending.clear()
+        pending += rest
+        if len(pending) > LINE_LIMIT_BYTES:
+            raise aiohttp.ClientPayloadError("a line of the watch is too long")
+
+
+def _written(status: int, body: bytes) -> StoredObject | Failure:
+    if status == 200:
+        stored = _decode(body, StoredObject)
+        if isinstance(stored, Failure):
+            return Failure(ResultCode.WRITE_UNCLEAR, stored.reason)
+        return stored
+    if status == 412:
+        return Failure(ResultCode.VERSION_CONFLICT, "the object has another version")
+    if status == 503:
+        return Failure(ResultCode.STORE_UNAVAILABLE, "the store answered 503")
+    if status in (400, 413):
+        return Failure(ResultCode.RECORD_INVALID, f"the store answered {status}")
+    return Failure(ResultCode.WRITE_UNCLEAR, f"the store answered {status}")
+
+
 def _status_failure(status: int) -> Failure:
     if status == 404:
         return Failure(ResultCode.NOT_FOUND, "no such object")
--- /dev/null
+++ b/standin/src/radishbridge_standin/fake.py
@@ -0,0 +1,116 @@
+"""An object store in memory, with the faults of the stand-in and without real time."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+from radishbridge.records import Failure, ResultCode
+from radishbridge.store import HostList, Listing, StoredObject, WatchEvent
+from radishbridge_standin.table import ObjectTable, Write
+
+
+async def _no_pause() -> None:
+    return
+
+
+class FakeStore:
+    """One host's ``ObjectStore`` over a table that several hosts may share.
+
+    :param pause: awaited before a call is looked at and again before it is answered.
+    """
+
+    __slots__ = ("cut", "pause", "table")
+
+    def __init__(
+        self, table: ObjectTable, pause: t.Callable[[], t.Awaitable[None]] = _no_pause
+    ) -> None:
+        self.table = table
+        self.pause = pause
+        self.cut = False
+
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+        await self.pause()
+        if self._silent("get"):
+            return _unavailable()
+        stored = self.table.objects.get((kind, name))
+        await self.pause()
+        if self.cut or self.table.faults.down:
+            return _unavailable()
+        return stored or Failure(ResultCode.NOT_FOUND, "no such object")
+
+    async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
+        """Read all objects of the kinds."""
+        await self.pause()
+        if self._silent("list"):
+            return _unavailable()
+        objects = [one for (kind, _), one in self.table.objects.items() if kind in kinds]
+        listing = Listing(revision=self.table.revision, objects=objects)
+        await self.pause()
+        return _unavailable() if self.cut or self.table.faults.down else listing
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> StoredObject | Failure:
+        """Write conditionally."""
+        await self.pause()
+        if self._silent("put"):
+            return _unavailable()
+        write = Write(kind=kind, name=name, value=value, expected_version=expected_version)
+        if self.table.faults.take("lost_requests"):
+            return Failure(ResultCode.WRITE_UNCLEAR, "the request was lost")
+        if self.table.faults.take("late_writes"):
+            self.table.late.append(write)
+            return Failure(ResultCode.WRITE_UNCLEAR, "the write is late")
+        stored = self.table.write(write)
+        lost = self.table.faults.take("lost_answers")
+        await self.pause()
+        if lost or self.cut or self.table.faults.down:
+            return Failure(ResultCode.WRITE_UNCLEAR, "the answer was lost")
+        return stored or Failure(ResultCode.VERSION_CONFLICT, "another version")
+
+    async def watch(
+        self, kinds: t.Sequence[str], after_revision: int
+    ) -> t.AsyncIterator[WatchEvent | Failure]:
+        """Yield events, and a sign of life after each wake-up of the table."""
+        if self._silent("watch"):
+            yield _unavailable()
+            return
+        generation = self.table.generation
+        wakeup = asyncio.Event()
+        self.table.wakeups.add(wakeup)
+        self.table.open_watches += 1
+        try:
+            while not (self.cut or self.table.faults.down or generation != self.table.generation):
+                batch = self.table.read_events(after_revision, kinds)
+                if batch is None:
+                    yield Failure(ResultCode.WATCH_EXPIRED, "the revision is no longer kept")
+                    return
+                after_revision = batch.revision
+                for event in batch.events:
+                    yield event
+                yield WatchEvent(revision=batch.revision)
+                await wakeup.wait()
+                wakeup.clear()
+        finally:
+            self.table.wakeups.discard(wakeup)
+            self.table.open_watches -= 1
+        yield Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended")
+
+    async def hosts(self) -> HostList | Failure:
+        """Read the list of hosts."""
+        await self.pause()
+        if self._silent("hosts"):
+            return _unavailable()
+        return HostList(hosts=self.table.visible_hosts())
+
+    def _silent(self, call: str) -> bool:
+        if self.cut:
+            return True
+        self.table.count(call)
+        return self.table.faults.down or self.table.faults.refuse
+
+
+def _unavailable() -> Failure:
+    return Failure(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform's object API, kept in memory."""
+"""A stand-in for the platform's object API over HTTP, kept in memory."""
 
 from __future__ import annotations
 
@@ -8,113 +8,186 @@
 import msgspec
 from aiohttp import web
 
-from radishbridge.store import HostEntry, HostList, Listing, StoredObject, WatchEvent
+from radishbridge.store import HostList, Listing, WatchEvent
+from radishbridge_standin.table import EventBatch, Faults, ObjectTable, Write
 
 HEARTBEAT_S = 1.0
-HISTORY_LENGTH = 10_000
+VALUE_LIMIT_BYTES = 1_048_576
+
+
+class CallReport(msgspec.Struct, kw_only=True):
+    """Calls counted so far.
+
+    :param peak_per_second: most calls that fell into one second.
+    """
+
+    calls: dict[str, int]
+    peak_per_second: int
+    open_watches: int
 
 
 class ObjectApi:
     """Serves objects with versions, conditional updates and watches.
 
-    Counts each call; a waiting watch counts as one.
+    Paths under ``/control`` are not part of the platform's API: they set faults and read counters.
     """
 
-    __slots__ = ("calls", "changed", "history", "hosts", "objects", "revision")
+    __slots__ = ("table",)
 
-    def __init__(self) -> None:
-        self.objects: dict[tuple[str, str], StoredObject] = {}
-        self.history: list[StoredObject] = []
-        self.revision = 0
-        self.hosts: list[HostEntry] = []
-        self.calls: dict[str, int] = {}
-        self.changed = asyncio.Condition()
+    def __init__(self, table: ObjectTable | None = None) -> None:
+        self.table = ObjectTable() if table is None else table
 
     def application(self) -> web.Application:
         """Build the application that serves the API."""
-        application = web.Application()
+        application = web.Application(client_max_size=VALUE_LIMIT_BYTES + 1)
         application.router.add_get("/v1/objects", self.list)
         application.router.add_get("/v1/objects/{kind}/{name}", self.get)
         application.router.add_put("/v1/objects/{kind}/{name}", self.put)
         application.router.add_get("/v1/watch", self.watch)
         application.router.add_get("/v1/hosts", self.get_hosts)
         application.router.add_put("/control/hosts", self.put_hosts)
+        application.router.add_put("/control/faults", self.put_faults)
+        application.router.add_get("/control/calls", self.get_calls)
+        application.router.add_post("/control/compact", self.compact)
+        application.router.add_post("/control/cut-watches", self.cut_watches)
         return application
 
-    async def get(self, request: web.Request) -> web.Response:
+    async def get(self, request: web.Request) -> web.StreamResponse:
         """Answer one object, or 404."""
-        self._count("get")
-        stored = self.objects.get(_at(request))
-        return _json(stored) if stored else web.Response(status=404)
+        if refusal := await self._admit(request, "get"):
+            return refusal
+        stored = self.table.objects.get(_at(request))
+        return self._json(stored) if stored else web.Response(status=404)
 
-    async def list(self, request: web.Request) -> web.Response:
+    async def list(self, request: web.Request) -> web.StreamResponse:
         """Answer all objects of the kinds asked for."""
-        self._count("list")
+        if refusal := await self._admit(request, "list"):
+            return refusal
         kinds = _kinds(request)
-        objects = [stored for (kind, _), stored in self.objects.items() if kind in kinds]
-        return _json(Listing(revision=self.revision, objects=objects))
+        objects = [stored for (kind, _), stored in self.table.objects.items() if kind in kinds]
+        return self._json(Listing(revision=self.table.revision, objects=objects))
 
-    async def put(self, request: web.Request) -> web.Response:
+    async def put(self, request: web.Request) -> web.StreamResponse:
         """Write an object if its version is the one in ``If-Match``, else answer 412."""
-        self._count("put")
-        expected = int(request.headers["If-Match"].strip('"'))
         value = await request.read()
-        stored = await self.write(*_at(request), value, expected)
-        return _json(stored) if stored else web.Response(status=412)
-
-    async def write(
-        self, kind: str, name: str, value: bytes, expected_version: int
-    ) -> StoredObject | None:
-        """Write an object; ``None`` where its version is another."""
-        held = self.objects.get((kind, name))
-        if (held.version if held else 0) != expected_version:
-            return None
-        self.revision += 1
-        stored = StoredObject(kind=kind, name=name, version=self.revision, value=msgspec.Raw(value))
-        self.objects[kind, name] = stored
-        self.history.append(stored)
-        del self.history[:-HISTORY_LENGTH]
-        async with self.changed:
-            self.changed.notify_all()
-        return stored
+        if refusal := await self._admit(request, "put"):
+            return refusal
+        kind, name = _at(request)
+        expected = int(request.headers["If-Match"].strip('"'))
+        write = Write(kind=kind, name=name, value=value, expected_version=expected)
+        faults = self.table.faults
+        if faults.take("lost_requests"):
+            return _abort(request)
+        if faults.take("late_writes"):
+            self.table.late.append(write)
+            return _abort(request)
+        stored = self.table.write(write)
+        if faults.take("lost_answers"):
+            return _abort(request)
+        return self._json(stored) if stored else web.Response(status=412)
 
     async def watch(self, request: web.Request) -> web.StreamResponse:
         """Stream changes after a revision as JSON lines, with a sign of life each second."""
-        self._count("watch")
+        if refusal := await self._admit(request, "watch"):
+            return refusal
         kinds = _kinds(request)
-        after = int(request.query["after"])
+        batch = self.table.read_events(int(request.query["after"]), kinds)
+        if batch is None:
+            return web.Response(status=410)
         response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
         await response.prepare(request)
-        while True:
-            for stored in [one for one in self.history if one.version > after]:
-                after = stored.version
-                if stored.kind in kinds:
-                    event = WatchEvent(revision=after, object=stored)
-                    await response.write(msgspec.json.encode(event) + b"\n")
-            sign = WatchEvent(revision=self.revision)
-            await response.write(msgspec.json.encode(sign) + b"\n")
-            await self._wait_beyond(after)
-
-    async def get_hosts(self, request: web.Request) -> web.Response:
+        self.table.open_watches += 1
+        try:
+            await self._stream(response, batch, kinds)
+        finally:
+            self.table.open_watches -= 1
+        if self.table.faults.down:
+            return _abort(request)
+        return response
+
+    async def get_hosts(self, request: web.Request) -> web.StreamResponse:
         """Answer the list of hosts."""
-        self._count("hosts")
-        return _json(HostList(hosts=self.hosts))
+        if refusal := await self._admit(request, "hosts"):
+            return refusal
+        return self._json(HostList(hosts=self.table.visible_hosts()))
 
     async def put_hosts(self, request: web.Request) -> web.Response:
-        """Replace the list of hosts; not part of the platform's API."""
-        self.hosts = msgspec.json.decode(await request.read(), type=HostList).hosts
+        """Replace the list of hosts."""
+        self.table.set_hosts(msgspec.json.decode(await request.read(), type=HostList).hosts)
+        return web.Response()
+
+    async def put_faults(self, request: web.Request) -> web.Response:
+        """Replace the faults; those left out end."""
+        self.table.faults = msgspec.json.decode(await request.read(), type=Faults)
+        self.table.notify()
         return web.Response()
 
-    async def _wait_beyond(self, revision: int) -> None:
-        async with self.changed:
-            try:
-                async with asyncio.timeout(HEARTBEAT_S):
-                    await self.changed.wait_for(lambda: self.revision > revision)
-            except TimeoutError:
-                return
+    async def get_calls(self, request: web.Request) -> web.Response:
+        """Answer the counters."""
+        peak = max(self.table.calls_by_second.values(), default=0)
+        report = CallReport(
+            calls=dict(self.table.calls),
+            peak_per_second=peak,
+            open_watches=self.table.open_watches,
+        )
+        return web.Response(body=msgspec.json.encode(report), content_type="application/json")
+
+    async def compact(self, request: web.Request) -> web.Response:
+        """Drop the history."""
+        self.table.compact()
+        return web.Response()
+
+    async def cut_watches(self, request: web.Request) -> web.Response:
+        """End every open watch."""
+        self.table.cut_watches()
+        return web.Response()
+
+    async def _admit(self, request: web.Request, call: str) -> web.Response | None:
+        self.table.count(call)
+        if self.table.faults.delay_s:
+            await asyncio.sleep(self.table.faults.delay_s)
+        if self.table.faults.down:
+            return _abort(request)
+        return web.Response(status=503) if self.table.faults.refuse else None
+
+    async def _stream(
+        self, response: web.StreamResponse, batch: EventBatch | None, kinds: t.Collection[str]
+    ) -> None:
+        generation = self.table.generation
+        wakeup = asyncio.Event()
+        self.table.wakeups.add(wakeup)
+        try:
+            while batch is not None:
+                sign = WatchEvent(revision=batch.revision)
+                for event in [*batch.events, sign]:
+                    await response.write(msgspec.json.encode(event) + b"\n")
+                await _wait(wakeup)
+                if self.table.faults.down or generation != self.table.generation:
+                    return
+                batch = self.table.read_events(batch.revision, kinds)
+        finally:
+            self.table.wakeups.discard(wakeup)
+
+    def _json(self, value: t.Any) -> web.Response:
+        body = msgspec.json.encode(value)
+        if self.table.faults.take("malformed_answers"):
+            body = body[: len(body) // 2]
+        return web.Response(body=body, content_type="application/json")
 
-    def _count(self, call: str) -> None:
-        self.calls[call] = self.calls.get(call, 0) + 1
+
+async def _wait(wakeup: asyncio.Event) -> None:
+    try:
+        async with asyncio.timeout(HEARTBEAT_S):
+            await wakeup.wait()
+    except TimeoutError:
+        return
+    wakeup.clear()
+
+
+def _abort(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
 
 
 def _at(request: web.Request) -> tuple[str, str]:
@@ -123,7 +196,3 @@
 
 def _kinds(request: web.Request) -> set[str]:
     return set(request.query["kinds"].split(","))
-
-
-def _json(value: t.Any) -> web.Response:
-    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+import contextlib
+import typing as t
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp.test_utils import TestServer
+
+from radishbridge.records import Failure, ResultCode
+from radishbridge.store import HostEntry, HttpStore, ObjectStore, StoredObject, WatchEvent
+from radishbridge_standin.fake import FakeStore
+from radishbridge_standin.objects import ObjectApi
+from radishbridge_standin.table import ObjectTable
+
+HOST = HostEntry(
+    name="host-1",
+    region="oberbayern",
+    data_center="ob-a",
+    address="127.0.0.1:1",
+    admin_address="127.0.0.1:2",
+    peer_address="127.0.0.1:3",
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@contextlib.asynccontextmanager
+async def http_store(table: ObjectTable, timeout_s: float = 2.0) -> t.AsyncIterator[HttpStore]:
+    async with TestServer(ObjectApi(table).application()) as server:
+        async with aiohttp.ClientSession() as session:
+            yield HttpStore(session, str(server.make_url("/")), timeout_s)
+
+
+@contextlib.asynccontextmanager
+async def fake_store(table: ObjectTable) -> t.AsyncIterator[FakeStore]:
+    yield FakeStore(table)
+
+
+STORES = [pytest.param(http_store, id="http"), pytest.param(fake_store, id="fake")]
+
+
+async def first(store: ObjectStore, after: int, count: int) -> list[WatchEvent | Failure]:
+    events: list[WatchEvent | Failure] = []
+    async with contextlib.aclosing(t.cast(t.Any, store.watch(["key"], after))) as watch:
+        async for event in watch:
+            events.append(event)
+            if len(events) == count or isinstance(event, Failure):
+                break
+    return events
+
+
+def versions(events: t.Iterable[WatchEvent | Failure]) -> list[int]:
+    return [e.object.version for e in events if isinstance(e, WatchEvent) and e.object is not None]
+
+
+def code(result: object) -> ResultCode:
+    return result.code if isinstance(result, Failure) else ResultCode.OK
+
+
+@pytest.mark.parametrize("open_store", STORES)
+class TestObjectStore:
+    async def test_writes_only_over_the_expected_version(self, open_store: t.Any) -> None:
+        async with open_store(ObjectTable()) as store:
+            first_write = await store.put("key", "a", b"1", 0)
+            assert code(await store.put("key", "a", b"2", 0)) is ResultCode.VERSION_CONFLICT
+            second = await store.put("key", "a", b"2", first_write.version)
+            assert second.version > first_write.version
+            assert bytes((await store.get("key", "a")).value) == b"2"
+
+    async def test_counts_calls_and_a_waiting_watch_as_one(self, open_store: t.Any) -> None:
+        table = ObjectTable()
+        async with open_store(table) as store:
+            await store.put("key", "a", b"1", 0)
+            await store.get("key", "a")
+            await store.list(["key"])
+            await store.hosts()
+            await first(store, 0, 2)
+        assert table.calls == {"put": 1, "get": 1, "list": 1, "hosts": 1, "watch": 1}
+
+    async def test_lists_only_the_kinds_asked_for(self, open_store: t.Any) -> None:
+        async with open_store(ObjectTable()) as store:
+            await store.put("key", "a", b"1", 0)
+            await store.put("lease", "b", b"1", 0)
+            listing = await store.list(["key"])
+        assert (listing.revision, [one.name for one in listing.objects]) == (2, ["a"])
+
+    async def test_sign_of_life_follows_the_events_it_covers(self, open_store: t.Any) -> None:
+        async with open_store(ObjectTable()) as store:
+            for number in range(3):
+                await store.put("key", str(number), b"1", 0)
+            events = await first(store, 0, 4)
+        assert versions(events) == [1, 2, 3]
+        assert events[-1] == WatchEvent(revision=3)
+
+    async def test_reorders_and_doubles_events(self, open_store: t.Any) -> None:
+        table = ObjectTable()
+        async with open_store(table) as store:
+            for number in range(2):
+                await store.put("key", str(number), b"1", 0)
+            table.faults.reorder = table.faults.double = True
+            assert versions(await first(store, 0, 5)) == [2, 2, 1, 1]
+
+    async def test_expires_a_watch_before_the_history(self, open_store: t.Any) -> None:
+        table = ObjectTable()
+        async with open_store(table) as store:
+            await store.put("key", "a", b"1", 0)
+            table.compact()
+            assert code((await first(store, 0, 1))[0]) is ResultCode.WATCH_EXPIRED
+            assert await first(store, 1, 1) == [WatchEvent(revision=1)]
+
+    async def test_ends_watches_that_are_cut(self, open_store: t.Any) -> None:
+        table = ObjectTable()
+        async with open_store(table) as store:
+            watch = store.watch(["key"], 0)
+            assert await anext(watch) == WatchEvent(revision=0)
+            table.cut_watches()
+            assert code(await anext(watch)) is ResultCode.STORE_UNAVAILABLE
+
+    @pytest.mark.parametrize("fault", ["down", "refuse"])
+    async def test_does_not_answer_while_down(self, open_store: t.Any, fault: str) -> None:
+        table = ObjectTable()
+        async with open_store(table) as store:
+            setattr(table.faults, fault, True)
+            results = [await store.get("key", "a"), await store.list(["key"]), await store.hosts()]
+            results += await first(store, 0, 1)
+            written = await store.put("key", "a", b"1", 0)
+        assert {code(result) for result in results} == {ResultCode.STORE_UNAVAILABLE}
+        assert code(written) in (ResultCode.STORE_UNAVAILABLE, ResultCode.WRITE_UNCLEAR)
+        assert not table.objects
+
+    @pytest.mark.parametrize(
+        ("fault", "in_effect"), [("lost_answers", 1), ("lost_requests", 0), ("late_writes", 0)]
+    )
+    async def test_leaves_a_write_unclear(
+        self, open_store: t.Any, fault: str, in_effect: int
+    ) -> None:
+        table = ObjectTable()
+        setattr(table.faults, fault, 1)
+        async with open_store(table) as store:
+            assert code(await store.put("key", "a", b"1", 0)) is ResultCode.WRITE_UNCLEAR
+            assert len(table.objects) == in_effect
+            assert (await store.list(["key"])).revision == in_effect
+
+    async def test_list_of_hosts_lags(self, open_store: t.Any) -> None:
+        clock = Clock()
+        table = ObjectTable(clock)
+        table.faults.host_lag_s = 10.0
+        async with open_store(table) as store:
+            table.set_hosts([HOST])
+            assert (await store.hosts()).hosts == []
+            clock.now = 10.0
+            assert (await store.hosts()).hosts == [HOST]
+
+
+class TestObjectTable:
+    def test_late_write_conflicts_with_one_that_came_first(self) -> None:
+        table = ObjectTable()
+        fake = FakeStore(table)
+        table.faults.late_writes = 1
+        with contextlib.suppress(StopIteration):
+            fake.put("key", "a", b"1", 0).send(None)
+        with contextlib.suppress(StopIteration):
+            fake.put("key", "a", b"2", 0).send(None)
+        assert table.land_late_writes() == [None]
+        assert bytes(table.objects["key", "a"].value) == b"2"
+
+    def test_returns_to_a_backup(self) -> None:
+        table = ObjectTable()
+        backup = table.backup()
+        with contextlib.suppress(StopIteration):
+            FakeStore(table).put("key", "a", b"1", 0).send(None)
+        table.restore(backup)
+        assert (table.revision, table.objects) == (0, {})
+
+
+class TestControl:
+    async def test_sets_faults_and_reads_counters(self) -> None:
+        table = ObjectTable()
+        async with TestServer(ObjectApi(table).application()) as server:
+            async with aiohttp.ClientSession(server.make_url("/")) as session:
+                await session.put("/control/faults", data=b'{"refuse": true}')
+                assert (await session.get("/v1/hosts")).status == 503
+                await session.put("/control/faults", data=b"{}")
+                assert (await session.get("/v1/hosts")).status == 200
+                report = await (await session.get("/control/calls")).json()
+        assert report["calls"] == {"hosts": 2}
+        assert 1 <= report["peak_per_second"] <= 2
+
+
+class TestStoredObject:
+    def test_value_keeps_its_text(self) -> None:
+        text = b'{"kind":"key","name":"a","version":1,"value":{"x": 1}}'
+        stored = msgspec.json.decode(text, type=StoredObject)
+        assert bytes(stored.value) == b'{"x": 1}'
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,232 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import typing as t
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.records import Failure, ResultCode
+from radishbridge.store import Backoff, HttpStore, ResolvedWriter, StoredObject, WatchEvent
+from radishbridge_standin.fake import FakeStore
+from radishbridge_standin.objects import ObjectApi
+from radishbridge_standin.table import ObjectTable, Write
+
+ANSWER = b'{"kind":"key","name":"a","version":1,"value":1}'
+
+
+async def no_sleep(seconds: float) -> None:
+    return
+
+
+def code(result: object) -> ResultCode:
+    return result.code if isinstance(result, Failure) else ResultCode.OK
+
+
+def writer(store: t.Any) -> ResolvedWriter:
+    return ResolvedWriter(store, random.Random(1), sleep=no_sleep)
+
+
+@contextlib.asynccontextmanager
+async def answering(status: int, body: bytes) -> t.AsyncIterator[HttpStore]:
+    async def handle(request: web.BaseRequest) -> web.Response:
+        await request.read()
+        return web.Response(status=status, body=body)
+
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", handle)
+    async with TestServer(application) as server, aiohttp.ClientSession() as session:
+        yield HttpStore(session, str(server.make_url("/")), 2.0)
+
+
+@contextlib.asynccontextmanager
+async def serving(table: ObjectTable, timeout_s: float) -> t.AsyncIterator[HttpStore]:
+    # Unlike aiohttp's test server, this one lets a request run on after its client has left.
+    runner = web.AppRunner(ObjectApi(table).application())
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        async with aiohttp.ClientSession() as session:
+            yield HttpStore(session, f"http://{host}:{port}", timeout_s)
+    finally:
+        await runner.cleanup()
+
+
+class TestHttpStore:
+    @pytest.mark.parametrize(
+        ("status", "body", "expected"),
+        [
+            (200, ANSWER, ResultCode.OK),
+            (200, ANSWER[:20], ResultCode.WRITE_UNCLEAR),
+            (200, b"[]", ResultCode.WRITE_UNCLEAR),
+            (412, b"", ResultCode.VERSION_CONFLICT),
+            (503, b"", ResultCode.STORE_UNAVAILABLE),
+            (413, b"", ResultCode.RECORD_INVALID),
+            (500, b"", ResultCode.WRITE_UNCLEAR),
+            (504, b"", ResultCode.WRITE_UNCLEAR),
+        ],
+    )
+    async def test_reads_answers_to_writes(
+        self, status: int, body: bytes, expected: ResultCode
+    ) -> None:
+        async with answering(status, body) as store:
+            assert code(await store.put("key", "a", b"1", 0)) is expected
+
+    @pytest.mark.parametrize(
+        ("status", "body", "expected"),
+        [
+            (200, ANSWER, ResultCode.OK),
+            (200, b'{"kind":', ResultCode.STORE_UNAVAILABLE),
+            (404, b"", ResultCode.NOT_FOUND),
+            (500, b"", ResultCode.STORE_UNAVAILABLE),
+        ],
+    )
+    async def test_reads_answers_to_reads(
+        self, status: int, body: bytes, expected: ResultCode
+    ) -> None:
+        async with answering(status, body) as store:
+            assert code(await store.get("key", "a")) is expected
+
+    @pytest.mark.parametrize("body", [b"{nonsense\n", b'{"revision": "x"}\n', b"x" * 3_000_000])
+    async def test_ends_a_watch_at_a_malformed_line(self, body: bytes) -> None:
+        async with answering(200, body) as store:
+            events = [event async for event in store.watch(["key"], 0)]
+        assert [code(event) for event in events] == [ResultCode.STORE_UNAVAILABLE]
+
+    async def test_watch_carries_values_of_a_megabyte(self) -> None:
+        value = b'"' + b"v" * (1_048_576 - 2) + b'"'
+        async with serving(ObjectTable(), 5.0) as store:
+            written = [await store.put("key", name, value, 0) for name in "abc"]
+            watch = store.watch(["key"], 0)
+            events = [await anext(watch) for _ in range(4)]
+            await watch.aclose()
+        assert all(isinstance(one, StoredObject) for one in written)
+        objects = [e.object for e in events if isinstance(e, WatchEvent) and e.object is not None]
+        assert [bytes(one.value) == value for one in objects] == [True] * 3
+
+    async def test_refuses_a_value_above_a_megabyte_before_it_is_sent(self) -> None:
+        table = ObjectTable()
+        async with serving(table, 2.0) as store:
+            result = await store.put("key", "a", b"1" * 1_048_577, 0)
+        assert code(result) is ResultCode.RECORD_INVALID
+        assert not table.calls
+
+    async def test_never_sends_a_write_twice_by_itself(self) -> None:
+        table = ObjectTable()
+        async with serving(table, 2.0) as store:
+            await store.get("key", "a")
+            table.faults.lost_answers = 1
+            result = await store.put("key", "a", b"1", 0)
+        assert code(result) is ResultCode.WRITE_UNCLEAR
+        assert table.calls["put"] == 1
+
+    async def test_write_that_times_out_is_unclear(self) -> None:
+        table = ObjectTable()
+        table.faults.delay_s = 0.3
+        async with serving(table, 0.05) as store:
+            result = await store.put("key", "a", b"1", 0)
+            assert code(await store.get("key", "a")) is ResultCode.STORE_UNAVAILABLE
+            async with asyncio.timeout(10):
+                while not table.objects:
+                    await asyncio.sleep(0.01)
+        assert code(result) is ResultCode.WRITE_UNCLEAR
+
+    async def test_unreachable_store_changes_nothing_for_certain(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            server = TestServer(web.Application())
+            await server.start_server()
+            url = str(server.make_url("/"))
+            await server.close()
+            result = await HttpStore(session, url, 2.0).put("key", "a", b"1", 0)
+        assert code(result) is ResultCode.STORE_UNAVAILABLE
+
+
+class TestResolvedWriter:
+    @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests", "late_writes"])
+    async def test_writes_once_in_effect(self, fault: str) -> None:
+        table = ObjectTable()
+        setattr(table.faults, fault, 2)
+        result = await writer(FakeStore(table)).write("key", "a", b'{"x":1}', 0)
+        assert isinstance(result, StoredObject)
+        assert all(late is None for late in table.land_late_writes())
+        assert table.revision == result.version == 1
+
+    async def test_reports_a_conflict_as_it_is(self) -> None:
+        table = ObjectTable()
+        table.write(Write(kind="key", name="a", value=b"1", expected_version=0))
+        result = await writer(FakeStore(table)).write("key", "a", b"2", 0)
+        assert code(result) is ResultCode.VERSION_CONFLICT
+
+    async def test_write_that_may_have_been_overwritten_stays_unclear(self) -> None:
+        table = ObjectTable()
+        table.faults.lost_answers = 1
+
+        async def overwrite(seconds: float) -> None:
+            if table.revision == 1:
+                table.write(Write(kind="key", name="a", value=b"2", expected_version=1))
+
+        store = FakeStore(table)
+        result = await ResolvedWriter(store, random.Random(1), sleep=overwrite).write(
+            "key", "a", b"1", 0
+        )
+        assert code(result) is ResultCode.WRITE_UNCLEAR
+        assert bytes(table.objects["key", "a"].value) == b"2"
+
+    async def test_gives_up_after_bounded_attempts(self) -> None:
+        table = ObjectTable()
+        table.faults.lost_requests = 100
+        result = await writer(FakeStore(table)).write("key", "a", b"1", 0)
+        assert code(result) is ResultCode.WRITE_UNCLEAR
+        assert table.calls == {"put": 5, "get": 4}
+
+    async def test_store_that_went_back_is_not_written_over(self) -> None:
+        table = ObjectTable()
+        backup = table.backup()
+        table.write(Write(kind="key", name="a", value=b"1", expected_version=0))
+        table.faults.lost_requests = 1
+
+        async def restore(seconds: float) -> None:
+            table.restore(backup)
+
+        result = await ResolvedWriter(FakeStore(table), random.Random(1), sleep=restore).write(
+            "key", "a", b"2", 1
+        )
+        assert code(result) is ResultCode.WRITE_UNCLEAR
+        assert not table.objects
+
+    @settings(derandomize=True, deadline=None)
+    @given(faults=st.lists(st.sampled_from(["lost_answers", "lost_requests", "late_writes", ""])))
+    def test_answer_agrees_with_the_store(self, faults: list[str]) -> None:
+        table = ObjectTable()
+
+        async def next_fault(seconds: float) -> None:
+            table.land_late_writes()
+            if faults and (fault := faults.pop()):
+                setattr(table.faults, fault, 1)
+
+        if faults and (fault := faults.pop()):
+            setattr(table.faults, fault, 1)
+        resolved = ResolvedWriter(FakeStore(table), random.Random(1), sleep=next_fault)
+        result = asyncio.run(resolved.write("key", "a", b"1", 0))
+        if isinstance(result, StoredObject):
+            assert table.objects["key", "a"] == result
+        else:
+            assert code(result) is ResultCode.WRITE_UNCLEAR
+        assert table.revision <= 1
+
+
+class TestBackoff:
+    def test_pauses_grow_to_a_bound_and_are_jittered(self) -> None:
+        randomness = random.Random(7)
+        backoff = Backoff(first_s=0.1, longest_s=1.0)
+        pauses = [backoff.pause_s(attempt, randomness) for attempt in range(50)]
+        assert all(0.05 <= pause <= 1.0 for pause in pauses)
+        assert min(pauses[10:]) >= 0.5
+        assert len(set(pauses[10:])) == 40
