Keep replicas that never revert, relay over the mesh, and prove freshness

Cause: the skeleton took any delivered watch line for a proof of freshness and of completeness, so a line that had waited in a buffer, or events out of order, made an old copy look current; a rejected version was forgotten, so an older one took over; a store restored from a backup went unnoticed; values were views that kept the whole listing alive; each host watched the store. Change: versions seen, rejected ones included, only grow. Proof is a read dated from before it was sent. Divergence and regression of the store are reported. Two hosts per data centre watch and pass on; digests repair and also transfer a full copy; Freshness accepts reads, peers' proofs, an outage seen by two hosts of the store's region, or that region's absence from the list. FakeNetwork and ReplicaFleet run it in virtual time. Conclusion: ready to be composed into the daemon as Relay.run().

--- a/packages/peers/src/radishbridge/peers/__init__.py
+++ b/packages/peers/src/radishbridge/peers/__init__.py
@@ -7,12 +7,19 @@
 from radishbridge.peers.link import MeshCounters
 from radishbridge.peers.mesh import MeshTiming, ZmqMesh
 from radishbridge.peers.messages import (
+    BucketVersions,
     DirectoryUpdate,
     Envelope,
     Heartbeat,
     HostAddress,
+    ObjectRequest,
+    ObjectVersion,
     PeerMessage,
+    ProofAnswer,
+    ProofRequest,
     RelayedObject,
+    ReplicaDifference,
+    ReplicaDigest,
     TokenRequest,
     TokenTransfer,
 )
@@ -22,6 +29,7 @@
 
 __all__ = [
     "RELAYS_PER_DATA_CENTER",
+    "BucketVersions",
     "Directory",
     "DirectoryFeed",
     "DirectoryUpdate",
@@ -31,11 +39,17 @@
     "HostAddress",
     "MeshCounters",
     "MeshTiming",
+    "ObjectRequest",
+    "ObjectVersion",
     "Peer",
     "PeerMesh",
     "PeerMessage",
     "PeerView",
+    "ProofAnswer",
+    "ProofRequest",
     "RelayedObject",
+    "ReplicaDifference",
+    "ReplicaDigest",
     "TokenRequest",
     "TokenTransfer",
     "ZmqMesh",
--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -55,6 +55,76 @@
     value: bytes
 
 
+class ProofRequest(msgspec.Struct, kw_only=True, tag="proof-request"):
+    """Asks how fresh the receiver's copy of the configuration is."""
+
+    request_id: int
+
+
+class ProofAnswer(msgspec.Struct, kw_only=True, tag="proof-answer"):
+    """How fresh the sender's copy of the configuration is; ages are seconds, never wall-clock time.
+
+    :param revision: revision up to which the sender holds every change.
+    :param root: digest of all that the sender holds.
+    :param complete: the sender holds a full copy.
+    :param watching: the sender follows the store itself.
+    :param age_s: age of the sender's proof; ``None`` where it has none.
+    :param store_answers: whether the sender's last call to the store was answered; ``None``
+        where it makes none.
+    :param contact_age_s: age of that call's end.
+    :param outage_age_s: age of the evidence that nobody can change the configuration.
+    """
+
+    request_id: int
+    revision: int
+    root: int
+    complete: bool
+    watching: bool
+    age_s: float | None = None
+    store_answers: bool | None = None
+    contact_age_s: float = 0.0
+    outage_age_s: float | None = None
+
+
+class ObjectVersion(msgspec.Struct, kw_only=True, array_like=True, frozen=True):
+    """The version at which a host holds an object."""
+
+    kind: str
+    name: str
+    version: int
+
+
+class BucketVersions(msgspec.Struct, kw_only=True, array_like=True):
+    """All that a host holds in one bucket of its digest."""
+
+    bucket: int
+    versions: list[ObjectVersion]
+
+
+class ReplicaDigest(msgspec.Struct, kw_only=True, tag="replica-digest"):
+    """The digest of the sender's copy, by buckets; asks for what differs."""
+
+    buckets: list[int]
+
+
+class ReplicaDifference(msgspec.Struct, kw_only=True, tag="replica-difference"):
+    """What the sender holds in the buckets that differ from the receiver's.
+
+    :param more: further buckets differ that did not fit in.
+    """
+
+    revision: int
+    complete: bool
+    differing: list[BucketVersions]
+    more: bool = False
+
+
+class ObjectRequest(msgspec.Struct, kw_only=True, tag="object-request"):
+    """Asks for objects of the configuration."""
+
+    objects: list[ObjectVersion]
+
+
 class TokenRequest(msgspec.Struct, kw_only=True, tag="token-request"):
     """Asks another holder for tokens of a share.
 
@@ -77,4 +147,15 @@
     deadline: float
 
 
-PeerMessage = Heartbeat | DirectoryUpdate | RelayedObject | TokenRequest | TokenTransfer
+PeerMessage = (
+    Heartbeat
+    | DirectoryUpdate
+    | RelayedObject
+    | ProofRequest
+    | ProofAnswer
+    | ReplicaDigest
+    | ReplicaDifference
+    | ObjectRequest
+    | TokenRequest
+    | TokenTransfer
+)
--- a/packages/store/src/radishbridge/store/__init__.py
+++ b/packages/store/src/radishbridge/store/__init__.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from radishbridge.store.backoff import Backoff
+from radishbridge.store.exchange import DigestExchange
+from radishbridge.store.feed import ReplicaFeed, StoreContact
+from radishbridge.store.freshness import Evidence, Freshness, Proof, Witness
 from radishbridge.store.http import HttpStore
 from radishbridge.store.protocol import (
     HostEntry,
@@ -12,20 +15,31 @@
     StoredObject,
     WatchEvent,
 )
-from radishbridge.store.replica import Replica, ReplicaFeed
+from radishbridge.store.relay import Relay, RelaySettings
+from radishbridge.store.replica import Divergence, Regression, Replica
 from radishbridge.store.resolve import ResolvedWriter, write_resolved
 
 __all__ = [
     "Backoff",
+    "DigestExchange",
+    "Divergence",
+    "Evidence",
+    "Freshness",
     "HostEntry",
     "HostList",
     "HttpStore",
     "Listing",
     "ObjectStore",
+    "Proof",
+    "Regression",
+    "Relay",
+    "RelaySettings",
     "Replica",
     "ReplicaFeed",
     "ResolvedWriter",
+    "StoreContact",
     "StoredObject",
     "WatchEvent",
+    "Witness",
     "write_resolved",
 ]
--- /dev/null
+++ b/packages/store/src/radishbridge/store/feed.py
@@ -0,0 +1,162 @@
+"""Keeps a replica up to date from the store: a listing, a watch and regular proofs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import typing as t
+
+import msgspec
+
+from radishbridge.records import KINDS, Failure, ResultCode
+from radishbridge.store.backoff import Backoff
+from radishbridge.store.protocol import ObjectStore, StoredObject
+from radishbridge.store.replica import Replica
+
+PROOF_INTERVAL_S = 1.0
+REGRESSION_PAUSE_S = 5.0
+APPLIED_AT_ONCE = 100
+
+logger = logging.getLogger(__name__)
+
+Sleep = t.Callable[[float], t.Awaitable[object]]
+
+
+class StoreContact(msgspec.Struct, kw_only=True):
+    """What the last call told about the store.
+
+    :param answers: whether the store answered; ``None`` before the first call.
+    :param at: monotonic time at which that was known, in seconds.
+    """
+
+    answers: bool | None = None
+    at: float = float("-inf")
+
+
+class ReplicaFeed:
+    """Follows the store as long as it runs: one listing, then a watch, again and again.
+
+    :param taken: called with each object that was new to the replica.
+    :param failed: awaited after each proof that the store did not answer.
+    """
+
+    __slots__ = (
+        "backoff",
+        "contact",
+        "failed",
+        "must_load",
+        "randomness",
+        "replica",
+        "sleep",
+        "store",
+        "taken",
+    )
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        replica: Replica,
+        randomness: random.Random | None = None,
+        taken: t.Callable[[StoredObject], None] | None = None,
+        failed: t.Callable[[], t.Awaitable[None]] | None = None,
+        backoff: Backoff = Backoff(first_s=0.2, longest_s=2.0),
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self.store = store
+        self.replica = replica
+        self.randomness = randomness or random.Random()
+        self.taken = taken
+        self.failed = failed
+        self.backoff = backoff
+        self.sleep = sleep
+        self.contact = StoreContact()
+        self.must_load = False
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_forever())
+            group.create_task(self._prove_forever())
+
+    async def _follow_forever(self) -> None:
+        attempt = 0
+        while True:
+            revision = self.replica.revision
+            failure = await self.follow()
+            logger.info("configuration feed interrupted: %s", failure.reason)
+            if failure.code is ResultCode.WATCH_EXPIRED or self.replica.regression:
+                self.must_load = True
+            if self.replica.regression:
+                await self.sleep(REGRESSION_PAUSE_S)
+            attempt = 0 if self.replica.revision > revision else attempt + 1
+            await self.sleep(self.backoff.pause_s(attempt, self.randomness))
+
+    async def _prove_forever(self) -> None:
+        while True:
+            await self.prove()
+            await self.sleep(PROOF_INTERVAL_S * self.randomness.uniform(0.9, 1.1))
+
+    async def follow(self) -> Failure:
+        """Load the copy if need be, then apply the watch until it fails."""
+        if self.must_load or not self.replica.complete:
+            failure = await self.load()
+            if failure is not None:
+                return failure
+        watch = self.store.watch(list(KINDS), self.replica.revision)
+        async with contextlib.aclosing(t.cast(t.AsyncGenerator[t.Any, None], watch)):
+            async for event in watch:
+                if isinstance(event, Failure):
+                    return event
+                if event.object is not None:
+                    self._apply(event.object)
+                else:
+                    self.replica.advance(event.revision)
+                regressed = self.replica.regressed()
+                if regressed is not None:
+                    return regressed
+        return Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended")
+
+    async def load(self) -> Failure | None:
+        """Read and apply all objects; report what the store shows older than it is held."""
+        replica = self.replica
+        known_revision = replica.revision
+        known = {at: one.version for at, one in replica.objects.items() if at[0] in KINDS}
+        sent_at = replica.clock()
+        listing = await self.store.list(list(KINDS))
+        self._note_contact(listing)
+        if isinstance(listing, Failure):
+            return listing
+        for number, stored in enumerate(listing.objects):
+            self._apply(stored)
+            if number % APPLIED_AT_ONCE == 0:
+                await asyncio.sleep(0)
+        replica.compare(listing, known)
+        replica.note_read(listing.revision, sent_at, known_revision)
+        regressed = replica.regressed()
+        if regressed is not None:
+            return regressed
+        replica.advance(listing.revision)
+        replica.complete = True
+        self.must_load = False
+        return None
+
+    async def prove(self) -> None:
+        """Read the store's revision, which proves the copy fresh once it is reached."""
+        known_revision = self.replica.revision
+        sent_at = self.replica.clock()
+        listing = await self.store.list([])
+        self._note_contact(listing)
+        if not isinstance(listing, Failure):
+            self.replica.note_read(listing.revision, sent_at, known_revision)
+        elif self.failed is not None:
+            await self.failed()
+
+    def _apply(self, stored: StoredObject) -> None:
+        if self.replica.apply(stored) and self.taken is not None:
+            self.taken(stored)
+
+    def _note_contact(self, result: object) -> None:
+        answers = not isinstance(result, Failure)
+        self.contact = StoreContact(answers=answers, at=self.replica.clock())
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -158,5 +158,5 @@
 def _decode(body: bytes, type_: type[_T]) -> _T | Failure:
     try:
         return msgspec.json.decode(body, type=type_)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(ResultCode.STORE_UNAVAILABLE, f"malformed answer: {error}")
--- a/packages/store/src/radishbridge/store/resolve.py
+++ b/packages/store/src/radishbridge/store/resolve.py
@@ -98,7 +98,7 @@
         return True
     try:
         return bool(msgspec.json.decode(one) == msgspec.json.decode(other))
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError):
         return False
 
 
--- a/standin/src/radishbridge_standin/fake.py
+++ b/standin/src/radishbridge_standin/fake.py
@@ -101,7 +101,7 @@
     async def hosts(self) -> HostList | Failure:
         """Read the list of hosts."""
         await self.pause()
-        if self._silent("hosts"):
+        if self._silent("hosts") and not (self.table.faults.hosts_up and not self.cut):
             return _unavailable()
         return HostList(hosts=self.table.visible_hosts())
 
--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -107,7 +107,8 @@
 
     async def get_hosts(self, request: web.Request) -> web.StreamResponse:
         """Answer the list of hosts."""
-        if refusal := await self._admit(request, "hosts"):
+        refusal = await self._admit(request, "hosts")
+        if refusal and not self.table.faults.hosts_up:
             return refusal
         return self._json(HostList(hosts=self.table.visible_hosts()))
 
@@ -146,7 +147,7 @@
         self.table.count(call)
         if self.table.faults.delay_s:
             await asyncio.sleep(self.table.faults.delay_s)
-        if self.table.faults.down:
+        if self.table.faults.down and not (call == "hosts" and self.table.faults.hosts_up):
             return _abort(request)
         return web.Response(status=503) if self.table.faults.refuse else None
 
--- /dev/null
+++ b/standin/src/radishbridge_standin/replicas.py
@@ -0,0 +1,171 @@
+"""Hosts that keep replicas over fakes of the store and the mesh, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from radishbridge.records import RecordBody, encode_record
+from radishbridge.store import (
+    Freshness,
+    HostEntry,
+    Relay,
+    RelaySettings,
+    Replica,
+    StoredObject,
+)
+from radishbridge_standin.fake import FakeStore
+from radishbridge_standin.mesh import FakeNetwork
+from radishbridge_standin.table import ObjectTable, Write
+
+STEP_S = 0.25
+SETTLE_ROUNDS = 12
+HEARTBEAT_S = 1.0
+
+
+class VirtualClock:
+    """A clock that only moves when it is told to, and sleeps that follow it."""
+
+    __slots__ = ("now", "sleepers")
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.sleepers: list[tuple[float, asyncio.Future[None]]] = []
+
+    def __call__(self) -> float:
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait until the clock has moved on by some seconds."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.sleepers.append((self.now + seconds, future))
+        await future
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock and wake the sleepers that are due."""
+        self.now += seconds
+        due = [future for at, future in self.sleepers if at <= self.now]
+        self.sleepers = [one for one in self.sleepers if one[0] > self.now]
+        for future in due:
+            if not future.done():
+                future.set_result(None)
+
+
+class Location(msgspec.Struct, kw_only=True, frozen=True):
+    """A host and where it is."""
+
+    name: str
+    region: str
+    data_center: str
+
+
+class ReplicaHost:
+    """One host: its own link to the store, its replica and its relay."""
+
+    __slots__ = ("freshness", "location", "relay", "replica", "store")
+
+    def __init__(self, fleet: ReplicaFleet, location: Location) -> None:
+        self.location = location
+        self.store = FakeStore(fleet.table)
+        self.replica = Replica(fleet.clock)
+        self.freshness = Freshness(self.replica, fleet.store_region)
+        self.relay = Relay(
+            RelaySettings(
+                host=location.name,
+                data_center=location.data_center,
+                store_region=fleet.store_region,
+            ),
+            location.region,
+            self.store,
+            self.replica,
+            fleet.network.join(location.name, location.region, location.data_center),
+            random.Random(f"{fleet.seed}-{location.name}"),
+            freshness=self.freshness,
+            clock=fleet.clock,
+            sleep=fleet.clock.sleep,
+        )
+
+    def is_fresh(self) -> bool:
+        """Return whether the host may serve keyed requests now."""
+        return self.freshness.is_fresh(self.replica.clock())
+
+
+class ReplicaFleet:
+    """Several hosts over one object table and one fake network, moved on step by step."""
+
+    __slots__ = ("clock", "hosts", "network", "seed", "store_region", "table")
+
+    def __init__(self, locations: list[Location], store_region: str, seed: int = 1) -> None:
+        self.seed = seed
+        self.store_region = store_region
+        self.clock = VirtualClock()
+        self.table = ObjectTable(self.clock)
+        self.network = FakeNetwork(random.Random(seed))
+        self.hosts: dict[str, ReplicaHost] = {}
+        for location in locations:
+            self.start(location)
+
+    def start(self, location: Location) -> ReplicaHost:
+        """Start a host, or replace the one of that name by a fresh one."""
+        self.stop(location.name)
+        self.hosts[location.name] = ReplicaHost(self, location)
+        return self.hosts[location.name]
+
+    def stop(self, name: str) -> None:
+        """End a host at once, as a crash does."""
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            self.network.leave(name)
+            if host.relay.feed_task is not None:
+                host.relay.feed_task.cancel()
+
+    def write(self, kind: str, name: str, body: RecordBody) -> StoredObject:
+        """Write a record to the store over whatever version it has."""
+        held = self.table.objects.get((kind, name))
+        version = 0 if held is None else held.version
+        value = encode_record(kind, body)
+        write = Write(kind=kind, name=name, value=value, expected_version=version)
+        stored = self.table.write(write)
+        assert stored is not None
+        return stored
+
+    def announce_hosts(self) -> None:
+        """Put the running hosts on the platform's list."""
+        self.table.set_hosts(
+            [
+                HostEntry(
+                    name=one.location.name,
+                    region=one.location.region,
+                    data_center=one.location.data_center,
+                    address="127.0.0.1:1",
+                    admin_address="127.0.0.1:2",
+                    peer_address="127.0.0.1:3",
+                )
+                for one in self.hosts.values()
+            ]
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Move time on."""
+        for number in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            if number % round(HEARTBEAT_S / STEP_S) == 0:
+                self.table.notify()
+            for host in list(self.hosts.values()):
+                host.relay.tick(self.clock.now)
+            await self.settle()
+
+    async def settle(self) -> None:
+        """Let tasks and messages run until nothing is left to do at this time."""
+        for _ in range(SETTLE_ROUNDS):
+            self.network.deliver()
+            await asyncio.sleep(0)
+
+    async def close(self) -> None:
+        """Stop all hosts."""
+        tasks = [one.relay.feed_task for one in self.hosts.values()]
+        for name in list(self.hosts):
+            self.stop(name)
+        await asyncio.gather(*(one for one in tasks if one), return_exceptions=True)
--- a/standin/src/radishbridge_standin/table.py
+++ b/standin/src/radishbridge_standin/table.py
@@ -26,6 +26,7 @@
     :param malformed_answers: number of next answers that are cut short.
     :param reorder: watches deliver waiting events in reverse.
     :param double: watches deliver each event twice.
+    :param hosts_up: the list of hosts is answered all the same.
     :param host_lag_s: seconds until a change of the list of hosts shows.
     """
 
@@ -38,6 +39,7 @@
     malformed_answers: int = 0
     reorder: bool = False
     double: bool = False
+    hosts_up: bool = False
     host_lag_s: float = 0.0
 
     def take(self, name: str) -> bool:
