Forward with bounded memory, deadlines, retries and graceful shutdown

Cause: the skeleton forwarded without limits, lost the reason of a failure, and cut requests at its end. Change: host/ split into gate, attempt, relay, connections, shutdown and admin parts; routing chooses in constant time, ejects and readmits servers; retry budget by service; codes 120 to 123.

--- a/packages/host/src/radishbridge/host/admin.py
+++ b/packages/host/src/radishbridge/host/admin.py
@@ -1,24 +1,28 @@
-"""The listener for operators: liveness, readiness, metrics, configuration in force."""
+"""The listener for operators: liveness, readiness, metrics, status, explanations, burn."""
 
 from __future__ import annotations
 
+import time
+
 import msgspec
 from aiohttp import web
 from prometheus_client import generate_latest
 
+from radishbridge.host.explain import Explainer
 from radishbridge.host.metrics import Metrics
-from radishbridge.records import InForce
-from radishbridge.store import Replica
+from radishbridge.host.problem import problem_response
+from radishbridge.host.state import HostState
+from radishbridge.records import Failure, ResultCode
 
 
 class AdminApi:
     """Handlers of the operators' listener."""
 
-    __slots__ = ("host", "metrics", "replica")
+    __slots__ = ("explainer", "metrics", "state")
 
-    def __init__(self, host: str, replica: Replica, metrics: Metrics) -> None:
-        self.host = host
-        self.replica = replica
+    def __init__(self, state: HostState, explainer: Explainer, metrics: Metrics) -> None:
+        self.state = state
+        self.explainer = explainer
         self.metrics = metrics
 
     def application(self) -> web.Application:
@@ -28,6 +32,9 @@
         application.router.add_get("/ready", self.ready)
         application.router.add_get("/metrics", self.prometheus)
         application.router.add_get("/v1/in-force/{kind}/{name}", self.in_force)
+        application.router.add_get("/v1/status", self.status)
+        application.router.add_get("/v1/explain", self.explain)
+        application.router.add_get("/v1/burn", self.burn)
         return application
 
     async def live(self, request: web.Request) -> web.Response:
@@ -35,10 +42,11 @@
         return web.Response(text="live\n")
 
     async def ready(self, request: web.Request) -> web.Response:
-        """Answer 200 once the configuration is complete."""
-        if self.replica.complete:
+        """Answer 200 while callers should be sent here."""
+        if self.state.ready:
             return web.Response(text="ready\n")
-        return web.Response(status=503, text="starting\n")
+        reason = "leaving" if self.state.forwarder.leaving else "starting"
+        return web.Response(status=503, text=f"{reason}\n")
 
     async def prometheus(self, request: web.Request) -> web.Response:
         """Answer with all metrics in Prometheus' text form."""
@@ -46,11 +54,29 @@
 
     async def in_force(self, request: web.Request) -> web.Response:
         """Answer which version of a record is in force."""
-        at = (request.match_info["kind"], request.match_info["name"])
-        record = self.replica.records.get(at)
-        report = InForce(
-            host=self.host,
-            revision=self.replica.revision,
-            version=0 if record is None else record.version,
+        return _json(self.state.in_force(request.match_info["kind"], request.match_info["name"]))
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Answer the state of the host."""
+        return _json(self.state.status(time.monotonic()))
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Answer where a request would go."""
+        query = request.query
+        if "path" not in query:
+            return problem_response(Failure(ResultCode.REQUEST_MALFORMED, "path is missing"))
+        explanation = self.explainer.explain(
+            query["path"],
+            query.get("method", "GET"),
+            query.get("workspace", ""),
+            time.monotonic(),
         )
-        return web.Response(body=msgspec.json.encode(report), content_type="application/json")
+        return _json(explanation)
+
+    async def burn(self, request: web.Request) -> web.Response:
+        """Answer the counts for the report on service-level burn."""
+        return _json(self.metrics.burn.report(self.state.settings.host))
+
+
+def _json(value: msgspec.Struct) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
--- a/packages/host/src/radishbridge/host/command.py
+++ b/packages/host/src/radishbridge/host/command.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import logging
 import pathlib
 import signal
 import sys
@@ -13,12 +12,11 @@
 import cappa
 
 from radishbridge.host.compose import run_host
+from radishbridge.host.logs import configure_logging
 from radishbridge.records import Failure, Settings, load_settings
 
 EXIT_USAGE = 2
 
-logger = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass(slots=True)
 class Daemon:
@@ -34,13 +32,16 @@
     if isinstance(settings, list):
         _report(settings)
         sys.exit(EXIT_USAGE)
-    logging.basicConfig(level=settings.log.level.upper())
+    configure_logging(settings.log)
     asyncio.run(_serve(settings))
 
 
 def _report(failures: list[Failure]) -> None:
     for failure in failures:
-        print(f"radishbridged: error {int(failure.code)}: {failure.reason}", file=sys.stderr)
+        line = f" line {failure.line}" if failure.line else ""
+        field = f" {failure.field}" if failure.field else ""
+        message = f"error {int(failure.code)}:{line}{field}: {failure.reason}"
+        print(f"radishbridged: {message}", file=sys.stderr)
 
 
 async def _serve(settings: Settings) -> None:
--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -4,47 +4,102 @@
 
 import asyncio
 import contextlib
+import logging
 import random
+import time
 
 import aiohttp
 from aiohttp import web
 
 from radishbridge.host.admin import AdminApi
+from radishbridge.host.attempt import open_backend_session
+from radishbridge.host.connections import CallerServer
+from radishbridge.host.explain import Explainer
 from radishbridge.host.forward import Forwarder
+from radishbridge.host.gate import Gate, ReplicaFreshness
 from radishbridge.host.keys import KeyRing
 from radishbridge.host.metrics import Metrics
+from radishbridge.host.shutdown import Shutdown
+from radishbridge.host.state import HostState
 from radishbridge.records import Settings
 from radishbridge.routing import LocalRouter
 from radishbridge.store import HttpStore, Replica, ReplicaFeed
 
+logger = logging.getLogger(__name__)
+
 
 async def run_host(settings: Settings, stop: asyncio.Event) -> None:
-    """Run a host until ``stop`` is set."""
+    """Run a host until ``stop`` is set, then shut it down gracefully."""
     async with contextlib.AsyncExitStack() as stack:
-        session = await stack.enter_async_context(
-            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
-        )
-        store = HttpStore(session, settings.store.url, settings.store.timeout_s)
-        replica = Replica()
-        keys = KeyRing()
-        router = LocalRouter(settings.region, settings.data_center, random.Random())
-        replica.listeners += [keys.update, router.update]
-        metrics = Metrics()
-        forwarder = Forwarder(session, replica, keys, router, metrics)
-        feed = asyncio.create_task(ReplicaFeed(store, replica).run())
-        stack.callback(feed.cancel)
-        admin = web.AppRunner(AdminApi(settings.host, replica, metrics).application())
-        await _listen(stack, admin, settings.admin_listen)
-        await _listen(stack, web.ServerRunner(web.Server(forwarder.handle)), settings.listen)
+        host = _Host(settings, stack)
+        await host.start_replica()
+        await host.start_admin()
+        shutdown = await host.start_front()
+        logger.info("started", extra={"host": settings.host, "listen": settings.listen})
         await stop.wait()
+        await shutdown.run()
+
+
+class _Host:
+    """The parts of one host; ``stack`` closes them in the opposite order of their start."""
+
+    def __init__(self, settings: Settings, stack: contextlib.AsyncExitStack) -> None:
+        limits = settings.limits
+        self.settings = settings
+        self.stack = stack
+        self.replica = Replica()
+        self.metrics = Metrics()
+        self.router = LocalRouter(settings.region, settings.data_center, random.Random())
+        self.freshness = ReplicaFreshness(self.replica, limits.key_freshness_s)
+        keys = KeyRing()
+        self.gate = Gate(self.replica, keys, self.router, limits, self.freshness)
+        self.replica.listeners += [keys.update, self.router.update]
+        self.forwarder = Forwarder(
+            open_backend_session(), self.gate, self.router, self.metrics, limits
+        )
+        self.state = HostState(settings, self.replica, self.forwarder)
+        stack.push_async_callback(self.forwarder.session.close)
+
+    async def start_replica(self) -> None:
+        """Start to follow the configuration."""
+        session = await self.stack.enter_async_context(aiohttp.ClientSession())
+        store = HttpStore(session, self.settings.store.url, self.settings.store.timeout_s)
+        feed = asyncio.create_task(ReplicaFeed(store, self.replica).run())
+        self.stack.callback(feed.cancel)
 
+    async def start_admin(self) -> None:
+        """Start the operators' listener."""
+        self._watch_parts()
+        explainer = Explainer(self.state, self.router, self.freshness)
+        application = AdminApi(self.state, explainer, self.metrics).application()
+        await self._listen(web.AppRunner(application, access_log=None), self.settings.admin_listen)
 
-async def _listen(
-    stack: contextlib.AsyncExitStack,
-    runner: web.AppRunner | web.ServerRunner,
-    address: str,
-) -> None:
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
+    async def start_front(self) -> Shutdown:
+        """Start the callers' listener."""
+        limits = self.settings.limits
+        server = CallerServer(self.forwarder.handle, limits)
+        self.gate.server = server
+        site = await self._listen(web.ServerRunner(server), self.settings.listen)
+        return Shutdown(self.forwarder, server, site, limits)
+
+    async def _listen(self, runner: web.AppRunner | web.ServerRunner, address: str) -> web.TCPSite:
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port))
+        await site.start()
+        return site
+
+    def _watch_parts(self) -> None:
+        watch = self.metrics.watch
+        forwarder, router, state = self.forwarder, self.router, self.state
+        watch("in_flight", "Requests being answered now.", lambda: forwarder.in_flight)
+        watch("retries", "Attempts after the first one.", lambda: forwarder.retries.granted)
+        watch("retries_denied", "Retries over budget.", lambda: forwarder.retries.denied)
+        watch("ejections", "Ejections of backend servers.", lambda: router.ejections)
+        watch("config_revision", "Revision in force.", lambda: self.replica.revision)
+        watch(
+            "config_age_seconds",
+            "Seconds since the configuration was proved fresh, -1 for never.",
+            lambda: state.fresh_age_s(time.monotonic()),
+        )
--- /dev/null
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -0,0 +1,127 @@
+"""Callers' connections: time limits, malformed requests, and a bound for each workspace."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing as t
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from radishbridge.host.problem import problem_response
+from radishbridge.records import Failure, LimitSettings, ResultCode
+
+MAX_HEADERS = 100
+LINGER_S = 2.0
+BAD_REQUEST = 400
+
+logger = logging.getLogger(__name__)
+
+Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller.
+
+    :param workspace: workspace of the last keyed request, empty before the first one.
+    """
+
+    __slots__ = ("on_lost", "workspace")
+
+    def __init__(self, server: CallerServer, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(server, loop=loop, **server.options)
+        self.workspace = ""
+        self.on_lost = server.lost
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give the connection's place back."""
+        super().connection_lost(exc)
+        self.on_lost(self)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that cannot be parsed or that failed inside the host.
+
+        The message of a parse error holds a part of the request, perhaps a key, and is
+        neither logged nor sent.
+        """
+        if status != BAD_REQUEST:
+            logger.error("request failed: %s", type(exc).__name__, exc_info=exc)
+        if request.writer.output_size > 0:
+            if request.transport is not None:
+                request.transport.abort()
+            raise ConnectionError("a part of the answer was sent")
+        response = problem_response(_parse_failure(status, exc))
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """Makes the handlers of callers' connections and counts them for each workspace.
+
+    :param handler: answers one request.
+    :param limits: sizes in bytes and times in seconds.
+    """
+
+    def __init__(self, handler: Handler, limits: LimitSettings) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self.options: dict[str, t.Any] = {
+            "access_log": None,
+            "auto_decompress": False,
+            "keepalive_timeout": limits.idle_s,
+            "lingering_time": LINGER_S,
+            "max_field_size": limits.header_bytes,
+            "max_headers": MAX_HEADERS,
+            "max_line_size": limits.header_bytes,
+        }
+        self.by_workspace: dict[str, int] = {}
+        self.open = 0
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of a new connection."""
+        self.open += 1
+        return CallerConnection(self, asyncio.get_running_loop())
+
+    def claim(self, request: web.BaseRequest, workspace: str, limit: int) -> Failure | None:
+        """Count a request's connection for a workspace.
+
+        :param limit: connections that this host accepts for the workspace.
+        """
+        connection = request.protocol
+        if not isinstance(connection, CallerConnection) or connection.workspace == workspace:
+            return None
+        if self.by_workspace.get(workspace, 0) >= limit:
+            return Failure(
+                ResultCode.CONNECTIONS_EXCEEDED, f"more than {limit} connections to this host"
+            )
+        self._leave(connection.workspace)
+        self.by_workspace[workspace] = self.by_workspace.get(workspace, 0) + 1
+        connection.workspace = workspace
+        return None
+
+    def lost(self, connection: CallerConnection) -> None:
+        """Note that a connection has ended."""
+        self.open -= 1
+        self._leave(connection.workspace)
+        connection.workspace = ""
+
+    def _leave(self, workspace: str) -> None:
+        if not workspace:
+            return
+        self.by_workspace[workspace] -= 1
+        if not self.by_workspace[workspace]:
+            del self.by_workspace[workspace]
+
+
+def _parse_failure(status: int, exc: BaseException | None) -> Failure:
+    if status != BAD_REQUEST:
+        return Failure(ResultCode.INTERNAL_ERROR, "the host failed on the request")
+    if isinstance(exc, LineTooLong):
+        return Failure(ResultCode.REQUEST_TOO_LARGE, "a line of the head is over the limit")
+    return Failure(ResultCode.REQUEST_MALFORMED, "the request cannot be parsed")
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -1,117 +1,169 @@
-"""The way of one request: key, rate, backend server, answer."""
+"""The way of one request: checks, attempts at backend servers, answer."""
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import time
 
 import aiohttp
 from aiohttp import web
 
-from radishbridge.host.headers import answer_headers, request_headers
-from radishbridge.host.keys import KeyRing
+from radishbridge.host.attempt import Attempt
+from radishbridge.host.exchange import Exchange
+from radishbridge.host.gate import Gate
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.problem import problem_response
-from radishbridge.records import Failure, ResultCode
-from radishbridge.routing import AttemptOutcome, Permit, Router, ServiceRoute
-from radishbridge.shares import Admission
-from radishbridge.store import Replica
+from radishbridge.host.relay import CallerGoneError, finish_answer
+from radishbridge.records import Failure, LimitSettings, ResultCode
+from radishbridge.routing import FailedAttempt, Permit, Retries, Router
 
-CHUNK_BYTES = 65_536
+logger = logging.getLogger(__name__)
 
 
 class Forwarder:
     """Answers callers' requests from backend servers.
 
-    :param admission: rate limits; ``None`` admits all.
+    :param session: client session of ``open_backend_session``.
+    :param gate: checks that come before the choice of a backend server.
     """
 
-    __slots__ = ("admission", "keys", "metrics", "replica", "router", "session")
+    __slots__ = (
+        "gate",
+        "in_flight",
+        "leaving",
+        "limits",
+        "metrics",
+        "retries",
+        "router",
+        "session",
+    )
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
-        replica: Replica,
-        keys: KeyRing,
+        gate: Gate,
         router: Router,
         metrics: Metrics,
-        admission: Admission | None = None,
+        limits: LimitSettings,
     ) -> None:
         self.session = session
-        self.replica = replica
-        self.keys = keys
+        self.gate = gate
         self.router = router
         self.metrics = metrics
-        self.admission = admission
+        self.limits = limits
+        self.retries = Retries()
+        self.in_flight = 0
+        self.leaving = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        target = self.router.find(request.path)
-        if isinstance(target, Failure):
-            return self._refuse("", target)
-        refusal = self._authorize(request, target)
-        if refusal is not None:
-            return self._refuse(target.name, refusal)
-        permit = self.router.choose(target, (), time.monotonic())
-        if isinstance(permit, Failure):
-            return self._refuse(target.name, permit)
-        return await self._attempt(request, target, permit)
-
-    def _authorize(self, request: web.BaseRequest, target: ServiceRoute) -> Failure | None:
-        if not self.replica.complete:
-            return Failure(ResultCode.HOST_STARTING, "the configuration is not complete yet")
-        if target.route.open:
-            return None
-        workspace = self.keys.authenticate(request.headers)
-        if isinstance(workspace, Failure):
-            return workspace
-        if self.admission is None:
-            return None
-        return self.admission.admit(workspace, time.monotonic())
-
-    def _refuse(self, service: str, failure: Failure) -> web.Response:
-        self.metrics.requests.labels(service, failure.code.name).inc()
-        return problem_response(failure)
-
-    async def _attempt(
-        self, request: web.BaseRequest, target: ServiceRoute, permit: Permit
-    ) -> web.StreamResponse:
-        started_at = time.monotonic()
-        outcome = AttemptOutcome(0.0, failed=True)
+        exchange = Exchange(request, self.limits, time.monotonic())
+        self.in_flight += 1
         try:
-            async with self.session.request(
-                request.method,
-                f"http://{permit.backend.address}{request.raw_path}",
-                headers=request_headers(request.headers),
-                data=request.content if request.body_exists else None,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(total=target.service.deadline_s),
-            ) as answer:
-                outcome = AttemptOutcome(time.monotonic() - started_at, answer.status >= 500)
-                return await self._relay(request, target, answer)
-        except aiohttp.ClientConnectorError:
-            return self._refuse(
-                target.name, Failure(ResultCode.BACKEND_REFUSED, "no connection was made")
-            )
+            return await self._answer(exchange)
+        except asyncio.CancelledError:
+            exchange.code = ResultCode.CALLER_GONE
+            raise
+        finally:
+            self.in_flight -= 1
+            self.metrics.note(exchange, time.monotonic())
+
+    async def _answer(self, exchange: Exchange) -> web.StreamResponse:
+        failure = self.gate.admit(exchange)
+        answer = failure if failure is not None else await self._within_deadline(exchange)
+        response = self._refuse(exchange, answer) if isinstance(answer, Failure) else answer
+        exchange.response = response
+        if exchange.code is ResultCode.CALLER_GONE or exchange.cut_off:
+            return response
+        if self.leaving:
+            response.force_close()
+        try:
+            await finish_answer(exchange.request, response)
+        except CallerGoneError:
+            exchange.code = ResultCode.CALLER_GONE
+        return response
+
+    async def _within_deadline(self, exchange: Exchange) -> web.StreamResponse | Failure:
+        try:
+            async with asyncio.timeout_at(exchange.deadline.at):
+                failure = await exchange.body.open()
+                return failure if failure is not None else await self._attempts(exchange)
+        except CallerGoneError:
+            exchange.code = ResultCode.CALLER_GONE
+            return Failure(ResultCode.CALLER_GONE, "the caller went away")
         except TimeoutError:
-            return self._refuse(
-                target.name, Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
-            )
-        except aiohttp.ClientError:
-            return self._refuse(
-                target.name, Failure(ResultCode.BACKEND_FAILED, "the connection broke")
-            )
+            return self._time_out(exchange)
+
+    async def _attempts(self, exchange: Exchange) -> web.StreamResponse | Failure:
+        target = exchange.target
+        self.retries.note_request(target.name)
+        tried: list[str] = []
+        failure: Failure | None = None
+        while True:
+            permit = self.router.choose(target, tried, time.monotonic())
+            if isinstance(permit, Failure):
+                return exchange.truthful(permit if failure is None else failure)
+            attempt = Attempt(exchange, permit)
+            answer = await self._attempt(attempt, permit)
+            if not isinstance(answer, Failure):
+                return answer
+            failure = answer
+            tried.append(permit.backend.name)
+            if not self._may_retry(exchange, attempt, len(tried)):
+                return exchange.truthful(failure)
+
+    async def _attempt(self, attempt: Attempt, permit: Permit) -> web.StreamResponse | Failure:
+        try:
+            answer = await attempt.run(self.session)
         finally:
-            self.router.release(permit, outcome, time.monotonic())
+            self.router.release(permit, attempt.outcome, time.monotonic())
+        if isinstance(answer, Failure):
+            logger.info(
+                "attempt failed: %s",
+                answer.reason,
+                extra={
+                    "service": permit.service,
+                    "backend": permit.backend.name,
+                    "code": int(answer.code),
+                },
+            )
+        return answer
 
-    async def _relay(
-        self, request: web.BaseRequest, target: ServiceRoute, answer: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            status=answer.status, reason=answer.reason, headers=answer_headers(answer.headers)
+    def _may_retry(self, exchange: Exchange, attempt: Attempt, attempts: int) -> bool:
+        failed = FailedAttempt(
+            attempts=attempts,
+            not_run=attempt.not_run,
+            repeatable=exchange.target.route.repeatable,
+            replayable=exchange.body.replayable and exchange.body.failure is None,
+            answered=exchange.response is not None,
+            remaining_s=exchange.deadline.remaining_s(time.monotonic()),
         )
-        await response.prepare(request)
-        async for chunk in answer.content.iter_chunked(CHUNK_BYTES):
-            await response.write(chunk)
-        await response.write_eof()
-        self.metrics.requests.labels(target.name, ResultCode.OK.name).inc()
+        return self.retries.grant(exchange.target.name, failed)
+
+    def _time_out(self, exchange: Exchange) -> web.StreamResponse | Failure:
+        if exchange.response is not None:
+            exchange.cut(ResultCode.DEADLINE_EXCEEDED)
+            return exchange.response
+        return exchange.truthful(Failure(ResultCode.DEADLINE_BEFORE_SENT, "the deadline passed"))
+
+    def _refuse(self, exchange: Exchange, failure: Failure) -> web.Response:
+        exchange.code = failure.code
+        retry_after_s = 0.0
+        if failure.code is ResultCode.RATE_EXCEEDED:
+            retry_after_s = self.gate.retry_after_s(exchange.workspace)
+        response = problem_response(failure, retry_after_s)
+        if failure.code in _CLOSING:
+            response.force_close()
         return response
+
+
+# The rest of the body is not worth reading, or the connection itself is one too many.
+_CLOSING = frozenset(
+    {
+        ResultCode.CONNECTIONS_EXCEEDED,
+        ResultCode.REQUEST_INCOMPLETE,
+        ResultCode.REQUEST_MALFORMED,
+        ResultCode.REQUEST_TOO_LARGE,
+    }
+)
--- a/packages/host/src/radishbridge/host/headers.py
+++ b/packages/host/src/radishbridge/host/headers.py
@@ -2,40 +2,63 @@
 
 from __future__ import annotations
 
+import itertools
 import typing as t
 
+from aiohttp import web
 from multidict import CIMultiDict
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
+from radishbridge.host.deadline import DEADLINE_HEADER, Deadline
+
+# Proxy-Connection is no standard header, but old clients send it.
+HOP_BY_HOP = (
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
 )
-KEY_HEADERS = frozenset({"authorization", "x-api-key"})
-_REQUEST_DROPPED = HOP_BY_HOP | KEY_HEADERS | {"host", "expect"}
+KEY_HEADERS = ("Authorization", "X-Api-Key")
+FORWARDED_FOR = "X-Forwarded-For"
+FORWARDED_HOST = "X-Forwarded-Host"
+FORWARDED_PROTO = "X-Forwarded-Proto"
+NOT_RUN_HEADER = "X-Not-Run"
+_REQUEST_DROPPED = (*HOP_BY_HOP, *KEY_HEADERS, "Host", "Expect", FORWARDED_HOST, FORWARDED_PROTO)
+# Headers that give the message its length and target stay, even if Connection names them.
+_NEVER_NAMED = frozenset({"content-length", "host", "close", "keep-alive", ""})
+
 
+def request_headers(request: web.BaseRequest, deadline: Deadline, now: float) -> CIMultiDict[str]:
+    """Return the headers of a caller's request for the backend server.
 
-def request_headers(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
-    """Return the headers of a caller's request that go to the backend server."""
-    return _without(headers, _REQUEST_DROPPED)
+    The caller's address is appended to ``X-Forwarded-For``, the caller's ``Host`` goes to
+    ``X-Forwarded-Host``, and the deadline header carries the time that remains.
+    """
+    headers = _end_to_end(request.headers, _REQUEST_DROPPED)
+    forwarded = headers.popall(FORWARDED_FOR, [])
+    headers[FORWARDED_FOR] = ", ".join([*forwarded, request.remote or "unknown"])
+    headers[FORWARDED_HOST] = request.headers.get("Host", "")
+    headers[FORWARDED_PROTO] = "http"
+    headers[DEADLINE_HEADER] = deadline.header(now)
+    return headers
 
 
 def answer_headers(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers of a backend server's answer that go to the caller."""
-    return _without(headers, HOP_BY_HOP)
+    return _end_to_end(headers, HOP_BY_HOP)
 
 
-def _without(headers: t.Mapping[str, str], dropped: frozenset[str]) -> CIMultiDict[str]:
-    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
-    all_dropped = dropped | named if named - {""} else dropped
-    return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in all_dropped
-    )
+def _end_to_end(headers: t.Mapping[str, str], dropped: t.Sequence[str]) -> CIMultiDict[str]:
+    passed = CIMultiDict(headers)
+    if "Connection" in passed:
+        lists = (value.lower().split(",") for value in passed.getall("Connection"))
+        named = {name.strip() for name in itertools.chain.from_iterable(lists)}
+        for name in named - _NEVER_NAMED:
+            passed.popall(name, None)
+    for name in dropped:
+        passed.popall(name, None)
+    return passed
--- a/packages/host/src/radishbridge/host/keys.py
+++ b/packages/host/src/radishbridge/host/keys.py
@@ -4,12 +4,17 @@
 
 import hashlib
 import hmac
-import typing as t
+
+from multidict import MultiMapping
 
 from radishbridge.records import Failure, Key, Record, ResultCode
 
 API_KEY_HEADER = "X-Api-Key"
 _BEARER = "bearer "
+_MISSING = Failure(ResultCode.KEY_MISSING, "send Authorization: Bearer or X-Api-Key")
+_UNKNOWN = Failure(ResultCode.KEY_UNKNOWN, "the key is not known")
+_WITHDRAWN = Failure(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
+_AMBIGUOUS = Failure(ResultCode.REQUEST_MALFORMED, "the request carries different keys")
 
 
 class KeyRing:
@@ -18,30 +23,45 @@
     __slots__ = ("by_digest", "digests")
 
     def __init__(self) -> None:
-        self.by_digest: dict[str, Key] = {}
+        self.by_digest: dict[str, dict[str, Key]] = {}
         self.digests: dict[str, str] = {}
 
     def update(self, record: Record) -> None:
         """Take over a changed record of kind ``key``."""
         if record.kind != "key":
             return
-        self.by_digest.pop(self.digests.pop(record.name, ""), None)
+        self._forget(record.name)
         if isinstance(record.body, Key):
-            self.by_digest[record.body.digest] = record.body
+            self.by_digest.setdefault(record.body.digest, {})[record.name] = record.body
             self.digests[record.name] = record.body.digest
 
-    def authenticate(self, headers: t.Mapping[str, str]) -> str | Failure:
+    def authenticate(self, headers: MultiMapping[str]) -> str | Failure:
         """Return the workspace of the request's key, or why there is none."""
-        secret = _secret(headers)
-        if not secret:
-            return Failure(ResultCode.KEY_MISSING, "send Authorization: Bearer or X-Api-Key")
-        digest = key_digest(secret)
-        key = self.by_digest.get(digest)
-        if key is None or not hmac.compare_digest(key.digest, digest):
-            return Failure(ResultCode.KEY_UNKNOWN, "the key is not known")
-        if key.withdrawn:
-            return Failure(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
-        return key.workspace
+        secrets = _secrets(headers)
+        if not secrets:
+            return _MISSING
+        if len(secrets) > 1:
+            return _AMBIGUOUS
+        return self._find(key_digest(secrets.pop()))
+
+    def _find(self, digest: str) -> str | Failure:
+        # Two records may hold the same digest; a withdrawal of either one withdraws the key.
+        keys = self.by_digest.get(digest)
+        if not keys:
+            return _UNKNOWN
+        if any(key.withdrawn for key in keys.values()):
+            return _WITHDRAWN
+        workspaces = {
+            key.workspace for key in keys.values() if hmac.compare_digest(key.digest, digest)
+        }
+        return workspaces.pop() if len(workspaces) == 1 else _UNKNOWN
+
+    def _forget(self, name: str) -> None:
+        digest = self.digests.pop(name, "")
+        named = self.by_digest.get(digest, {})
+        named.pop(name, None)
+        if not named:
+            self.by_digest.pop(digest, None)
 
 
 def key_digest(secret: str) -> str:
@@ -49,8 +69,10 @@
     return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
 
 
-def _secret(headers: t.Mapping[str, str]) -> str:
-    authorization = headers.get("Authorization", "")
-    if authorization[: len(_BEARER)].lower() == _BEARER:
-        return authorization[len(_BEARER) :].strip()
-    return headers.get(API_KEY_HEADER, "").strip()
+def _secrets(headers: MultiMapping[str]) -> set[str]:
+    values = {value.strip() for value in headers.getall(API_KEY_HEADER, ())}
+    for value in headers.getall("Authorization", ()):
+        if value[: len(_BEARER)].lower() == _BEARER:
+            values.add(value[len(_BEARER) :].strip())
+    values.discard("")
+    return values
--- /dev/null
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -0,0 +1,63 @@
+"""The order of a graceful shutdown, each step bounded in time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing as t
+
+from aiohttp import web
+
+from radishbridge.host.connections import CallerServer
+from radishbridge.host.forward import Forwarder
+from radishbridge.records import LimitSettings
+
+POLL_S = 0.02
+
+logger = logging.getLogger(__name__)
+
+
+class Shutdown:
+    """Takes a host out of use without cutting a request.
+
+    :param site: the callers' listening socket.
+    :param limits: ``shutdown_lookup_s`` and ``shutdown_s`` bound the two waits, in seconds.
+    """
+
+    __slots__ = ("forwarder", "limits", "server", "site")
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        server: CallerServer,
+        site: web.BaseSite,
+        limits: LimitSettings,
+    ) -> None:
+        self.forwarder = forwarder
+        self.server = server
+        self.site = site
+        self.limits = limits
+
+    async def run(self) -> None:
+        """Leave, serve until cached look-up answers ran out, stop accepting, finish."""
+        logger.info("leaving: readiness and look-up answers no longer name this host")
+        self.forwarder.leaving = True
+        await asyncio.sleep(self.limits.shutdown_lookup_s)
+        await self.site.stop()
+        logger.info("stopped accepting", extra={"in_flight": self.forwarder.in_flight})
+        finished = await self._wait(lambda: not self.forwarder.in_flight)
+        # Connections still open have been idle for the whole time of leaving, since each answer
+        # during it closed its connection.
+        for connection in self.server.connections:
+            connection.force_close()
+        await self._wait(lambda: not self.server.open)
+        logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
+
+    async def _wait(self, done: t.Callable[[], bool]) -> bool:
+        try:
+            async with asyncio.timeout(self.limits.shutdown_s):
+                while not done():
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            return False
+        return True
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -41,6 +41,10 @@
     CLAIM_UNAVAILABLE = 117
     HOST_STARTING = 118
     HOST_LEAVING = 119
+    DEADLINE_BEFORE_SENT = 120
+    REQUEST_INCOMPLETE = 121
+    INTERNAL_ERROR = 122
+    CALLER_GONE = 123
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -114,6 +118,14 @@
     ),
     ResultCode.HOST_STARTING: CodeInfo("The host has no full configuration yet.", _NOT_RUN, 503),
     ResultCode.HOST_LEAVING: CodeInfo("The host is shutting down.", _NOT_RUN, 503),
+    ResultCode.DEADLINE_BEFORE_SENT: CodeInfo(
+        "The deadline passed before the request was sent to a backend server.", _NOT_RUN, 504
+    ),
+    ResultCode.REQUEST_INCOMPLETE: CodeInfo(
+        "The body of the request did not arrive whole.", _MAY, 408
+    ),
+    ResultCode.INTERNAL_ERROR: CodeInfo("The host failed on the request.", _MAY, 500),
+    ResultCode.CALLER_GONE: CodeInfo("The caller went away before its answer.", _MAY, 499),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NONE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo("A record's schema version is newer than known.", _NONE),
     ResultCode.SETTINGS_INVALID: CodeInfo("A settings file has an invalid field.", _NONE),
--- a/packages/routing/src/radishbridge/routing/protocol.py
+++ b/packages/routing/src/radishbridge/routing/protocol.py
@@ -4,7 +4,7 @@
 
 import typing as t
 
-from radishbridge.records import Backend, Failure, Route, Service
+from radishbridge.records import Backend, Candidate, Failure, Route, Service
 
 
 class ServiceRoute:
@@ -35,21 +35,33 @@
     :param latency_s: seconds to the first byte of the answer.
     :param failed: connection error, reset or a status of 500 and above.
     :param shed: the backend server refused before running it.
+    :param abandoned: the caller went away or its own deadline passed, which says nothing
+        about the backend server.
     """
 
-    __slots__ = ("failed", "latency_s", "shed")
+    __slots__ = ("abandoned", "failed", "latency_s", "shed")
 
-    def __init__(self, latency_s: float, failed: bool = False, shed: bool = False) -> None:
+    def __init__(
+        self,
+        latency_s: float,
+        failed: bool = False,
+        shed: bool = False,
+        abandoned: bool = False,
+    ) -> None:
         self.latency_s = latency_s
         self.failed = failed
         self.shed = shed
+        self.abandoned = abandoned
 
 
 class Router(t.Protocol):
     """Chooses the region and the backend server of each attempt."""
 
     def find(self, path: str) -> ServiceRoute | Failure:
-        """Return the service and route of a path, or ``SERVICE_UNKNOWN``."""
+        """Return the service and route of a path, or ``SERVICE_UNKNOWN``.
+
+        :param path: decoded path without dot segments or empty segments.
+        """
 
     def choose(
         self, target: ServiceRoute, tried: t.Collection[str], now: float
@@ -58,3 +70,6 @@
 
     def release(self, permit: Permit, outcome: AttemptOutcome, now: float) -> None:
         """Give a slot back and note how the attempt ended."""
+
+    def explain(self, target: ServiceRoute, now: float) -> list[Candidate]:
+        """Return each backend server of the service with the reason to use it or not."""
--- a/packages/routing/src/radishbridge/routing/router.py
+++ b/packages/routing/src/radishbridge/routing/router.py
@@ -5,92 +5,180 @@
 import random
 import typing as t
 
-from radishbridge.records import Backend, Failure, Record, ResultCode, Route, Service
+from radishbridge.records import (
+    Backend,
+    Candidate,
+    Drain,
+    Failure,
+    Record,
+    ResultCode,
+    Route,
+    Service,
+)
+from radishbridge.routing.pool import Place, Pool
 from radishbridge.routing.protocol import AttemptOutcome, Permit, ServiceRoute
+from radishbridge.routing.server import ServerState
 
 _DEFAULT_ROUTE = Route(prefix="")
+_UNKNOWN = Failure(ResultCode.SERVICE_UNKNOWN, "no service has this path")
 
 
 class LocalRouter:
     """Chooses among a service's backend servers by the power of two choices on own load.
 
+    :param region: region of this host, preferred next to its data centre.
     :param data_center: data centre of this host, preferred while it has free slots.
-    :param region: region of this host, preferred next.
     """
 
-    __slots__ = ("data_center", "in_flight", "prefixes", "random", "region", "services")
+    __slots__ = ("drains", "ejections", "place", "pools", "random", "routes", "services")
 
     def __init__(self, region: str, data_center: str, rng: random.Random) -> None:
-        self.region = region
-        self.data_center = data_center
+        self.place = Place(region, data_center)
         self.random = rng
         self.services: dict[str, Service] = {}
-        self.prefixes: list[tuple[str, str]] = []
-        self.in_flight: dict[tuple[str, str], int] = {}
+        self.drains: dict[str, Drain] = {}
+        self.pools: dict[str, Pool] = {}
+        self.routes: dict[str, dict[str, ServiceRoute]] = {}
+        self.ejections = 0
 
     def update(self, record: Record) -> None:
         """Take over a changed record of the configuration."""
-        if record.kind != "service":
-            return
-        if isinstance(record.body, Service):
-            self.services[record.name] = record.body
-        else:
-            self.services.pop(record.name, None)
-        pairs = ((service.path_prefix, name) for name, service in self.services.items())
-        self.prefixes = sorted(pairs, key=lambda pair: len(pair[0]), reverse=True)
+        if record.kind == "service":
+            self._update_service(record)
+        elif record.kind == "drain":
+            self._update_drain(record)
 
     def find(self, path: str) -> ServiceRoute | Failure:
-        """Return the service and route of a path, or ``SERVICE_UNKNOWN``."""
-        for prefix, name in self.prefixes:
-            if path.startswith(prefix):
-                service = self.services[name]
-                return ServiceRoute(name, service, _find_route(service, path))
-        return Failure(ResultCode.SERVICE_UNKNOWN, "no service has this path")
+        """Return the service and route of a path, or ``SERVICE_UNKNOWN``.
+
+        Prefixes match whole segments of the path, the longest one first.
+        """
+        routes = _longest(self.routes, path)
+        if routes is None:
+            return _UNKNOWN
+        return _longest(routes, path) or routes[""]
 
     def choose(
         self, target: ServiceRoute, tried: t.Collection[str], now: float
     ) -> Permit | Failure:
         """Take a slot at the nearest backend server with a free one."""
-        free = [
-            backend
-            for backend in target.service.backends
-            if backend.version == target.service.stable_version
-            and backend.name not in tried
-            and self.load(target.name, backend) < backend.slots
-        ]
-        for near in (self._in_data_center, self._in_region, self._anywhere):
-            candidates = [backend for backend in free if near(backend)]
-            if candidates:
-                return self._take(target.name, candidates, now)
-        return Failure(ResultCode.NO_BACKEND, f"no free slot in service {target.name}")
+        pool = self.pools.get(target.name)
+        server = None if pool is None else pool.take(tried, now)
+        if server is None:
+            return Failure(ResultCode.NO_BACKEND, f"no free slot in service {target.name}")
+        return Permit(target.name, server.backend, now)
 
     def release(self, permit: Permit, outcome: AttemptOutcome, now: float) -> None:
-        """Give a slot back."""
-        at = (permit.service, permit.backend.name)
-        self.in_flight[at] -= 1
-
-    def load(self, service: str, backend: Backend) -> int:
-        """Return the requests this host has in flight at a backend server."""
-        return self.in_flight.get((service, backend.name), 0)
-
-    def _take(self, service: str, candidates: list[Backend], now: float) -> Permit:
-        pair = self.random.sample(candidates, min(2, len(candidates)))
-        backend = min(pair, key=lambda one: self.load(service, one) / one.slots)
-        at = (service, backend.name)
-        self.in_flight[at] = self.in_flight.get(at, 0) + 1
-        return Permit(service, backend, now)
-
-    def _in_data_center(self, backend: Backend) -> bool:
-        return backend.data_center == self.data_center
-
-    def _in_region(self, backend: Backend) -> bool:
-        return backend.region == self.region
-
-    def _anywhere(self, backend: Backend) -> bool:
-        return True
+        """Give a slot back and eject the server if it keeps failing."""
+        pool = self.pools.get(permit.service)
+        server = None if pool is None else pool.servers.get(permit.backend.name)
+        if pool is None or server is None or server.backend.address != permit.backend.address:
+            return
+        server.in_flight = max(0, server.in_flight - 1)
+        server.note(outcome)
+        if server.should_eject and not server.ejected_until and pool.eject(server, now):
+            self.ejections += 1
+        pool.refresh(server)
+
+    def explain(self, target: ServiceRoute, now: float) -> list[Candidate]:
+        """Return each backend server of the service with the reason to use it or not."""
+        pool = self.pools.get(target.name)
+        states = [] if pool is None else pool.nearest_first()
+        in_use = {state.backend.name for state in states}
+        others = (backend for backend in target.service.backends if backend.name not in in_use)
+        return [
+            *(_candidate(state.backend, state.in_flight, _verdict(state, now)) for state in states),
+            *(_candidate(backend, 0, self._exclusion(target, backend)) for backend in others),
+        ]
 
+    def _update_service(self, record: Record) -> None:
+        if isinstance(record.body, Service):
+            self.services[record.name] = record.body
+        else:
+            self.services.pop(record.name, None)
+            self.pools.pop(record.name, None)
+        self.routes = {
+            service.path_prefix.rstrip("/"): _routes(name, service)
+            for name, service in sorted(self.services.items(), reverse=True)
+        }
+        self._refill(record.name)
+
+    def _update_drain(self, record: Record) -> None:
+        if isinstance(record.body, Drain):
+            self.drains[record.name] = record.body
+        else:
+            self.drains.pop(record.name, None)
+        for name in self.services:
+            self._refill(name)
 
-def _find_route(service: Service, path: str) -> Route:
-    below = path[len(service.path_prefix.rstrip("/")) :]
-    matching = (route for route in service.routes if below.startswith(route.prefix))
-    return max(matching, key=lambda route: len(route.prefix), default=_DEFAULT_ROUTE)
+    def _refill(self, name: str) -> None:
+        service = self.services.get(name)
+        if service is None:
+            return
+        pool = self.pools.setdefault(name, Pool(self.place, self.random))
+        pool.update(
+            backend
+            for backend in service.backends
+            if backend.version == service.stable_version and not self._drained(name, backend)
+        )
+
+    def _drained(self, service: str, backend: Backend) -> bool:
+        return any(_covers(drain, service, backend) for drain in self.drains.values())
+
+    def _exclusion(self, target: ServiceRoute, backend: Backend) -> str:
+        if backend.version != target.service.stable_version:
+            return f"version {backend.version} gets no traffic"
+        return "drained" if self._drained(target.name, backend) else "not in use"
+
+
+_T = t.TypeVar("_T")
+
+
+def _longest(by_prefix: t.Mapping[str, _T], path: str) -> _T | None:
+    """Return the value of the longest prefix that ends at a segment of the path."""
+    while path:
+        found = by_prefix.get(path)
+        if found is not None:
+            return found
+        path = path.rpartition("/")[0]
+    return by_prefix.get("")
+
+
+def _routes(name: str, service: Service) -> dict[str, ServiceRoute]:
+    base = service.path_prefix.rstrip("/")
+    routes = {"": ServiceRoute(name, service, _DEFAULT_ROUTE)}
+    for route in service.routes:
+        below = route.prefix.strip("/")
+        prefix = f"{base}/{below}" if below else base
+        routes[prefix] = ServiceRoute(name, service, route)
+    return routes
+
+
+def _covers(drain: Drain, service: str, backend: Backend) -> bool:
+    if drain.service and drain.service != service:
+        return False
+    if drain.scope == "backend":
+        return drain.target == backend.name
+    if drain.scope == "data_center":
+        return drain.target == backend.data_center
+    return drain.scope == "region" and drain.target == backend.region
+
+
+def _verdict(state: ServerState, now: float) -> str:
+    if state.ejected_until:
+        return f"ejected for {max(0.0, state.ejected_until - now):.1f} s more"
+    if not state.has_room:
+        return "no free slot"
+    return "eligible"
+
+
+def _candidate(backend: Backend, in_flight: int, verdict: str) -> Candidate:
+    return Candidate(
+        backend=backend.name,
+        region=backend.region,
+        data_center=backend.data_center,
+        version=backend.version,
+        slots=backend.slots,
+        in_flight=in_flight,
+        verdict=verdict,
+    )
--- a/standin/src/radishbridge_standin/__main__.py
+++ b/standin/src/radishbridge_standin/__main__.py
@@ -41,7 +41,7 @@
     if isinstance(command, Objects):
         runner = web.AppRunner(ObjectApi().application())
     else:
-        runner = web.ServerRunner(web.Server(BackendServer(command.name).handle))
+        runner = web.ServerRunner(BackendServer(command.name).server())
     await runner.setup()
     await web.TCPSite(runner, LOOPBACK, command.port).start()
     await asyncio.Event().wait()
--- a/standin/src/radishbridge_standin/backend.py
+++ b/standin/src/radishbridge_standin/backend.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import typing as t
 
 import msgspec
 from aiohttp import web
 
+NOT_RUN_HEADERS = {"X-Not-Run": "1"}
+PART = bytes(65_536)
+
 
 class Echo(msgspec.Struct, kw_only=True):
     """What the backend server saw of a request."""
@@ -18,13 +22,34 @@
     body_bytes: int
 
 
+class Behavior(msgspec.Struct, kw_only=True):
+    """How the backend server answers one request; read from the query of its target.
+
+    :param delay_ms: time before the answer, in milliseconds.
+    :param answer_bytes: size of an answer of zero bytes in place of the echo; -1 for the echo.
+    :param chunked: the answer's size is not announced.
+    :param cut_at: the connection is reset after so many bytes of the answer; -1 for never.
+    :param shed: the request is refused before it runs.
+    :param early: the answer comes before the body is read.
+    """
+
+    delay_ms: int = 0
+    status: int = 200
+    answer_bytes: int = -1
+    chunked: bool = False
+    cut_at: int = -1
+    shed: bool = False
+    early: bool = False
+
+
 class BackendServer:
     """Answers each request with what it saw; sheds requests beyond its slots with 503.
 
+    :param slots: requests that it runs at once.
     :param service_time_s: time that one request takes, in seconds.
     """
 
-    __slots__ = ("in_flight", "name", "requests", "service_time_s", "slots")
+    __slots__ = ("cancelled", "in_flight", "name", "requests", "service_time_s", "slots", "used")
 
     def __init__(self, name: str, slots: int = 4, service_time_s: float = 0.0) -> None:
         self.name = name
@@ -32,26 +57,72 @@
         self.service_time_s = service_time_s
         self.in_flight = 0
         self.requests = 0
+        self.cancelled = 0
+        self.used: list[t.Any] = []
+
+    def server(self) -> web.Server:
+        """Build the server that hears of callers who go away."""
+        return web.Server(self.handle, handler_cancellation=True, access_log=None)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        if self.in_flight >= self.slots:
-            return web.Response(status=503, headers={"X-Not-Run": "1"})
+        behavior = msgspec.convert(dict(request.query), type=Behavior, strict=False)
+        self.used.append(request.transport and request.transport.get_extra_info("peername"))
+        if self.in_flight >= self.slots or behavior.shed:
+            return web.Response(status=503, headers=NOT_RUN_HEADERS)
         self.in_flight += 1
+        self.requests += 1
         try:
-            return await self._run(request)
+            return await self._run(request, behavior)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
         finally:
             self.in_flight -= 1
 
-    async def _run(self, request: web.BaseRequest) -> web.Response:
-        self.requests += 1
-        body = await request.read()
-        await asyncio.sleep(self.service_time_s)
+    async def _run(self, request: web.BaseRequest, behavior: Behavior) -> web.StreamResponse:
+        body_bytes = 0
+        if not behavior.early:
+            async for part in request.content.iter_any():
+                body_bytes += len(part)
+        await asyncio.sleep(self.service_time_s + behavior.delay_ms / 1000)
+        if behavior.answer_bytes >= 0:
+            return await _answer_bytes(request, behavior)
+        return self._echo(request, behavior, body_bytes)
+
+    def _echo(
+        self, request: web.BaseRequest, behavior: Behavior, body_bytes: int
+    ) -> web.StreamResponse:
+        if behavior.cut_at >= 0:
+            return _reset(request, web.Response())
         echo = Echo(
             backend=self.name,
             method=request.method,
             path=request.raw_path,
             headers=dict(request.headers),
-            body_bytes=len(body),
+            body_bytes=body_bytes,
         )
-        return web.Response(body=msgspec.json.encode(echo), content_type="application/json")
+        return web.Response(
+            status=behavior.status,
+            body=msgspec.json.encode(echo),
+            content_type="application/json",
+        )
+
+
+async def _answer_bytes(request: web.BaseRequest, behavior: Behavior) -> web.StreamResponse:
+    response = web.StreamResponse(status=behavior.status)
+    response.content_type = "application/octet-stream"
+    if not behavior.chunked:
+        response.content_length = behavior.answer_bytes
+    await response.prepare(request)
+    end = behavior.answer_bytes if behavior.cut_at < 0 else behavior.cut_at
+    for start in range(0, end, len(PART)):
+        await response.write(PART[: end - start])
+    return response if behavior.cut_at < 0 else _reset(request, response)
+
+
+def _reset(request: web.BaseRequest, response: web.StreamResponse) -> web.StreamResponse:
+    # Closing sends what is buffered first; the answer's end never comes.
+    if request.transport is not None:
+        request.transport.close()
+    return response
