Test forwarding, retries, limits and graceful shutdown

Cause: the failures that the forwarding code is for had no tests. Change: tests by subject, each causing its failure with the backend stand-in; a cut answer now resets the caller's connection, since a plain close looks like a whole answer to an HTTP/1.0 caller (found by its test).

--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
+from radishbridge.host.exchange import reset
 from radishbridge.host.problem import problem_response
 from radishbridge.records import Failure, LimitSettings, ResultCode
 
@@ -55,7 +56,7 @@
             logger.error("request failed: %s", type(exc).__name__, exc_info=exc)
         if request.writer.output_size > 0:
             if request.transport is not None:
-                request.transport.abort()
+                reset(request.transport)
             raise ConnectionError("a part of the answer was sent")
         response = problem_response(_parse_failure(status, exc))
         response.force_close()
--- a/packages/host/src/radishbridge/host/exchange.py
+++ b/packages/host/src/radishbridge/host/exchange.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
+
 from aiohttp import web
 
 from radishbridge.host.bodies import RequestBody
@@ -9,6 +13,7 @@
 from radishbridge.records import Execution, Failure, LimitSettings, ResultCode, Route, Service
 from radishbridge.routing import ServiceRoute
 
+_NO_LINGER = struct.pack("ii", 1, 0)
 _NO_TARGET = ServiceRoute("", Service(path_prefix="", backends=[]), Route(prefix=""))
 
 
@@ -71,4 +76,13 @@
         self.code = code
         self.cut_off = True
         if self.request.transport is not None:
-            self.request.transport.abort()
+            reset(self.request.transport)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Drop a connection so that its other end sees an error and not a clean end."""
+    # Without this option the kernel ends the connection in order, although bytes are missing.
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
--- a/standin/src/radishbridge_standin/backend.py
+++ b/standin/src/radishbridge_standin/backend.py
@@ -62,7 +62,9 @@
 
     def server(self) -> web.Server:
         """Build the server that hears of callers who go away."""
-        return web.Server(self.handle, handler_cancellation=True, access_log=None)
+        return web.Server(
+            self.handle, handler_cancellation=True, access_log=None, auto_decompress=False
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -115,6 +117,8 @@
     if not behavior.chunked:
         response.content_length = behavior.answer_bytes
     await response.prepare(request)
+    if request.method == "HEAD":
+        return response
     end = behavior.answer_bytes if behavior.cut_at < 0 else behavior.cut_at
     for start in range(0, end, len(PART)):
         await response.write(PART[: end - start])
--- a/standin/src/radishbridge_standin/demo.py
+++ b/standin/src/radishbridge_standin/demo.py
@@ -71,15 +71,18 @@
                 await _send(session, host.name, host.address)
 
 
-async def start(fleet: Fleet, session: aiohttp.ClientSession) -> None:
-    """Start store, backend servers and hosts, and apply the records with the client."""
+async def start(fleet: Fleet, session: aiohttp.ClientSession, **settings: t.Any) -> None:
+    """Start store, backend servers and hosts, and apply the records with the client.
+
+    :param settings: replace those of each host's file.
+    """
     fleet.start_store()
     addresses = {name: fleet.start_backend(name) for name, _ in BACKENDS}
     await wait_for_status(session, f"{fleet.store_url}/v1/hosts", 200)
     for address in addresses.values():
         await wait_for_status(session, f"http://{address}/", 200)
     for place in PLACES:
-        fleet.start_host(place)
+        fleet.start_host(place, **settings)
     await fleet.announce_hosts(session)
     await fleet.wait_ready(session)
     path = fleet.directory / "records.jsonc"
--- /dev/null
+++ b/tests/in_process.py
@@ -0,0 +1,135 @@
+"""A host and its backend servers inside the test's own event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import typing as t
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from radishbridge.host.attempt import open_backend_session
+from radishbridge.host.connections import CallerServer
+from radishbridge.host.forward import Forwarder
+from radishbridge.host.gate import Gate, ReplicaFreshness
+from radishbridge.host.keys import KeyRing, key_digest
+from radishbridge.host.metrics import Metrics
+from radishbridge.records import (
+    Backend,
+    Key,
+    LimitSettings,
+    RecordBody,
+    Route,
+    Service,
+    Workspace,
+    encode_record,
+)
+from radishbridge.routing import LocalRouter
+from radishbridge.store import Replica, StoredObject
+from radishbridge_standin.backend import BackendServer
+
+LOOPBACK = "127.0.0.1"
+SECRET = "secret-of-school-17"
+WITH_KEY = {"Authorization": f"Bearer {SECRET}"}
+ROUTES = [
+    Route(prefix="/public", open=True),
+    Route(prefix="/once", repeatable=False),
+]
+
+
+async def until(condition: t.Callable[[], bool], timeout_s: float = 5.0) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class Harness:
+    """One host with the service ``catalogue`` in front of some backend servers."""
+
+    def __init__(self, limits: LimitSettings | None = None) -> None:
+        self.limits = limits or LimitSettings()
+        self.stack = contextlib.AsyncExitStack()
+        self.replica = Replica()
+        self.metrics = Metrics()
+        self.router = LocalRouter("oberbayern", "ob-a", random.Random(7))
+        keys = KeyRing()
+        self.replica.listeners += [keys.update, self.router.update]
+        freshness = ReplicaFreshness(self.replica, 1e9)
+        self.gate = Gate(self.replica, keys, self.router, self.limits, freshness)
+        self.servers: list[BackendServer] = []
+        self.backends: list[Backend] = []
+        self.version = 0
+
+    async def __aenter__(self) -> Harness:
+        session = await self.stack.enter_async_context(open_backend_session())
+        self.forwarder = Forwarder(session, self.gate, self.router, self.metrics, self.limits)
+        self.server = CallerServer(self.forwarder.handle, self.limits)
+        self.gate.server = self.server
+        runner = web.ServerRunner(self.server, shutdown_timeout=1.0)
+        self.address = await self._listen(runner)
+        self.caller = await self.stack.enter_async_context(aiohttp.ClientSession())
+        self.write("workspace", "school-17", Workspace())
+        self.write("key", "school-17-a", Key(workspace="school-17", digest=key_digest(SECRET)))
+        self.replica.mark_fresh(1, self.replica.clock())
+        self.replica.complete = True
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self.stack.aclose()
+
+    async def add_backend(self, **options: t.Any) -> BackendServer:
+        """Start one more backend server."""
+        server = BackendServer(f"cat-{len(self.servers) + 1}", **options)
+        address = await self._listen(web.ServerRunner(server.server(), shutdown_timeout=0.2))
+        self.servers.append(server)
+        self.add_address(server.name, address)
+        return server
+
+    def add_address(self, name: str, address: str) -> None:
+        """Add a backend server that runs elsewhere, or nowhere."""
+        backend = Backend(name=name, address=address, region="oberbayern", data_center="ob-a")
+        self.backends.append(backend)
+        self.write_service()
+
+    def write_service(self, **fields: t.Any) -> None:
+        """Change the record of the service."""
+        standard = {"path_prefix": "/catalogue/", "routes": ROUTES, "backends": self.backends}
+        self.write("service", "catalogue", Service(**(standard | fields)))
+
+    def write(self, kind: str, name: str, body: RecordBody) -> None:
+        """Put a record into force."""
+        self.version += 1
+        value = msgspec.Raw(encode_record(kind, body))
+        stored = StoredObject(kind=kind, name=name, version=self.version, value=value)
+        assert self.replica.apply(stored)
+
+    def url(self, path: str = "/catalogue/devices/1") -> str:
+        """Return the URL of a path at the host."""
+        return f"http://{self.address}{path}"
+
+    async def get(self, path: str, **options: t.Any) -> tuple[int, bytes]:
+        """Send a GET with the key; return status and body."""
+        async with self.caller.get(self.url(path), headers=WITH_KEY, **options) as answer:
+            return answer.status, await answer.read()
+
+    async def raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a bare connection to the host."""
+        host, _, port = self.address.partition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def _listen(self, runner: web.ServerRunner) -> str:
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+        return f"{LOOPBACK}:{runner.addresses[0][1]}"
+
+
+def problem_code(body: bytes) -> int:
+    """Return the result code of a refusal."""
+    code = msgspec.json.decode(body)["code"]
+    assert isinstance(code, int)
+    return code
--- /dev/null
+++ b/tests/test_host_daemon.py
@@ -0,0 +1,247 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pathlib
+import signal
+import subprocess
+import sys
+import typing as t
+
+import aiohttp
+import msgspec
+import pytest
+from in_process import until
+
+from radishbridge.host.logs import JsonFormatter, TextFormatter
+from radishbridge.records import BurnReport, Explanation, HostStatus, ResultCode
+from radishbridge.store import HostEntry
+from radishbridge_standin import demo
+from radishbridge_standin.processes import Fleet, Place, wait_for_status
+
+KEY = {"Authorization": f"Bearer {demo.SECRET}"}
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> t.Iterator[Fleet]:
+    async def start(running: Fleet) -> None:
+        async with aiohttp.ClientSession() as session:
+            await demo.start(running, session)
+
+    with Fleet(tmp_path_factory.mktemp("fleet")) as running:
+        asyncio.run(start(running))
+        yield running
+
+
+@pytest.fixture
+async def leaver(
+    fleet: Fleet, caller: aiohttp.ClientSession, request: pytest.FixtureRequest
+) -> HostEntry:
+    limits = {"shutdown_lookup_s": 1.0, "shutdown_s": 10.0}
+    place = Place(f"leaver-{request.node.name}", "oberbayern", "ob-a")
+    entry = fleet.start_host(place, limits=limits)
+    await wait_for_status(caller, f"http://{entry.admin_address}/ready", 200)
+    return entry
+
+
+@pytest.fixture
+async def caller() -> t.AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+async def _get(caller: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
+    async with caller.get(url, headers=KEY) as answer:
+        return answer.status, await answer.read()
+
+
+class TestAdmin:
+    async def test_answers_of_the_listener(
+        self, fleet: Fleet, caller: aiohttp.ClientSession
+    ) -> None:
+        host = fleet.hosts[0]
+        base = f"http://{host.admin_address}"
+        assert (await _get(caller, f"http://{host.address}/catalogue/a"))[0] == 200
+        await _get(caller, f"http://{host.address}/catalogue/a?status=500")
+        assert (await _get(caller, f"{base}/live"))[0] == 200
+
+        status = msgspec.json.decode((await _get(caller, f"{base}/v1/status"))[1], type=HostStatus)
+        assert (status.host, status.ready, status.leaving) == ("host-1", True, False)
+        assert 0.0 <= status.fresh_age_s < 5.0
+
+        burn = msgspec.json.decode((await _get(caller, f"{base}/v1/burn"))[1], type=BurnReport)
+        counts = [(one.workspace, one.service, one.good, one.bad) for one in burn.counts]
+        assert sum(good for *_, good, _ in counts) >= 1
+        assert counts[0][:2] == ("school-17", "catalogue")
+        assert sum(bad for *_, bad in counts) == 1
+
+        metrics = (await _get(caller, f"{base}/metrics"))[1].decode()
+        labels = 'code="OK",service="catalogue",workspace="school-17"'
+        assert f"radishbridge_requests_total{{{labels}}} 2.0" in metrics
+        for name in ("request_seconds_bucket", "in_flight", "retries", "ejections"):
+            assert f"radishbridge_{name}" in metrics
+        assert f"radishbridge_config_revision {float(status.revision)}" in metrics
+
+    @pytest.mark.parametrize(
+        ("query", "code"),
+        [
+            ("path=/catalogue/a&workspace=school-17", ResultCode.OK),
+            ("path=/catalogue/public/a", ResultCode.OK),
+            ("path=/catalogue/a", ResultCode.KEY_MISSING),
+            ("path=/catalogue/a&workspace=nobody", ResultCode.KEY_UNKNOWN),
+            ("path=/nothing", ResultCode.SERVICE_UNKNOWN),
+            ("path=/catalogue/../a", ResultCode.REQUEST_MALFORMED),
+        ],
+    )
+    async def test_explanation(
+        self, fleet: Fleet, caller: aiohttp.ClientSession, query: str, code: ResultCode
+    ) -> None:
+        url = f"http://{fleet.hosts[0].admin_address}/v1/explain?{query}"
+        body = (await _get(caller, url))[1]
+        explanation = msgspec.json.decode(body, type=Explanation)
+        assert explanation.code == code
+        assert explanation.steps
+        if explanation.service:
+            verdicts = [one.verdict for one in explanation.candidates]
+            assert verdicts == ["eligible"] * 3
+
+
+class TestKeySecrecy:
+    async def test_no_key_in_log_metric_status_or_refusal(
+        self, fleet: Fleet, caller: aiohttp.ClientSession
+    ) -> None:
+        host = fleet.hosts[1]
+        url = f"http://{host.address}"
+        wrong = "wrong-secret-of-nobody"
+        seen = []
+        for headers in (
+            KEY,
+            {"X-Api-Key": wrong},
+            KEY | {"X-Api-Key": wrong},
+            {"Authorization": f"Bearer {wrong}\t"},
+            KEY | {"X-Long": "a" * 20_000},
+        ):
+            for path in ("/catalogue/a", "/nothing", "/catalogue/a?cut_at=0", "/a/../b"):
+                async with caller.get(url + path, headers=headers) as answer:
+                    seen.append(await answer.text())
+        await _send_malformed(host.address, f"X-Api-Key : {wrong}\x01")
+        await _send_malformed(host.address, f"X-Api-Key: {wrong}{'a' * 20_000}")
+        for path in ("/metrics", "/v1/status", "/v1/burn"):
+            seen.append((await _get(caller, f"http://{host.admin_address}{path}"))[1].decode())
+        seen += [path.read_text() for path in fleet.directory.glob("*.log")]
+        for secret in (demo.SECRET, wrong):
+            assert not [text for text in seen if secret in text]
+
+
+async def _send_malformed(address: str, line: str) -> None:
+    host, _, port = address.partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(f"GET /catalogue/a HTTP/1.1\r\nHost: h\r\n{line}\r\n\r\n".encode())
+    assert b" 4" in await reader.readline()
+    writer.close()
+
+
+class TestShutdown:
+    async def test_cuts_no_request_under_load(self, fleet: Fleet, leaver: HostEntry) -> None:
+        load = Load(f"http://{leaver.address}")
+        tasks = [asyncio.create_task(load.run(number)) for number in range(20)]
+        await until(lambda: load.answered > 200, 20.0)
+        process = fleet.processes[leaver.name]
+        process.send_signal(signal.SIGTERM)
+        async with aiohttp.ClientSession() as session:
+            await wait_for_status(session, f"http://{leaver.admin_address}/ready", 503)
+            body = (await _get(session, f"http://{leaver.admin_address}/v1/status"))[1]
+            assert msgspec.json.decode(body, type=HostStatus).leaving
+        before = load.answered
+        await asyncio.gather(*tasks)
+        assert load.answered > before
+        assert load.faults == []
+        assert await asyncio.to_thread(process.wait, 15) == 0
+
+    async def test_finishes_an_upload_that_has_begun(self, fleet: Fleet, leaver: HostEntry) -> None:
+        upload_bytes = 5_000_000
+        started = asyncio.Event()
+
+        async def parts() -> t.AsyncIterator[bytes]:
+            for _ in range(50):
+                yield bytes(upload_bytes // 50)
+                started.set()
+                await asyncio.sleep(0.05)
+
+        async with aiohttp.ClientSession(headers=KEY) as session:
+            url = f"http://{leaver.address}/catalogue/images"
+            upload = asyncio.create_task(_echo(session, url, parts()))
+            await started.wait()
+            fleet.processes[leaver.name].send_signal(signal.SIGTERM)
+            echo = await upload
+            assert echo["body_bytes"] == upload_bytes
+
+
+async def _echo(
+    session: aiohttp.ClientSession, url: str, data: t.AsyncIterator[bytes]
+) -> dict[str, t.Any]:
+    async with session.put(url, data=data) as answer:
+        echo: dict[str, t.Any] = await answer.json()
+        return echo
+
+
+class Load:
+    """Callers that send one request after the other until the host accepts no connection."""
+
+    def __init__(self, url: str) -> None:
+        self.url = url
+        self.answered = 0
+        self.faults: list[str] = []
+
+    async def run(self, number: int) -> None:
+        async with aiohttp.ClientSession(headers=KEY) as session:
+            while await self.ask(session, number):
+                self.answered += 1
+
+    async def ask(self, session: aiohttp.ClientSession, number: int) -> bool:
+        path = f"/catalogue/a?answer_bytes={number * 10_000}&delay_ms={number}"
+        try:
+            async with session.get(self.url + path) as answer:
+                body = await answer.read()
+        except aiohttp.ClientConnectorError:
+            return False
+        except aiohttp.ClientError as error:
+            self.faults.append(repr(error))
+            return True
+        if answer.status == 200 and len(body) != number * 10_000:
+            self.faults.append(f"{len(body)} bytes")
+        return True
+
+
+class TestSettingsErrors:
+    def test_are_all_printed_with_exit_status_2(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "host.jsonc"
+        path.write_text('{"host": "a"}')
+        command = [sys.executable, "-m", "radishbridge.host", "--config", str(path)]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
+        assert result.returncode == 2
+        assert f"error {int(ResultCode.SETTINGS_INVALID)}" in result.stderr
+
+
+class TestFormatters:
+    @pytest.fixture
+    def record(self) -> logging.LogRecord:
+        made = logging.makeLogRecord({"name": "a.b", "levelname": "INFO", "msg": "no %s"})
+        made.args = ("connection",)
+        made.service = "catalogue"
+        made.created = 0.0
+        return made
+
+    def test_json(self, record: logging.LogRecord) -> None:
+        assert json.loads(JsonFormatter().format(record)) == {
+            "time": "1970-01-01T00:00:00.000+00:00",
+            "level": "info",
+            "logger": "a.b",
+            "message": "no connection",
+            "fields": {"service": "catalogue"},
+        }
+
+    def test_text(self, record: logging.LogRecord) -> None:
+        line = "1970-01-01T00:00:00.000+00:00 info a.b: no connection service=catalogue"
+        assert TextFormatter().format(record) == line
--- /dev/null
+++ b/tests/test_routing_retry.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+import typing as t
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.routing import FailedAttempt, Retries, RetryBudget
+from radishbridge.routing.retry import MAX_ATTEMPTS, MIN_REMAINING_S, RETRY_BURST, RETRY_RATIO
+
+GRANTED: dict[str, t.Any] = {
+    "attempts": 1,
+    "not_run": False,
+    "repeatable": True,
+    "replayable": True,
+    "answered": False,
+    "remaining_s": 1.0,
+}
+
+
+class TestFailedAttempt:
+    def test_may_be_repeated(self) -> None:
+        assert FailedAttempt(**GRANTED).may_repeat
+
+    def test_may_be_repeated_on_any_route_if_it_did_not_run(self) -> None:
+        assert FailedAttempt(**(GRANTED | {"repeatable": False, "not_run": True})).may_repeat
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"attempts": MAX_ATTEMPTS},
+            {"repeatable": False},
+            {"replayable": False},
+            {"answered": True},
+            {"remaining_s": MIN_REMAINING_S},
+        ],
+    )
+    def test_may_not_be_repeated(self, change: dict[str, t.Any]) -> None:
+        assert not FailedAttempt(**(GRANTED | change)).may_repeat
+
+
+class TestRetryBudget:
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.booleans(), max_size=300))
+    def test_retries_stay_under_the_ratio(self, steps: list[bool]) -> None:
+        budget = RetryBudget()
+        requests = retries = 0
+        for is_request in steps:
+            if is_request:
+                budget.note_request()
+                requests += 1
+            else:
+                retries += budget.take()
+            assert retries <= RETRY_BURST + RETRY_RATIO * requests + 1e-6
+
+
+class TestRetries:
+    def test_budgets_of_services_are_apart(self) -> None:
+        retries = Retries()
+        for service in ("a", "b"):
+            retries.note_request(service)
+        attempt = FailedAttempt(**GRANTED)
+        assert sum(retries.grant("a", attempt) for _ in range(50)) == int(RETRY_BURST)
+        assert retries.grant("b", attempt)
+        assert (retries.granted, retries.denied) == (11, 40)
