--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import time
+import typing as t
 
 import aiohttp
 from aiohttp import web
@@ -21,7 +22,8 @@
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.host.state import HostState
-from radishbridge.records import Settings
+from radishbridge.peers import DirectoryFeed, HostAddress, ZmqMesh
+from radishbridge.records import Failure, Settings
 from radishbridge.routing import LocalRouter
 from radishbridge.store import HttpStore, Replica, ReplicaFeed
 
@@ -33,6 +35,7 @@
     async with contextlib.AsyncExitStack() as stack:
         host = _Host(settings, stack)
         await host.start_replica()
+        await host.start_mesh()
         await host.start_admin()
         shutdown = await host.start_front()
         logger.info("started", extra={"host": settings.host, "listen": settings.listen})
@@ -63,9 +66,18 @@
     async def start_replica(self) -> None:
         """Start to follow the configuration."""
         session = await self.stack.enter_async_context(aiohttp.ClientSession())
-        store = HttpStore(session, self.settings.store.url, self.settings.store.timeout_s)
-        feed = asyncio.create_task(ReplicaFeed(store, self.replica).run())
-        self.stack.callback(feed.cancel)
+        self.store = HttpStore(session, self.settings.store.url, self.settings.store.timeout_s)
+        self._run(ReplicaFeed(self.store, self.replica).run())
+
+    async def start_mesh(self) -> None:
+        """Start to talk to other hosts."""
+        settings = self.settings
+        self.mesh = ZmqMesh(
+            settings.host, settings.peer_listen, settings.peers, self.state.heartbeat
+        )
+        self.state.live_peers = lambda: sorted(peer.name for peer in self.mesh.live())
+        self._run(self.mesh.run())
+        self._run(DirectoryFeed(self.mesh, self._read_hosts).run())
 
     async def start_admin(self) -> None:
         """Start the operators' listener."""
@@ -82,6 +94,26 @@
         site = await self._listen(web.ServerRunner(server), self.settings.listen)
         return Shutdown(self.forwarder, server, site, limits)
 
+    def _run(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(_report_end)
+        self.stack.push_async_callback(_end, task)
+
+    async def _read_hosts(self) -> list[HostAddress] | Failure:
+        listed = await self.store.hosts()
+        if isinstance(listed, Failure):
+            return listed
+        return [
+            HostAddress(
+                name=host.name,
+                region=host.region,
+                data_center=host.data_center,
+                address=host.peer_address,
+                leaving=host.leaving,
+            )
+            for host in listed.hosts
+        ]
+
     async def _listen(self, runner: web.AppRunner | web.ServerRunner, address: str) -> web.TCPSite:
         await runner.setup()
         self.stack.push_async_callback(runner.cleanup)
@@ -103,3 +135,13 @@
             "Seconds since the configuration was proved fresh, -1 for never.",
             lambda: state.fresh_age_s(time.monotonic()),
         )
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.wait([task])
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("a task of the host failed", exc_info=task.exception())
--- a/packages/host/src/radishbridge/host/state.py
+++ b/packages/host/src/radishbridge/host/state.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from radishbridge.host.forward import Forwarder
+from radishbridge.peers import Heartbeat
 from radishbridge.records import HostStatus, InForce, RejectedRecord, Settings
 from radishbridge.store import Replica
 
@@ -40,6 +41,10 @@
         age_s = now - self.replica.fresh_at
         return NEVER if age_s == float("inf") else age_s
 
+    def heartbeat(self) -> Heartbeat:
+        """Return the sign of life for other hosts."""
+        return Heartbeat(revision=self.replica.revision, leaving=self.forwarder.leaving)
+
     def status(self, now: float) -> HostStatus:
         """Return the body of ``/v1/status``."""
         return HostStatus(
--- a/tests/test_host_daemon.py
+++ b/tests/test_host_daemon.py
@@ -83,6 +83,15 @@
             assert f"radishbridge_{name}" in metrics
         assert f"radishbridge_config_revision {float(status.revision)}" in metrics
 
+    async def test_hosts_hear_each_other(self, fleet: Fleet, caller: aiohttp.ClientSession) -> None:
+        url = f"http://{fleet.hosts[0].admin_address}/v1/status"
+        async with asyncio.timeout(20.0):
+            while True:
+                status = msgspec.json.decode((await _get(caller, url))[1], type=HostStatus)
+                if {"host-2", "host-3"} <= set(status.live_peers):
+                    return
+                await asyncio.sleep(0.05)
+
     @pytest.mark.parametrize(
         ("query", "code"),
         [
