--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from radishbridge.host.admin import AdminApi
-from radishbridge.host.attempt import open_backend_session
+from radishbridge.host.backends import BackendClient
 from radishbridge.host.connections import CallerServer
 from radishbridge.host.explain import Explainer
 from radishbridge.host.forward import Forwarder
@@ -57,11 +57,9 @@
         keys = KeyRing()
         self.gate = Gate(self.replica, keys, self.router, limits, self.freshness)
         self.replica.listeners += [keys.update, self.router.update]
-        self.forwarder = Forwarder(
-            open_backend_session(), self.gate, self.router, self.metrics, limits
-        )
+        self.forwarder = Forwarder(BackendClient(), self.gate, self.router, self.metrics, limits)
         self.state = HostState(settings, self.replica, self.forwarder)
-        stack.push_async_callback(self.forwarder.session.close)
+        stack.push_async_callback(self.forwarder.client.close)
 
     async def start_replica(self) -> None:
         """Start to follow the configuration."""
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -6,10 +6,10 @@
 import logging
 import time
 
-import aiohttp
 from aiohttp import web
 
 from radishbridge.host.attempt import Attempt
+from radishbridge.host.backends import BackendClient
 from radishbridge.host.exchange import Exchange
 from radishbridge.host.gate import Gate
 from radishbridge.host.metrics import Metrics
@@ -24,11 +24,12 @@
 class Forwarder:
     """Answers callers' requests from backend servers.
 
-    :param session: client session of ``open_backend_session``.
+    :param client: connections to backend servers.
     :param gate: checks that come before the choice of a backend server.
     """
 
     __slots__ = (
+        "client",
         "gate",
         "in_flight",
         "leaving",
@@ -36,18 +37,17 @@
         "metrics",
         "retries",
         "router",
-        "session",
     )
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        client: BackendClient,
         gate: Gate,
         router: Router,
         metrics: Metrics,
         limits: LimitSettings,
     ) -> None:
-        self.session = session
+        self.client = client
         self.gate = gate
         self.router = router
         self.metrics = metrics
@@ -115,7 +115,7 @@
 
     async def _attempt(self, attempt: Attempt, permit: Permit) -> web.StreamResponse | Failure:
         try:
-            answer = await attempt.run(self.session)
+            answer = await attempt.run(self.client)
         finally:
             self.router.release(permit, attempt.outcome, time.monotonic())
         if isinstance(answer, Failure):
--- a/packages/host/src/radishbridge/host/headers.py
+++ b/packages/host/src/radishbridge/host/headers.py
@@ -32,14 +32,19 @@
 _NEVER_NAMED = frozenset({"content-length", "host", "close", "keep-alive", ""})
 
 
-def request_headers(request: web.BaseRequest, deadline: Deadline, now: float) -> CIMultiDict[str]:
+def request_headers(
+    request: web.BaseRequest, address: str, deadline: Deadline, now: float
+) -> CIMultiDict[str]:
     """Return the headers of a caller's request for the backend server.
 
     The caller's address is appended to ``X-Forwarded-For``, the caller's ``Host`` goes to
     ``X-Forwarded-Host``, and the deadline header carries the time that remains.
+
+    :param address: ``IP:port`` of the backend server.
     """
     headers = _end_to_end(request.headers, _REQUEST_DROPPED)
     forwarded = headers.popall(FORWARDED_FOR, [])
+    headers["Host"] = address
     headers[FORWARDED_FOR] = ", ".join([*forwarded, request.remote or "unknown"])
     headers[FORWARDED_HOST] = request.headers.get("Host", "")
     headers[FORWARDED_PROTO] = "http"
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -11,7 +11,7 @@
 import msgspec
 from aiohttp import web
 
-from radishbridge.host.attempt import open_backend_session
+from radishbridge.host.backends import BackendClient
 from radishbridge.host.connections import CallerServer
 from radishbridge.host.forward import Forwarder
 from radishbridge.host.gate import Gate, ReplicaFreshness
@@ -65,8 +65,9 @@
         self.version = 0
 
     async def __aenter__(self) -> Harness:
-        session = await self.stack.enter_async_context(open_backend_session())
-        self.forwarder = Forwarder(session, self.gate, self.router, self.metrics, self.limits)
+        client = BackendClient()
+        self.stack.push_async_callback(client.close)
+        self.forwarder = Forwarder(client, self.gate, self.router, self.metrics, self.limits)
         self.server = CallerServer(self.forwarder.handle, self.limits)
         self.gate.server = self.server
         runner = web.ServerRunner(self.server, shutdown_timeout=1.0)
