Give operators every command of the client

Cause: the client could apply records and nothing else, stopped at the first fault, and counted a host that had left as one that lags.

Change: one flat module for each group of commands: apply, get, list, edit, diff, validate, delete, key, drain, move, status, hosts, explain, report burn. Writes are conditional and skip what is stored already; edit keeps the loser's text and merges on fields; the wait re-reads the list of hosts and tells lagging, silent and left hosts apart; hosts are asked 64 at once. The digest function of keys lives in records, and daemon and client share it.

--- a/packages/client/src/radishbridge/client/__init__.py
+++ b/packages/client/src/radishbridge/client/__init__.py
@@ -2,6 +2,27 @@
 
 from __future__ import annotations
 
-from radishbridge.client.command import main
+from radishbridge.client._fields import FieldChange, compare, merge
+from radishbridge.client.burn import BurnSummary, ServiceBurn, WindowBurn, sum_burn
+from radishbridge.client.command import main, run
+from radishbridge.client.exits import ExitCode, exit_code
+from radishbridge.client.fleet import CONCURRENT_HOSTS, FleetClient
+from radishbridge.client.wait import HostState, InForceWait
 
-__all__ = ["main"]
+__all__ = [
+    "CONCURRENT_HOSTS",
+    "BurnSummary",
+    "ExitCode",
+    "FieldChange",
+    "FleetClient",
+    "HostState",
+    "InForceWait",
+    "ServiceBurn",
+    "WindowBurn",
+    "compare",
+    "exit_code",
+    "main",
+    "merge",
+    "run",
+    "sum_burn",
+]
--- a/packages/client/src/radishbridge/client/apply.py
+++ b/packages/client/src/radishbridge/client/apply.py
@@ -1,57 +1,117 @@
-"""Writes records by conditional update and waits until they are in force."""
+"""``radishbridge apply``: writes the records of files and waits until they are in force."""
 
 from __future__ import annotations
 
-import asyncio
-import time
+import dataclasses
+import pathlib
+import typing as t
 
-import aiohttp
-import msgspec
+import cappa
 
-from radishbridge.client.manifest import Manifest
-from radishbridge.records import Failure, InForce, ResultCode, StoredValue
-from radishbridge.store import HostEntry, ObjectStore, StoredObject
+from radishbridge.client._fields import compare, difference_lines
+from radishbridge.client.context import Context
+from radishbridge.client.finish import DEFAULT_WAIT_S, Timeout, finish
+from radishbridge.client.manifest import Manifest, StoredRecord, load_manifests
+from radishbridge.client.write import Written, read_record, split_failures, write_manifest
+from radishbridge.records import Failure, ResultCode
 
-POLL_PAUSE_S = 0.1
+Files = t.Annotated[
+    list[pathlib.Path], cappa.Arg(num_args=-1, required=True, help="Files of records.")
+]
 
 
-async def write_manifest(store: ObjectStore, manifest: Manifest) -> StoredObject | Failure:
-    """Write one record over the version that is there now."""
-    held = await store.get(manifest.kind, manifest.name)
-    if isinstance(held, Failure) and held.code is not ResultCode.NOT_FOUND:
-        return held
-    version = 0 if isinstance(held, Failure) else held.version
-    value = msgspec.json.encode(StoredValue(schema=manifest.schema, spec=manifest.spec))
-    return await store.put(manifest.kind, manifest.name, value, version)
+@cappa.command(name="apply")
+@dataclasses.dataclass(slots=True)
+class Apply:
+    """Write records from files and wait until every live host has them in force.
+
+    All records are checked before the first is written. A record that is already stored as it is
+    in the file is not written again.
+    """
+
+    files: Files
+    timeout: Timeout = DEFAULT_WAIT_S
+    expect_version: t.Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Write only over this version; 0 expects no record."),
+    ] = None
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        manifests, failures = split_failures(load_files(self.files))
+        failures = failures or self._check_expectation(len(manifests))
+        if failures:
+            return context.console.fail(failures)
+        read = [
+            await read_record(context.store, manifest.kind, manifest.name) for manifest in manifests
+        ]
+        held, failures = split_failures(read)
+        if failures:
+            return context.console.fail(failures)
+        return await self._write(context, list(zip(manifests, held, strict=True)))
+
+    def _check_expectation(self, count: int) -> list[Failure]:
+        if self.expect_version is None or count == 1:
+            return []
+        reason = f"goes with one record, but the files hold {count}"
+        return [Failure(ResultCode.USAGE, reason, field="--expect-version")]
+
+    async def _write(self, context: Context, pairs: list[tuple[Manifest, StoredRecord]]) -> int:
+        written: list[Written] = []
+        for manifest, held in pairs:
+            outcome = await self._write_one(context, manifest, held)
+            if isinstance(outcome, Failure):
+                await finish(context, written, 0.0, summary=bool(written))
+                _tell_rest(context, [one for one, _ in pairs[len(written) :]])
+                await _tell_difference(context, manifest, outcome)
+                return context.console.fail([outcome])
+            written.append(outcome)
+        return await finish(context, written, self.timeout)
+
+    async def _write_one(
+        self, context: Context, manifest: Manifest, held: StoredRecord
+    ) -> Written | Failure:
+        current = held.version if held.exists else 0
+        if self.expect_version not in (None, current, held.version):
+            reason = f"{held.kind}/{held.name} is at version {current}"
+            return Failure(ResultCode.VERSION_CONFLICT, reason)
+        return await write_manifest(context.store, manifest, held)
 
 
-async def wait_in_force(
-    session: aiohttp.ClientSession,
-    hosts: list[HostEntry],
-    stored: StoredObject,
-    timeout_s: float,
-) -> list[str]:
-    """Wait until hosts have a version in force.
+def _tell_rest(context: Context, manifests: t.Sequence[Manifest]) -> None:
+    names = ", ".join(f"{manifest.kind}/{manifest.name}" for manifest in manifests)
+    context.console.warn(f"not written: {names}")
 
-    :return: the names of the hosts that do not have it after ``timeout_s`` seconds.
+
+async def _tell_difference(context: Context, manifest: Manifest, failure: Failure) -> None:
+    """Show what is stored now against the file, after a conflict."""
+    if failure.code is not ResultCode.VERSION_CONFLICT:
+        return
+    stored = await read_record(context.store, manifest.kind, manifest.name)
+    if isinstance(stored, Failure):
+        return
+    context.console.warn(f"from what is stored now, version {stored.version}, to your file:")
+    for line in difference_lines(compare(stored.spec, manifest.spec)):
+        context.console.warn(line)
+
+
+def load_files(files: t.Iterable[pathlib.Path]) -> list[Manifest | Failure]:
+    """Read files of records.
+
+    :return: all records, together with every fault found in any of the files.
     """
-    waits = (_wait_for_host(session, host, stored, timeout_s) for host in hosts)
-    reached = await asyncio.gather(*waits)
-    return [host.name for host, ok in zip(hosts, reached, strict=True) if not ok]
-
-
-async def _wait_for_host(
-    session: aiohttp.ClientSession, host: HostEntry, stored: StoredObject, timeout_s: float
-) -> bool:
-    url = f"http://{host.admin_address}/v1/in-force/{stored.kind}/{stored.name}"
-    deadline = time.monotonic() + timeout_s
-    while time.monotonic() < deadline:
-        try:
-            async with session.get(url, timeout=aiohttp.ClientTimeout(total=timeout_s)) as answer:
-                report = msgspec.json.decode(await answer.read(), type=InForce)
-        except (TimeoutError, aiohttp.ClientError, msgspec.MsgspecError):
-            report = InForce(host=host.name, revision=0, version=0)
-        if report.version >= stored.version:
-            return True
-        await asyncio.sleep(POLL_PAUSE_S)
-    return False
+    loaded = [one for path in files for one in load_manifests(path)]
+    return [*loaded, *find_duplicates(one for one in loaded if isinstance(one, Manifest))]
+
+
+def find_duplicates(manifests: t.Iterable[Manifest]) -> list[Failure]:
+    """Return a failure for each record that occurs more than once."""
+    seen: set[tuple[str, str]] = set()
+    failures = []
+    for manifest in manifests:
+        at = (manifest.kind, manifest.name)
+        if at in seen:
+            reason = f"{manifest.kind}/{manifest.name} occurs more than once"
+            failures.append(Failure(ResultCode.RECORD_INVALID, reason))
+        seen.add(at)
+    return failures
--- a/packages/client/src/radishbridge/client/command.py
+++ b/packages/client/src/radishbridge/client/command.py
@@ -1,70 +1,98 @@
-"""The command line of ``radishbridge``."""
+"""The command line of ``radishbridge``: all commands, common options, one entry point."""
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
-import pathlib
+import sys
 import typing as t
 
-import aiohttp
 import cappa
 
-from radishbridge.client.apply import wait_in_force, write_manifest
-from radishbridge.client.manifest import load_manifests
-from radishbridge.records import Failure
-from radishbridge.store import HostList, HttpStore
-
-STORE_TIMEOUT_S = 5.0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
-
-@dataclasses.dataclass(slots=True)
-class Apply:
-    """Write records from a file and wait until every live host has them in force."""
-
-    file: pathlib.Path
-    timeout: t.Annotated[float, cappa.Arg(long=True, help="Longest wait in seconds.")] = 10.0
-
-
+from radishbridge.client.apply import Apply
+from radishbridge.client.console import Console
+from radishbridge.client.context import check_store_url, open_context
+from radishbridge.client.drain import DrainGroup
+from radishbridge.client.edit import Edit
+from radishbridge.client.key import KeyGroup
+from radishbridge.client.move import MoveGroup
+from radishbridge.client.record import Delete, Diff, Get, List, Validate
+from radishbridge.client.report import ReportGroup
+from radishbridge.client.status import Explain, Hosts, Status
+from radishbridge.records import ResultCode
+
+VERSION = "0.1.0"
+ERROR_FORMAT = (
+    "{short_help}\n\n"
+    f"error {int(ResultCode.USAGE)} ({ResultCode.USAGE.name}): {{message}}\n"
+    "hint: `{prog} --help` lists what the command takes"
+)
+
+
+@cappa.command(name="radishbridge")
 @dataclasses.dataclass(slots=True)
 class Client:
-    """Operate a fleet of radishbridge hosts."""
-
-    command: cappa.Subcommands[Apply]
-    store: t.Annotated[str, cappa.Arg(long=True, help="URL of the object API.")]
+    """Operate a fleet of radishbridge hosts.
+
+    `--completion generate` prints the completion for the shell in $SHELL.
+    """
+
+    command: cappa.Subcommands[
+        Apply
+        | Get
+        | List
+        | Edit
+        | Diff
+        | Validate
+        | Delete
+        | KeyGroup
+        | DrainGroup
+        | MoveGroup
+        | Status
+        | Hosts
+        | Explain
+        | ReportGroup
+    ]
+    store: t.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env("RADISHBRIDGE_STORE", default=""),
+            help="URL of the object API; else that in RADISHBRIDGE_STORE.",
+        ),
+    ]
+    json: t.Annotated[
+        bool, cappa.Arg(long=True, propagate=True, help="Print results and errors as JSON.")
+    ] = False
+    progress: t.Annotated[
+        bool,
+        cappa.Arg(
+            long=True, propagate=True, help="Print progress even where stderr is no terminal."
+        ),
+    ] = False
+
+
+async def run(argv: list[str] | None = None) -> int:
+    """Run one command.
+
+    :param argv: arguments without the program's name; those of the process without it.
+    :return: the exit code.
+    """
+    output = cappa.Output(error_format=ERROR_FORMAT)
+    client = cappa.parse(Client, argv=argv, version=VERSION, output=output)
+    console = Console(client.json, client.progress)
+    if not isinstance(client.command, Validate):
+        failure = check_store_url(client.store)
+        if failure is not None:
+            return console.fail([failure])
+    async with open_context(console, client.store) as context:
+        return await client.command.run(context)
 
 
 def main() -> None:
     """Run ``radishbridge`` with the process's arguments."""
-    client = cappa.parse(Client)
-    asyncio.run(_apply(client.store, client.command))
-
-
-async def _apply(url: str, apply: Apply) -> None:
-    manifests = load_manifests(apply.file)
-    if isinstance(manifests, Failure):
-        raise cappa.Exit(_message(manifests), code=EXIT_USAGE)
-    async with aiohttp.ClientSession() as session:
-        store = HttpStore(session, url, STORE_TIMEOUT_S)
-        listed = await store.hosts()
-        if isinstance(listed, Failure):
-            raise cappa.Exit(_message(listed), code=EXIT_FAILED)
-        for manifest in manifests:
-            stored = await write_manifest(store, manifest)
-            if isinstance(stored, Failure):
-                raise cappa.Exit(_message(stored), code=EXIT_FAILED)
-            missing = await wait_in_force(session, _live(listed), stored, apply.timeout)
-            where = f"not in force on {', '.join(missing)}" if missing else "in force"
-            print(f"{stored.kind}/{stored.name}: version {stored.version} {where}")
-            if missing:
-                raise cappa.Exit(code=EXIT_FAILED)
-
-
-def _live(listed: HostList) -> list[t.Any]:
-    return [host for host in listed.hosts if not host.leaving]
-
-
-def _message(failure: Failure) -> str:
-    return f"error {int(failure.code)}: {failure.reason}"
+    try:
+        sys.exit(asyncio.run(run()))
+    except KeyboardInterrupt:
+        sys.exit("interrupted")
--- /dev/null
+++ b/packages/client/src/radishbridge/client/exits.py
@@ -0,0 +1,60 @@
+"""Exit codes of ``radishbridge`` and the hint that goes with a result code."""
+
+from __future__ import annotations
+
+import enum
+
+from radishbridge.records import ResultCode
+
+
+class ExitCode(enum.IntEnum):
+    """What the exit code of a command says; ``docs/operators/client.md`` holds the same table."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    NOT_IN_FORCE = 3
+    CONFLICT = 4
+    NOT_FOUND = 5
+    UNAVAILABLE = 6
+    UNCLEAR = 7
+    DIFFERENT = 8
+    DEGRADED = 9
+
+
+_EXIT_CODES = {
+    ResultCode.USAGE: ExitCode.USAGE,
+    ResultCode.RECORD_INVALID: ExitCode.USAGE,
+    ResultCode.SCHEMA_TOO_NEW: ExitCode.USAGE,
+    ResultCode.FILE_UNREADABLE: ExitCode.USAGE,
+    ResultCode.NOT_IN_FORCE: ExitCode.NOT_IN_FORCE,
+    ResultCode.VERSION_CONFLICT: ExitCode.CONFLICT,
+    ResultCode.ALREADY_EXISTS: ExitCode.CONFLICT,
+    ResultCode.NOT_FOUND: ExitCode.NOT_FOUND,
+    ResultCode.STORE_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    ResultCode.PEER_UNREACHABLE: ExitCode.UNAVAILABLE,
+    ResultCode.WRITE_UNCLEAR: ExitCode.UNCLEAR,
+}
+
+_HINTS = {
+    ResultCode.USAGE: "`radishbridge COMMAND --help` lists what the command takes",
+    ResultCode.RECORD_INVALID: "mend the fields named above; nothing was written",
+    ResultCode.SCHEMA_TOO_NEW: "use a newer client; this one would lose fields it does not know",
+    ResultCode.NOT_IN_FORCE: "the change is stored; run the same command again to wait on",
+    ResultCode.VERSION_CONFLICT: "look at `radishbridge get KIND NAME`, then try again",
+    ResultCode.ALREADY_EXISTS: "choose another name",
+    ResultCode.NOT_FOUND: "`radishbridge list` shows what there is",
+    ResultCode.STORE_UNAVAILABLE: "hosts go on with the last configuration; try again later",
+    ResultCode.PEER_UNREACHABLE: "`radishbridge hosts` shows where hosts listen",
+    ResultCode.WRITE_UNCLEAR: "look at `radishbridge get KIND NAME` before you try again",
+}
+
+
+def exit_code(code: ResultCode) -> ExitCode:
+    """Return the exit code of a command that ended with a result code."""
+    return _EXIT_CODES.get(code, ExitCode.FAILED)
+
+
+def hint(code: ResultCode) -> str:
+    """Return what the reader may do about a result code; empty where there is no hint."""
+    return _HINTS.get(code, "")
--- /dev/null
+++ b/packages/client/src/radishbridge/client/key.py
@@ -0,0 +1,168 @@
+"""``radishbridge key``: issues and withdraws callers' keys."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+import typing as t
+
+import cappa
+import msgspec
+
+from radishbridge.client._kinds import Name
+from radishbridge.client.console import table
+from radishbridge.client.context import Context
+from radishbridge.client.exits import ExitCode
+from radishbridge.client.finish import DEFAULT_WAIT_S, Timeout, finish
+from radishbridge.client.manifest import Manifest, StoredRecord
+from radishbridge.client.record import list_records
+from radishbridge.client.write import (
+    WRITE_ATTEMPTS,
+    Written,
+    read_record,
+    require_record,
+    write_manifest,
+)
+from radishbridge.records import SCHEMA_VERSIONS, Failure, ResultCode, key_digest
+from radishbridge.store import ObjectStore
+
+SECRET_BYTES = 32
+SUFFIX_BYTES = 4
+
+
+class IssuedKey(msgspec.Struct, kw_only=True):
+    """A new key; the only place where its secret is shown."""
+
+    name: str
+    workspace: str
+    secret: str
+    version: int
+
+
+class KeySummary(msgspec.Struct, kw_only=True):
+    """One key of a list."""
+
+    name: str
+    workspace: str
+    version: int
+    withdrawn: bool
+
+
+@cappa.command(name="issue")
+@dataclasses.dataclass(slots=True)
+class Issue:
+    """Issue a key for a workspace and print its secret, once.
+
+    Only a digest of the secret is stored: a lost secret cannot be shown again, issue another key.
+    """
+
+    workspace: t.Annotated[str, cappa.Arg(help="Workspace whose requests the key admits.")]
+    name: t.Annotated[
+        str, cappa.Arg(long=True, help="Name of the key's record; made up without it.")
+    ] = ""
+    timeout: Timeout = DEFAULT_WAIT_S
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        workspace = await require_record(context.store, "workspace", self.workspace)
+        if isinstance(workspace, Failure):
+            return context.console.fail([workspace])
+        name = self.name or f"{self.workspace}-{secrets.token_hex(SUFFIX_BYTES)}"
+        secret = secrets.token_urlsafe(SECRET_BYTES)
+        written = await _create_key(context.store, name, self.workspace, key_digest(secret))
+        if isinstance(written, Failure):
+            return context.console.fail([written])
+        issued = IssuedKey(
+            name=name, workspace=self.workspace, secret=secret, version=written.version
+        )
+        context.console.result(issued, [f"key/{name}", f"secret: {secret}"])
+        summary = not context.console.as_json
+        return await finish(context, [written], self.timeout, summary=summary)
+
+
+@cappa.command(name="withdraw")
+@dataclasses.dataclass(slots=True)
+class Withdraw:
+    """Withdraw a key and wait until every live host refuses it."""
+
+    name: Name
+    timeout: Timeout = DEFAULT_WAIT_S
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        written = await _withdraw_key(context.store, self.name)
+        if isinstance(written, Failure):
+            return context.console.fail([written])
+        return await finish(context, [written], self.timeout)
+
+
+@cappa.command(name="list")
+@dataclasses.dataclass(slots=True)
+class ListKeys:
+    """List keys; secrets are not stored and not shown."""
+
+    workspace: t.Annotated[str, cappa.Arg(long=True, help="Only keys of this workspace.")] = ""
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        records = await list_records(context, ["key"])
+        if isinstance(records, Failure):
+            return context.console.fail([records])
+        keys = [_summary(record) for record in records if not record.deleted]
+        shown = [key for key in keys if self.workspace in ("", key.workspace)]
+        rows = ((key.name, key.workspace, _state(key), key.version) for key in shown)
+        context.console.result(shown, table(("NAME", "WORKSPACE", "STATE", "VERSION"), rows))
+        return ExitCode.OK
+
+
+@cappa.command(name="key")
+@dataclasses.dataclass(slots=True)
+class KeyGroup:
+    """Issue, withdraw and list callers' keys."""
+
+    command: cappa.Subcommands[Issue | Withdraw | ListKeys]
+
+    async def run(self, context: Context) -> int:
+        """Run the chosen command and return its exit code."""
+        return await self.command.run(context)
+
+
+async def _create_key(
+    store: ObjectStore, name: str, workspace: str, digest: str
+) -> Written | Failure:
+    held = await read_record(store, "key", name)
+    if isinstance(held, Failure):
+        return held
+    if held.version:
+        return Failure(ResultCode.ALREADY_EXISTS, f"key/{name} exists or existed")
+    spec = {"workspace": workspace, "digest": digest, "withdrawn": False}
+    manifest = Manifest(kind="key", name=name, schema=SCHEMA_VERSIONS["key"], spec=spec)
+    return await write_manifest(store, manifest, held)
+
+
+async def _withdraw_key(store: ObjectStore, name: str) -> Written | Failure:
+    """Mark a key as withdrawn, whatever else changes in it meanwhile."""
+    outcome: Written | Failure = Failure(ResultCode.VERSION_CONFLICT, f"key/{name} keeps changing")
+    for _ in range(WRITE_ATTEMPTS):
+        held = await require_record(store, "key", name)
+        if isinstance(held, Failure):
+            return held
+        manifest = held.manifest()
+        manifest.spec = held.spec | {"withdrawn": True}
+        outcome = await write_manifest(store, manifest, held)
+        if not isinstance(outcome, Failure) or outcome.code is not ResultCode.VERSION_CONFLICT:
+            return outcome
+    return outcome
+
+
+def _summary(record: StoredRecord) -> KeySummary:
+    return KeySummary(
+        name=record.name,
+        workspace=str(record.spec.get("workspace", "")),
+        version=record.version,
+        withdrawn=bool(record.spec.get("withdrawn", False)),
+    )
+
+
+def _state(key: KeySummary) -> str:
+    return "withdrawn" if key.withdrawn else "valid"
--- /dev/null
+++ b/packages/client/src/radishbridge/client/move.py
@@ -0,0 +1,152 @@
+"""``radishbridge move``: records of moves of traffic between versions."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing as t
+
+import cappa
+import msgspec
+
+from radishbridge.client.console import table
+from radishbridge.client.context import Context
+from radishbridge.client.exits import ExitCode
+from radishbridge.client.finish import DEFAULT_WAIT_S, Timeout, finish
+from radishbridge.client.manifest import Manifest, StoredRecord
+from radishbridge.client.record import list_records
+from radishbridge.client.write import Written, read_record, require_record, write_manifest
+from radishbridge.records import SCHEMA_VERSIONS, Failure, Move, ResultCode
+from radishbridge.store import ObjectStore
+
+DEFAULT_DEADLINE_S = 600.0
+DEFAULT_STEP = 0.1
+DEFAULT_EXPOSURE = 0.01
+RECORD_ONLY = "note: the record is in place; hosts of this release do not move traffic yet"
+
+
+class MoveSummary(msgspec.Struct, kw_only=True):
+    """One move of a list.
+
+    :param deadline_s: seconds after which the move counts as late.
+    """
+
+    name: str
+    service: str
+    from_version: str
+    to_version: str
+    deadline_s: float
+    version: int
+
+
+@cappa.command(name="start")
+@dataclasses.dataclass(slots=True)
+class Start:
+    """Write the record of a move of a service's traffic to another version.
+
+    This release stores and distributes the record only: no host moves traffic by it yet.
+    """
+
+    service: t.Annotated[str, cappa.Arg(help="Name of the service.")]
+    to_version: t.Annotated[str, cappa.Arg(long="--to", help="Version that is to get traffic.")]
+    deadline: t.Annotated[
+        float, cappa.Arg(long=True, help="Seconds after which the move counts as late.")
+    ] = DEFAULT_DEADLINE_S
+    step: t.Annotated[
+        float, cappa.Arg(long=True, help="Largest growth of the share of traffic at once, 0 to 1.")
+    ] = DEFAULT_STEP
+    exposure: t.Annotated[
+        float, cappa.Arg(long=True, help="Largest share while unproven, 0 to 1.")
+    ] = DEFAULT_EXPOSURE
+    timeout: Timeout = DEFAULT_WAIT_S
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        failures = self._check_shares()
+        if failures:
+            return context.console.fail(failures)
+        service = await require_record(context.store, "service", self.service)
+        if isinstance(service, Failure):
+            return context.console.fail([service])
+        written = await self._create(context.store, service)
+        if isinstance(written, Failure):
+            return context.console.fail([written])
+        return await finish(context, [written], self.timeout, RECORD_ONLY)
+
+    def _check_shares(self) -> list[Failure]:
+        shares = {"--step": self.step, "--exposure": self.exposure}
+        return [
+            Failure(ResultCode.USAGE, "has to be above 0 and at most 1", field=field)
+            for field, share in shares.items()
+            if not 0.0 < share <= 1.0
+        ]
+
+    async def _create(self, store: ObjectStore, service: StoredRecord) -> Written | Failure:
+        stable = str(service.spec.get("stable_version", "1"))
+        versions = {str(one.get("version", "1")) for one in service.spec.get("backends", [])}
+        if self.to_version == stable or self.to_version not in versions:
+            known = ", ".join(sorted(versions - {stable})) or "none"
+            reason = f"{self.to_version} cannot be moved to; backend servers of others: {known}"
+            return Failure(ResultCode.USAGE, reason, field="--to")
+        name = f"{self.service}-{self.to_version}"
+        held = await read_record(store, "move", name)
+        if isinstance(held, Failure):
+            return held
+        if held.exists:
+            return Failure(ResultCode.ALREADY_EXISTS, f"move/{name} is under way")
+        spec = msgspec.to_builtins(self._body(stable))
+        manifest = Manifest(kind="move", name=name, schema=SCHEMA_VERSIONS["move"], spec=spec)
+        return await write_manifest(store, manifest, held)
+
+    def _body(self, stable: str) -> Move:
+        return Move(
+            service=self.service,
+            from_version=stable,
+            to_version=self.to_version,
+            deadline_s=self.deadline,
+            step=self.step,
+            exposure=self.exposure,
+        )
+
+
+@cappa.command(name="list")
+@dataclasses.dataclass(slots=True)
+class ListMoves:
+    """List the records of moves."""
+
+    async def run(self, context: Context) -> int:
+        """Run the command and return its exit code."""
+        records = await list_records(context, ["move"])
+        if isinstance(records, Failure):
+            return context.console.fail([records])
+        shown = [_summary(record) for record in records if not record.deleted]
+        rows = (
+            (one.name, one.service, one.from_version, one.to_version, one.deadline_s)
+            for one in shown
+        )
+        head = ("NAME", "SERVICE", "FROM", "TO", "DEADLINE_S")
+        context.console.result(shown, table(head, rows))
+        return ExitCode.OK
+
+
+@cappa.command(name="move")
+@dataclasses.dataclass(slots=True)
+class MoveGroup:
+    """Write and list records of moves; no host of this release acts on them yet."""
+
+    command: cappa.Subcommands[Start | ListMoves]
+
+    async def run(self, context: Context) -> int:
+        """Run the chosen command and return its exit code."""
+        return await self.command.run(context)
+
+
+def _summary(record: StoredRecord) -> MoveSummary:
+    spec = record.spec
+    return MoveSummary(
+        name=record.name,
+        service=str(spec.get("service", "")),
+        from_version=str(spec.get("from_version", "")),
+        to_version=str(spec.get("to_version", "")),
+        deadline_s=float(spec.get("deadline_s", DEFAULT_DEADLINE_S)),
+        version=record.version,
+    )
--- a/packages/host/src/radishbridge/host/keys.py
+++ b/packages/host/src/radishbridge/host/keys.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 import typing as t
 
-from radishbridge.records import Failure, Key, Record, ResultCode
+from radishbridge.records import Failure, Key, Record, ResultCode, key_digest
 
 API_KEY_HEADER = "X-Api-Key"
 _BEARER = "bearer "
@@ -44,11 +43,6 @@
         return key.workspace
 
 
-def key_digest(secret: str) -> str:
-    """Return the hexadecimal digest under which a secret is stored."""
-    return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
-
-
 def _secret(headers: t.Mapping[str, str]) -> str:
     authorization = headers.get("Authorization", "")
     if authorization[: len(_BEARER)].lower() == _BEARER:
--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -12,6 +12,7 @@
     RejectedRecord,
 )
 from radishbridge.records.codes import CODE_INFO, CodeInfo, Execution, ResultCode
+from radishbridge.records.digest import key_digest
 from radishbridge.records.failures import Failure
 from radishbridge.records.record import (
     SCHEMA_VERSIONS,
@@ -80,5 +81,6 @@
     "Workspace",
     "decode_record",
     "encode_record",
+    "key_digest",
     "load_settings",
 ]
--- /dev/null
+++ b/tests/client_fleet.py
@@ -0,0 +1,171 @@
+"""A store and fake hosts in the test's own process, and the client run against them."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import json
+import pathlib
+import time
+import typing as t
+
+import msgspec
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from radishbridge.client import run
+from radishbridge.records import (
+    BurnReport,
+    Candidate,
+    Explanation,
+    HostStatus,
+    InForce,
+    RejectedRecord,
+)
+from radishbridge.store import HostEntry
+from radishbridge_standin.objects import ObjectApi
+
+SERVICE = {
+    "path_prefix": "/catalogue/",
+    "backends": [
+        {"name": f"cat-{n}", "address": f"127.0.0.1:{n}", "region": "r", "data_center": "d"}
+        | {"version": str(n)}
+        for n in (1, 2)
+    ],
+}
+
+
+class FakeHost:
+    """A host's listener for operators; its configuration is that of the store unless it lags."""
+
+    def __init__(self, name: str, store: ObjectApi) -> None:
+        self.name = name
+        self.store = store
+        self.lags = False
+        self.on_ask: t.Callable[[], None] = lambda: None
+        self.rejected: list[RejectedRecord] = []
+        self.burn = BurnReport(host=name, interval_s=60, counts=[])
+        self.queries: list[dict[str, str]] = []
+        application = web.Application()
+        application.router.add_get("/v1/in-force/{kind}/{name}", self.in_force)
+        application.router.add_get("/v1/status", self.status)
+        application.router.add_get("/v1/explain", self.explain)
+        application.router.add_get("/v1/burn", self.get_burn)
+        self.server = TestServer(application)
+
+    def entry(self) -> HostEntry:
+        address = f"127.0.0.1:{self.server.port}"
+        place = {"region": "r", "data_center": "d"}
+        addresses = {"address": address, "admin_address": address, "peer_address": address}
+        return HostEntry(name=self.name, **place, **addresses)
+
+    async def in_force(self, request: web.Request) -> web.Response:
+        self.on_ask()
+        held = self.store.objects.get((request.match_info["kind"], request.match_info["name"]))
+        version = held.version if held and not self.lags else 0
+        return _json(InForce(host=self.name, revision=self.store.revision, version=version))
+
+    async def status(self, request: web.Request) -> web.Response:
+        status = HostStatus(
+            host=self.name,
+            region="r",
+            data_center="d",
+            revision=self.store.revision,
+            ready=True,
+            leaving=False,
+            fresh_age_s=0.5,
+            in_flight=3,
+            rejected=self.rejected,
+        )
+        return _json(status)
+
+    async def explain(self, request: web.Request) -> web.Response:
+        self.queries.append(dict(request.query))
+        candidate = Candidate(
+            backend="cat-1",
+            region="r",
+            data_center="d",
+            version="1",
+            slots=4,
+            in_flight=1,
+            verdict="eligible",
+        )
+        explanation = Explanation(
+            host=self.name,
+            code=0,
+            service="catalogue",
+            route_prefix="",
+            steps=["the path belongs to service catalogue"],
+            candidates=[candidate],
+        )
+        return _json(explanation)
+
+    async def get_burn(self, request: web.Request) -> web.Response:
+        return _json(self.burn)
+
+
+class FakeFleet:
+    """A store and hosts; ``faults`` are applied to the next writes in their order."""
+
+    def __init__(self, hosts: int) -> None:
+        self.store = ObjectApi()
+        self.faults: collections.deque[str] = collections.deque()
+        application = self.store.application()
+        application.middlewares.append(self._fail)
+        self.server = TestServer(application)
+        self.hosts = [FakeHost(f"host-{n}", self.store) for n in range(1, hosts + 1)]
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.server.port}"
+
+    async def client(self, *arguments: str) -> int:
+        return await run(["--store", self.url, *arguments])
+
+    def spec(self, kind: str, name: str) -> dict[str, t.Any]:
+        spec: dict[str, t.Any] = self.value(kind, name)["spec"]
+        return spec
+
+    def value(self, kind: str, name: str) -> dict[str, t.Any]:
+        value: dict[str, t.Any] = msgspec.json.decode(self.store.objects[kind, name].value)
+        return value
+
+    async def put(self, kind: str, name: str, spec: dict[str, t.Any]) -> None:
+        held = self.store.objects.get((kind, name))
+        value = json.dumps({"schema": 1, "spec": spec}).encode()
+        assert await self.store.write(kind, name, value, held.version if held else 0)
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
+        fault = self.faults.popleft() if request.method == "PUT" and self.faults else ""
+        if fault == "refuse":
+            return web.Response(status=503)
+        response: web.StreamResponse = await handler(request)
+        if fault == "lose answer" and request.transport is not None:
+            request.transport.abort()
+        return response
+
+
+@contextlib.asynccontextmanager
+async def fake_fleet(hosts: int = 2) -> t.AsyncIterator[FakeFleet]:
+    fleet = FakeFleet(hosts)
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(fleet.server)
+        for host in fleet.hosts:
+            await stack.enter_async_context(host.server)
+        fleet.store.hosts = [host.entry() for host in fleet.hosts]
+        yield fleet
+
+
+def write_records(path: pathlib.Path, *records: tuple[str, str, dict[str, t.Any]]) -> str:
+    document = [{"kind": kind, "name": name, "spec": spec} for kind, name, spec in records]
+    path.write_text(json.dumps(document))
+    return str(path)
+
+
+def now_s() -> int:
+    return int(time.time())
+
+
+def _json(value: msgspec.Struct) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
--- /dev/null
+++ b/tests/test_client_apply.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+from client_fleet import FakeFleet, fake_fleet, write_records
+
+from radishbridge.client import ExitCode
+from radishbridge.records import RejectedRecord
+
+RATE = {"requests_per_second": 10, "burst": 20}
+
+
+@pytest.fixture
+def records(tmp_path: pathlib.Path) -> str:
+    workspace = ("workspace", "school-17", {"title": "School 17"})
+    return write_records(tmp_path / "records.jsonc", workspace, ("rate", "school-17", RATE))
+
+
+class TestApply:
+    async def test_writes_and_waits_until_in_force(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            assert await fleet.client("apply", records, "--json") == ExitCode.OK
+            assert fleet.spec("rate", "school-17") == RATE
+        result = json.loads(capsys.readouterr().out)
+        assert [record["change"] for record in result["records"]] == ["created", "created"]
+        assert [host["state"] for host in result["hosts"]] == ["in force", "in force"]
+
+    async def test_an_unchanged_record_is_not_written(self, records: str) -> None:
+        async with fake_fleet() as fleet:
+            await fleet.client("apply", records)
+            assert await fleet.client("apply", records) == ExitCode.OK
+            assert (fleet.store.revision, fleet.store.calls["put"]) == (2, 2)
+
+    async def test_a_fault_in_one_record_leaves_all_unwritten(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        bad = {"requests_per_second": "many", "burst": 20}
+        good = ("workspace", "school-17", {})
+        path = write_records(tmp_path / "r.jsonc", good, ("rate", "school-17", bad))
+        async with fake_fleet() as fleet:
+            assert await fleet.client("apply", path) == ExitCode.USAGE
+            assert fleet.store.revision == 0
+        error = capsys.readouterr().err
+        assert "error 201 (RECORD_INVALID)" in error
+        assert "requests_per_second" in error
+        assert path in error
+
+    async def test_a_record_given_twice_is_refused(self, records: str) -> None:
+        async with fake_fleet() as fleet:
+            assert await fleet.client("apply", records, records) == ExitCode.USAGE
+            assert fleet.store.revision == 0
+
+    @pytest.mark.parametrize(
+        ("expected", "code"),
+        [("1", ExitCode.OK), ("0", ExitCode.CONFLICT), ("9", ExitCode.CONFLICT)],
+    )
+    async def test_writes_only_over_the_expected_version(
+        self,
+        expected: str,
+        code: ExitCode,
+        tmp_path: pathlib.Path,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        path = write_records(tmp_path / "r.jsonc", ("rate", "school-17", RATE))
+        async with fake_fleet() as fleet:
+            await fleet.put("rate", "school-17", {**RATE, "burst": 5})
+            assert await fleet.client("apply", path, "--expect-version", expected) == code
+            assert fleet.spec("rate", "school-17")["burst"] == (20 if code == 0 else 5)
+        shown = "- burst: 5\n+ burst: 20" in capsys.readouterr().err
+        assert shown == (code is ExitCode.CONFLICT)
+
+    async def test_a_store_that_is_down_is_told_with_what_was_written(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            fleet.faults.extend(["", *["refuse"] * 20])
+            assert await fleet.client("apply", records) == ExitCode.UNAVAILABLE
+        output = capsys.readouterr()
+        assert "workspace/school-17: created, version 1" in output.out
+        assert "not written: rate/school-17" in output.err
+        assert "error 303 (STORE_UNAVAILABLE)" in output.err
+
+
+class TestWait:
+    async def _apply(self, fleet: FakeFleet, records: str) -> int:
+        return await fleet.client("apply", records, "--timeout", "1.5")
+
+    async def test_names_the_host_that_lags_and_its_reason(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            fleet.hosts[1].lags = True
+            fleet.hosts[1].rejected = [
+                RejectedRecord(kind="rate", name="school-17", code=202, reason="schema 9")
+            ]
+            assert await self._apply(fleet, records) == ExitCode.NOT_IN_FORCE
+        output = capsys.readouterr()
+        assert "in force on 1 of 2 live hosts" in output.out
+        assert "host-2 lags: keeps it aside, error 202: schema 9" in output.err
+        assert "host-1" not in output.err
+
+    async def test_a_host_that_dies_and_is_taken_off_the_list_has_left(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            entry = fleet.hosts[1].entry()
+            await fleet.hosts[1].server.close()
+            asked: list[str] = []
+
+            def drop_from_list() -> None:
+                asked.append("host-1")
+                fleet.store.hosts = [one for one in fleet.store.hosts if one != entry]
+
+            fleet.hosts[0].on_ask = drop_from_list
+            assert await fleet.client("apply", records) == ExitCode.OK
+            assert asked
+        assert "host-2: left during the wait" in capsys.readouterr().out
+
+    async def test_a_dead_host_that_stays_on_the_list_gives_no_answer(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            await fleet.hosts[1].server.close()
+            assert await self._apply(fleet, records) == ExitCode.NOT_IN_FORCE
+        assert "host-2 is on the platform's list but does not answer" in capsys.readouterr().err
+
+    async def test_a_host_that_joins_is_waited_for(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet(3) as fleet:
+            joining = fleet.store.hosts.pop()
+            fleet.hosts[0].on_ask = lambda: setattr(
+                fleet.store, "hosts", [fleet.hosts[0].entry(), fleet.hosts[1].entry(), joining]
+            )
+            fleet.hosts[1].lags = True
+            fleet.hosts[2].lags = True
+            assert await self._apply(fleet, records) == ExitCode.NOT_IN_FORCE
+        output = capsys.readouterr()
+        assert "in force on 1 of 3 live hosts" in output.out
+        assert "host-3 lags: workspace/school-17 is at version 0" in output.err
+
+    async def test_without_a_wait_no_host_is_asked(self, records: str) -> None:
+        async with fake_fleet() as fleet:
+            fleet.hosts[0].lags = True
+            assert await fleet.client("apply", records, "--timeout", "0") == ExitCode.OK
+
+    async def test_progress_goes_to_the_standard_error(
+        self, records: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with fake_fleet() as fleet:
+            await fleet.client("apply", records, "--progress")
+        assert "in force on 2 of 2 hosts" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_client_fields.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import typing as t
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.client import compare, merge
+
+VALUES = st.one_of(st.integers(0, 3), st.text("ab", max_size=2), st.lists(st.integers(0, 2)))
+SPECS = st.recursive(
+    st.dictionaries(st.sampled_from("xyz"), VALUES, max_size=3),
+    lambda inner: st.dictionaries(st.sampled_from("xyz"), VALUES | inner, max_size=3),
+    max_leaves=6,
+)
+STRICT = settings(derandomize=True, deadline=None)
+
+
+class TestMerge:
+    @STRICT
+    @given(SPECS, SPECS)
+    def test_a_change_of_one_side_is_taken(self, base: t.Any, changed: t.Any) -> None:
+        assert merge(base, changed, base) == changed
+        assert merge(base, base, changed) == changed
+
+    @STRICT
+    @given(SPECS, SPECS, SPECS)
+    def test_a_merge_loses_no_change(self, base: t.Any, theirs: t.Any, yours: t.Any) -> None:
+        merged = merge(base, theirs, yours)
+        if isinstance(merged, list):
+            swapped = merge(base, yours, theirs)
+            assert isinstance(swapped, list)
+            assert set(swapped) == set(merged)
+            return
+        kept = {change.field: change.new for change in compare(base, merged)}
+        for side in (theirs, yours):
+            for change in compare(base, side):
+                if change.new:
+                    assert kept[change.field] == change.new
+
+    def test_items_of_a_list_are_merged_by_name(self) -> None:
+        base = {"backends": [{"name": "a", "slots": 4}, {"name": "b", "slots": 4}]}
+        theirs = {"backends": [{"name": "a", "slots": 5}, {"name": "b", "slots": 4}]}
+        yours = {"backends": [{"name": "a", "slots": 4}, {"name": "b", "slots": 6}]}
+        merged = {"backends": [{"name": "a", "slots": 5}, {"name": "b", "slots": 6}]}
+        assert merge(base, theirs, yours) == merged
+
+    def test_names_the_fields_that_clash(self) -> None:
+        base = {"routes": [{"prefix": "/a", "open": False}], "kept": 1}
+        theirs = {"routes": [{"prefix": "/a", "open": True}], "kept": 1}
+        yours: dict[str, t.Any] = {"routes": [{"prefix": "/a"}], "kept": 2}
+        assert merge(base, theirs, yours) == ["routes[/a].open"]
+
+
+class TestCompare:
+    @pytest.mark.parametrize(
+        ("old", "new", "lines"),
+        [
+            ({"a": 1}, {"a": 1}, []),
+            ({"a": 1}, {"a": 2}, ["- a: 1", "+ a: 2"]),
+            ({}, {"a": {"b": None}}, ["+ a.b: null"]),
+            (
+                {"l": [{"name": "x", "n": 1}]},
+                {"l": []},
+                ["- l[x].n: 1", '- l[x].name: "x"', "+ l: []"],
+            ),
+        ],
+    )
+    def test_shows_each_field(
+        self, old: dict[str, t.Any], new: dict[str, t.Any], lines: list[str]
+    ) -> None:
+        shown = [line for change in compare(old, new) for line in change.lines()]
+        assert sorted(shown) == sorted(lines)
