--- a/packages/client/src/radishbridge/client/apply.py
+++ b/packages/client/src/radishbridge/client/apply.py
@@ -11,8 +11,20 @@
 from radishbridge.client._fields import compare, difference_lines
 from radishbridge.client.context import Context
 from radishbridge.client.finish import DEFAULT_WAIT_S, Timeout, finish
-from radishbridge.client.manifest import Manifest, StoredRecord, load_manifests
-from radishbridge.client.write import Written, read_record, split_failures, write_manifest
+from radishbridge.client.manifest import (
+    LoadedManifest,
+    Manifest,
+    StoredRecord,
+    load_manifests,
+)
+from radishbridge.client.references import check_references, find_duplicates
+from radishbridge.client.write import (
+    Written,
+    keep_unknown_fields,
+    read_record,
+    split_failures,
+    write_manifest,
+)
 from radishbridge.records import Failure, ResultCode
 
 Files = t.Annotated[
@@ -38,10 +50,15 @@
 
     async def run(self, context: Context) -> int:
         """Run the command and return its exit code."""
-        manifests, failures = split_failures(load_files(self.files))
-        failures = failures or self._check_expectation(len(manifests))
+        loaded, failures = split_failures(load_files(self.files))
+        failures = (
+            failures
+            or self._check_expectation(len(loaded))
+            or await check_references(context.store, loaded)
+        )
         if failures:
             return context.console.fail(failures)
+        manifests = [one.manifest for one in loaded]
         read = [
             await read_record(context.store, manifest.kind, manifest.name) for manifest in manifests
         ]
@@ -75,7 +92,10 @@
         if self.expect_version not in (None, current, held.version):
             reason = f"{held.kind}/{held.name} is at version {current}"
             return Failure(ResultCode.VERSION_CONFLICT, reason)
-        return await write_manifest(context.store, manifest, held)
+        whole = keep_unknown_fields(manifest, held)
+        if isinstance(whole, Failure):
+            return whole
+        return await write_manifest(context.store, whole, held)
 
 
 def _tell_rest(context: Context, manifests: t.Sequence[Manifest]) -> None:
@@ -95,23 +115,11 @@
         context.console.warn(line)
 
 
-def load_files(files: t.Iterable[pathlib.Path]) -> list[Manifest | Failure]:
-    """Read files of records.
+def load_files(files: t.Iterable[pathlib.Path]) -> list[LoadedManifest | Failure]:
+    """Read files of records and check each record by itself.
 
-    :return: all records, together with every fault found in any of the files.
+    :return: the records without a fault, together with every fault found in any of the files.
     """
-    loaded = [one for path in files for one in load_manifests(path)]
-    return [*loaded, *find_duplicates(one for one in loaded if isinstance(one, Manifest))]
-
-
-def find_duplicates(manifests: t.Iterable[Manifest]) -> list[Failure]:
-    """Return a failure for each record that occurs more than once."""
-    seen: set[tuple[str, str]] = set()
-    failures = []
-    for manifest in manifests:
-        at = (manifest.kind, manifest.name)
-        if at in seen:
-            reason = f"{manifest.kind}/{manifest.name} occurs more than once"
-            failures.append(Failure(ResultCode.RECORD_INVALID, reason))
-        seen.add(at)
-    return failures
+    found = [one for path in files for one in load_manifests(path)]
+    loaded, failures = split_failures(found)
+    return [*loaded, *failures, *find_duplicates(loaded)]
--- a/packages/client/src/radishbridge/client/console.py
+++ b/packages/client/src/radishbridge/client/console.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from radishbridge.client.exits import ExitCode, exit_code, hint
+from radishbridge.client.manifest import FileFailure
 from radishbridge.records import Failure, ResultCode
 
 
@@ -18,8 +19,9 @@
     code: int
     name: str
     reason: str
-    field: str = ""
+    file: str = ""
     line: int = 0
+    field: str = ""
 
 
 class Console:
@@ -74,10 +76,11 @@
 
 
 def describe(failure: Failure) -> str:
-    """Return the reason with the line and the field at fault."""
-    line = f"line {failure.line}: " if failure.line else ""
-    field = f"{failure.field}: " if failure.field else ""
-    return f"{line}{field}{failure.reason}"
+    """Return the reason with the file, the line and the field at fault."""
+    file = failure.file if isinstance(failure, FileFailure) else ""
+    line = str(failure.line) if failure.line else ""
+    place = ":".join(filter(None, [file, line]))
+    return ": ".join(filter(None, [place, failure.field, failure.reason]))
 
 
 def report_failure(failure: Failure) -> FailureReport:
@@ -86,8 +89,9 @@
         code=int(failure.code),
         name=failure.code.name,
         reason=failure.reason,
-        field=failure.field,
+        file=failure.file if isinstance(failure, FileFailure) else "",
         line=failure.line,
+        field=failure.field,
     )
 
 
--- a/packages/client/src/radishbridge/client/edit.py
+++ b/packages/client/src/radishbridge/client/edit.py
@@ -117,14 +117,14 @@
         subprocess.run([*shlex.split(editor), str(path)], check=True)
     except (OSError, subprocess.CalledProcessError) as error:
         return [Failure(ResultCode.USAGE, f"the editor {editor} failed: {error}")]
-    manifests, failures = split_failures(load_files([path]))
+    loaded, failures = split_failures(load_files([path]))
     if failures:
         return failures
-    edited = manifests[0]
-    if len(manifests) != 1 or (edited.kind, edited.name) != (opened.kind, opened.name):
+    edited = [one.manifest for one in loaded]
+    if [(one.kind, one.name) for one in edited] != [(opened.kind, opened.name)]:
         reason = "kind and name have to stay as they are"
         return [Failure(ResultCode.RECORD_INVALID, reason, field="name")]
-    return edited
+    return edited[0]
 
 
 def _is_conflict(outcome: Written | Failure) -> bool:
--- a/packages/client/src/radishbridge/client/manifest.py
+++ b/packages/client/src/radishbridge/client/manifest.py
@@ -5,12 +5,38 @@
 import pathlib
 import typing as t
 
-import json5
 import msgspec
 
-from radishbridge.records import KINDS, SCHEMA_VERSIONS, Failure, ResultCode, StoredValue
+from radishbridge.records import (
+    SCHEMA_VERSIONS,
+    Document,
+    Failure,
+    Lookup,
+    ResultCode,
+    StoredValue,
+    check_document,
+    load_document,
+    validate_body,
+)
 from radishbridge.store import StoredObject
 
+# The checker gives these fields by themselves and all others by their path below ``spec``.
+OUTER_FIELDS = frozenset({"kind", "name", "schema"})
+
+
+class FileFailure(Failure):
+    """A failure in a file; ``field`` is the path from the file's root.
+
+    :param file: the file's name.
+    """
+
+    __slots__ = ("file",)
+
+    def __init__(self, file: str, failure: Failure) -> None:
+        reason = failure.reason.removeprefix(f"{file}: ")
+        super().__init__(failure.code, reason, failure.field, failure.line)
+        self.file = file
+
 
 class Manifest(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """One record in a file: what operators write and read.
@@ -32,6 +58,37 @@
         return msgspec.json.format(msgspec.json.encode(self), indent=2).decode()
 
 
+class LoadedManifest:
+    """A record together with its place in a file.
+
+    :param at: dotted path of the record in the file, empty where the file holds just one.
+    """
+
+    __slots__ = ("at", "document", "file", "manifest")
+
+    def __init__(self, file: str, document: Document, at: str, manifest: Manifest) -> None:
+        self.file = file
+        self.document = document
+        self.at = at
+        self.manifest = manifest
+
+    def check(self, lookup: Lookup | None = None) -> list[Failure]:
+        """Return every fault of the record.
+
+        :param lookup: finds records that this one refers to; ``None`` leaves them unchecked.
+        """
+        one = self.manifest
+        checked = validate_body(one.kind, one.name, one.spec, one.schema, lookup)
+        return [self.fail(fault) for fault in checked] if isinstance(checked, list) else []
+
+    def fail(self, failure: Failure) -> Failure:
+        """Return a failure of the record with its file and line."""
+        below = [] if failure.field in OUTER_FIELDS else ["spec"]
+        at = ".".join(filter(None, [self.at, *below]))
+        (located,) = self.document.locate([failure], at)
+        return FileFailure(self.file, located)
+
+
 class StoredRecord(msgspec.Struct, kw_only=True):
     """A record as the store holds it.
 
@@ -71,30 +128,23 @@
     )
 
 
-def load_manifests(path: pathlib.Path) -> list[Manifest] | list[Failure]:
+def load_manifests(path: pathlib.Path) -> list[LoadedManifest | Failure]:
     """Read a file that holds one record or a list of them.
 
-    :return: the records, or every fault found in any of them.
+    :return: the records that can be read, together with every fault found.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except OSError as error:
-        return [Failure(ResultCode.FILE_UNREADABLE, f"{path}: {error.strerror}")]
-    return parse_manifests(text, str(path))
-
-
-def parse_manifests(text: str, source: str) -> list[Manifest] | list[Failure]:
-    """Read and check the text of a file.
-
-    :param source: name of the file, for the reasons of faults.
-    """
-    try:
-        document = json5.loads(text)
-        entries = document if isinstance(document, list) else [document]
-        manifests = msgspec.convert(entries, type=list[Manifest])
-        for manifest in manifests:
-            msgspec.convert(manifest.spec, type=KINDS[manifest.kind])
-            manifest.schema = manifest.schema or SCHEMA_VERSIONS[manifest.kind]
-    except Exception as error:
-        return [Failure(ResultCode.RECORD_INVALID, f"{source}: {error}")]
-    return manifests
+    document = load_document(path)
+    if isinstance(document, Failure):
+        return [FileFailure(str(path), document)]
+    is_list = isinstance(document.value, list)
+    places = [str(index) for index in range(len(document.value))] if is_list else [""]
+    return [found for at in places for found in _load_one(str(path), document, at)]
+
+
+def _load_one(file: str, document: Document, at: str) -> list[LoadedManifest | Failure]:
+    manifest = check_document(document, Manifest, at=at)
+    if isinstance(manifest, list):
+        return [FileFailure(file, failure) for failure in manifest]
+    manifest.schema = manifest.schema or SCHEMA_VERSIONS.get(manifest.kind, 0)
+    loaded = LoadedManifest(file, document, at, manifest)
+    return [*loaded.check()] or [loaded]
--- a/packages/client/src/radishbridge/client/record.py
+++ b/packages/client/src/radishbridge/client/record.py
@@ -16,7 +16,13 @@
 from radishbridge.client.exits import ExitCode
 from radishbridge.client.finish import DEFAULT_WAIT_S, Timeout, finish
 from radishbridge.client.manifest import Manifest, StoredRecord, read_stored
-from radishbridge.client.write import delete_record, read_record, require_record, split_failures
+from radishbridge.client.write import (
+    delete_record,
+    keep_unknown_fields,
+    read_record,
+    require_record,
+    split_failures,
+)
 from radishbridge.records import KINDS, Failure, ResultCode
 
 
@@ -96,10 +102,10 @@
 
     async def run(self, context: Context) -> int:
         """Run the command and return its exit code."""
-        manifests, failures = split_failures(load_files(self.files))
+        loaded, failures = split_failures(load_files(self.files))
         if failures:
             return context.console.fail(failures)
-        compared = [await self._compare(context, manifest) for manifest in manifests]
+        compared = [await self._compare(context, one.manifest) for one in loaded]
         found, failures = split_failures(compared)
         if failures:
             return context.console.fail(failures)
@@ -110,11 +116,14 @@
         held = await read_record(context.store, manifest.kind, manifest.name)
         if isinstance(held, Failure):
             return held
+        whole = keep_unknown_fields(manifest, held)
+        if isinstance(whole, Failure):
+            return whole
         return RecordDifference(
             kind=held.kind,
             name=held.name,
             version=held.version if held.exists else 0,
-            changes=compare(held.spec, manifest.spec),
+            changes=compare(held.spec, whole.spec),
         )
 
 
@@ -127,10 +136,10 @@
 
     async def run(self, context: Context) -> int:
         """Run the command and return its exit code."""
-        manifests, failures = split_failures(load_files(self.files))
+        loaded, failures = split_failures(load_files(self.files))
         if failures:
             return context.console.fail(failures)
-        valid = len(manifests)
+        valid = len(loaded)
         context.console.result(CheckResult(valid=valid), [f"{plural(valid, 'record')} valid"])
         return ExitCode.OK
 
--- a/packages/client/src/radishbridge/client/write.py
+++ b/packages/client/src/radishbridge/client/write.py
@@ -7,7 +7,17 @@
 import msgspec
 
 from radishbridge.client.manifest import Manifest, StoredRecord, read_stored
-from radishbridge.records import SCHEMA_VERSIONS, Failure, ResultCode, StoredValue
+from radishbridge.client.references import check_body
+from radishbridge.records import (
+    SCHEMA_VERSIONS,
+    Failure,
+    RecordBody,
+    ResultCode,
+    StoredValue,
+    form_of,
+    merge_spec,
+    upgrade_spec,
+)
 from radishbridge.store import ObjectStore, StoredObject
 
 Change = t.Literal["created", "changed", "unchanged", "deleted"]
@@ -66,6 +76,50 @@
     return _written(stored, "changed" if held.exists else "created")
 
 
+async def create_record(
+    store: ObjectStore, kind: str, name: str, body: RecordBody, reuse: bool = False
+) -> Written | list[Failure]:
+    """Check and write a record that must not exist yet.
+
+    :param reuse: the name of a deleted record may be used again.
+    """
+    held = await read_record(store, kind, name)
+    if isinstance(held, Failure):
+        return [held]
+    if held.exists or (held.deleted and not reuse):
+        what = "exists" if held.exists else "was used and deleted"
+        return [Failure(ResultCode.ALREADY_EXISTS, f"{kind}/{name} {what}")]
+    spec = msgspec.to_builtins(body)
+    manifest = Manifest(kind=kind, name=name, schema=SCHEMA_VERSIONS[kind], spec=spec)
+    faults = await check_body(store, kind, name, spec, manifest.schema)
+    if faults:
+        return faults
+    outcome = await write_manifest(store, manifest, held)
+    return [outcome] if isinstance(outcome, Failure) else outcome
+
+
+def keep_unknown_fields(manifest: Manifest, held: StoredRecord) -> Manifest | Failure:
+    """Return a record from a file with the stored fields that this client does not know.
+
+    Where file and store have different schemas, both are converted to the newest.
+    """
+    if not held.exists or held.schema > SCHEMA_VERSIONS[manifest.kind]:
+        return manifest
+    old, new, schema = held.spec, manifest.spec, manifest.schema
+    if held.schema != manifest.schema:
+        schema = SCHEMA_VERSIONS[manifest.kind]
+        upgraded = [
+            upgrade_spec(manifest.kind, old, held.schema),
+            upgrade_spec(manifest.kind, new, manifest.schema),
+        ]
+        for spec in upgraded:
+            if isinstance(spec, list):
+                return spec[0]
+        old, new = t.cast(list[dict[str, t.Any]], upgraded)
+    merged = merge_spec(old, new, form_of(manifest.kind, schema))
+    return Manifest(kind=manifest.kind, name=manifest.name, schema=schema, spec=merged)
+
+
 async def delete_record(store: ObjectStore, held: StoredRecord) -> Written | Failure:
     """Replace a record by a tombstone over the version that was read."""
     tombstone = StoredValue(schema=held.schema, deleted=True)
