Hold each workspace's rate and burst over all hosts by shares

Change: a share table of at most 32 holders in the store, changed by conditional update only; each holder's units are valid under its lease, counted from before the renewal was sent; units and tokens are lent between hosts on demand; promises between holders keep leases valid while the store does not answer; ShareAdmission decides synchronously from the host's own bucket.

--- a/packages/peers/src/radishbridge/peers/__init__.py
+++ b/packages/peers/src/radishbridge/peers/__init__.py
@@ -6,7 +6,10 @@
     Envelope,
     Heartbeat,
     PeerMessage,
+    PromiseRequest,
     RelayedObject,
+    RenewalPromise,
+    SharePiece,
     TokenRequest,
     TokenTransfer,
 )
@@ -19,7 +22,10 @@
     "Peer",
     "PeerMesh",
     "PeerMessage",
+    "PromiseRequest",
     "RelayedObject",
+    "RenewalPromise",
+    "SharePiece",
     "TokenRequest",
     "TokenTransfer",
 ]
--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -42,6 +42,9 @@
 class TokenRequest(msgspec.Struct, kw_only=True, tag="token-request"):
     """Asks another holder for tokens of a share.
 
+    :param units: part of the quantity's rate and burst that the asker wants to borrow.
+    :param renews: id of an earlier request whose loan is to be prolonged; 0 asks for a new loan.
+    :param asker: incarnation of the asking process, which the answer echoes.
     :param deadline: the asker's own monotonic time after which it discards the answer; the
         answering host only echoes it.
     """
@@ -50,15 +53,62 @@
     request_id: int
     amount: float
     deadline: float
+    units: int = 0
+    renews: int = 0
+    asker: int = 0
+
+
+class SharePiece(msgspec.Struct, kw_only=True, frozen=True):
+    """Part of a quantity's rate and burst, lent for a while.
+
+    :param units: the part, in units of the share table.
+    :param valid_s: seconds of use, counted from before the asker sent its request.
+    """
+
+    units: int
+    valid_s: float
 
 
 class TokenTransfer(msgspec.Struct, kw_only=True, tag="token-transfer"):
-    """Tokens that the sender has debited before it sent them."""
+    """Tokens that the sender has debited before it sent them.
+
+    :param pieces: what the sender lends of the quantity's rate and burst.
+    :param asker: incarnation of the process that asked.
+    :param spare_units: what the sender could still lend.
+    """
 
     quantity: str
     request_id: int
     amount: float
     deadline: float
+    pieces: list[SharePiece] = []
+    asker: int = 0
+    spare_units: int = 0
+
+
+class PromiseRequest(msgspec.Struct, kw_only=True, tag="promise-request"):
+    """Asks another holder of the share table not to renew its entry for a while.
+
+    :param asker: incarnation of the asking process, which the answer echoes.
+    """
+
+    request_id: int
+    asker: int
+
+
+class RenewalPromise(msgspec.Struct, kw_only=True, tag="renewal-promise"):
+    """The sender will not write the share table for a while.
+
+    :param units: what the sender's own entry holds.
+    :param valid_s: seconds of the promise, counted from when it was given.
+    """
+
+    request_id: int
+    asker: int
+    units: int
+    valid_s: float
 
 
-PeerMessage = Heartbeat | RelayedObject | TokenRequest | TokenTransfer
+PeerMessage = (
+    Heartbeat | RelayedObject | TokenRequest | TokenTransfer | PromiseRequest | RenewalPromise
+)
--- a/packages/shares/src/radishbridge/shares/__init__.py
+++ b/packages/shares/src/radishbridge/shares/__init__.py
@@ -2,7 +2,44 @@
 
 from __future__ import annotations
 
+from radishbridge.shares.account import Loan, Parcel, ShareAccount
+from radishbridge.shares.admission import ShareAdmission
 from radishbridge.shares.bucket import TokenBucket
+from radishbridge.shares.exchange import ShareExchange
+from radishbridge.shares.lease import Promise, ShareLease, ShareTimes
+from radishbridge.shares.membership import ShareMembership
+from radishbridge.shares.promises import PromiseExchange
 from radishbridge.shares.protocol import Admission
+from radishbridge.shares.table import (
+    TABLE_KIND,
+    TABLE_NAME,
+    TOTAL_UNITS,
+    Holder,
+    HolderKey,
+    ShareTable,
+    decode_table,
+    encode_table,
+)
 
-__all__ = ["Admission", "TokenBucket"]
+__all__ = [
+    "TABLE_KIND",
+    "TABLE_NAME",
+    "TOTAL_UNITS",
+    "Admission",
+    "Holder",
+    "HolderKey",
+    "Loan",
+    "Parcel",
+    "Promise",
+    "PromiseExchange",
+    "ShareAccount",
+    "ShareAdmission",
+    "ShareExchange",
+    "ShareLease",
+    "ShareMembership",
+    "ShareTable",
+    "ShareTimes",
+    "TokenBucket",
+    "decode_table",
+    "encode_table",
+]
--- /dev/null
+++ b/packages/shares/src/radishbridge/shares/account.py
@@ -0,0 +1,281 @@
+"""One host's part of one quantity: its bucket, what it lent and what it borrowed."""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+from radishbridge.peers import SharePiece
+from radishbridge.shares.bucket import TokenBucket
+from radishbridge.shares.lease import ShareLease
+from radishbridge.shares.table import TOTAL_UNITS
+
+LOAN_S = 1.0
+LOAN_MARGIN_S = 0.1
+SMALLEST_LOAN_UNITS = 100
+MAX_PIECES = 16
+DEMAND_TIME_CONSTANT_S = 0.25
+HEADROOM = 1.2
+IDLE_REQUESTS_PER_S = 0.05
+READY_TOKENS = 2.0
+LOOK_AHEAD_S = 0.3
+
+
+class Loan:
+    """Units lent or borrowed until a time on this process's clock, in seconds.
+
+    :param peer: the other host.
+    :param request_id: the request that the loan answered; 0 where it cannot be prolonged.
+    """
+
+    __slots__ = ("peer", "request_id", "units", "until")
+
+    def __init__(self, units: int, until: float, peer: str, request_id: int) -> None:
+        self.units = units
+        self.until = until
+        self.peer = peer
+        self.request_id = request_id
+
+
+class Parcel:
+    """What a lender sends: units for a while, and tokens that it has debited."""
+
+    __slots__ = ("pieces", "tokens")
+
+    def __init__(self, pieces: list[SharePiece], tokens: float) -> None:
+        self.pieces = pieces
+        self.tokens = tokens
+
+
+class Demand:
+    """Requests per second that arrive here, averaged over a short time."""
+
+    __slots__ = ("_at", "_rate")
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._at = now
+
+    def add(self, amount: float, now: float) -> None:
+        """Count requests."""
+        self._rate = self.rate(now) + amount / DEMAND_TIME_CONSTANT_S
+        self._at = max(self._at, now)
+
+    def rate(self, now: float) -> float:
+        """Return the average as of ``now``."""
+        elapsed = max(0.0, now - self._at)
+        return self._rate * math.exp(-elapsed / DEMAND_TIME_CONSTANT_S)
+
+
+class ShareAccount:
+    """Admits requests of one quantity within the units this host may use.
+
+    Over all hosts the units in use and under way never exceed ``TOTAL_UNITS``, a bucket never
+    holds more than its host's units of the burst, and tokens travel only within the burst of
+    the units that travel with them. Hence the sum of all tokens never exceeds the burst.
+
+    :param lease: this process's lease on its units of the table.
+    :param rate: tokens per second over all hosts.
+    :param burst: most tokens over all hosts.
+    """
+
+    __slots__ = (
+        "_next_end",
+        "base",
+        "borrowed",
+        "bucket",
+        "burst",
+        "demand",
+        "lease",
+        "lent",
+        "rate",
+    )
+
+    def __init__(self, lease: ShareLease, rate: float, burst: float, now: float) -> None:
+        self.lease = lease
+        self.rate = rate
+        self.burst = burst
+        self.base = 0
+        self.lent: list[Loan] = []
+        self.borrowed: list[Loan] = []
+        self.bucket = TokenBucket(0.0, 0.0, now)
+        self.demand = Demand(now)
+        self._next_end = float("inf")
+        self.settle(now)
+
+    def set_rate(self, rate: float, burst: float, now: float) -> None:
+        """Put a changed rate in force; tokens above the new burst are lost."""
+        self.settle(now)
+        self.rate = rate
+        self.burst = burst
+        self._resize(now)
+
+    def admit(self, now: float) -> bool:
+        """Spend one token if there is one."""
+        self.demand.add(1.0, now)
+        if now >= self._next_end or self.lease.usable(now) != self.base:
+            self.settle(now)
+        return self.bucket.take(1.0, now)
+
+    def units(self) -> int:
+        """Return the units in use here as of the last settlement."""
+        return self.base - self.lent_units() + sum(loan.units for loan in self.borrowed)
+
+    def lent_units(self) -> int:
+        """Return the units of the table that are lent out as of the last settlement."""
+        return sum(loan.units for loan in self.lent)
+
+    def ending_units(self, time: float) -> int:
+        """Return the borrowed units that end before a time and cannot be prolonged."""
+        return sum(
+            loan.units for loan in self.borrowed if not loan.request_id and loan.until < time
+        )
+
+    def settle(self, now: float) -> None:
+        """Let what has ended take effect at the time it ended, then the lease's present units."""
+        lease_end = self.lease.valid_until
+        ends = [loan.until for loan in self.borrowed] + [lease_end]
+        for end in sorted(end for end in ends if self.bucket.refilled_at < end <= now):
+            self.borrowed = [loan for loan in self.borrowed if loan.until > end]
+            self.base = 0 if end >= lease_end else self.base
+            self._resize(end)
+        self.borrowed = [loan for loan in self.borrowed if loan.until > now and loan.units > 0]
+        self.lent = [loan for loan in self.lent if loan.until > now and loan.units > 0]
+        self.base = self.lease.usable(now)
+        self._resize(now)
+
+    def wanted_units(self, now: float) -> int:
+        """Return the units that the demand here needs, with headroom."""
+        arriving = self.demand.rate(now)
+        if self.rate <= 0.0 or self.burst <= 0.0 or arriving < IDLE_REQUESTS_PER_S:
+            return 0
+        part = max(arriving * HEADROOM / self.rate, READY_TOKENS / self.burst)
+        return min(TOTAL_UNITS, math.ceil(part * TOTAL_UNITS))
+
+    def runs_short(self, now: float) -> bool:
+        """Tell whether the tokens here will be used up soon at the present demand."""
+        arriving = self.demand.rate(now) * HEADROOM
+        missing = arriving - self.bucket.rate
+        return self.bucket.tokens < READY_TOKENS + max(0.0, missing) * LOOK_AHEAD_S
+
+    def spare_units(self, now: float) -> int:
+        """Return the units in use here that the demand does not need."""
+        return max(0, self.units() - self.wanted_units(now))
+
+    def lend(self, asked_units: int, peer: str, request_id: int, now: float) -> Parcel:
+        """Give up units that are not needed here, and the tokens that go with them.
+
+        What is passed on of borrowed units ends when the loan itself ends; what is lent of the
+        table's units ends within this process's lease.
+
+        :return: what to send; without pieces where nothing is to spare.
+        """
+        self.settle(now)
+        held = self.units()
+        spare = min(asked_units, self.spare_units(now))
+        if spare < SMALLEST_LOAN_UNITS:
+            return Parcel([], 0.0)
+        pieces = self._lend_own(spare, peer, request_id, now)
+        pieces += self._pass_on(spare - sum(piece.units for piece in pieces), now)
+        lent = sum(piece.units for piece in pieces)
+        tokens = self.bucket.tokens * lent / held
+        self.bucket.tokens -= tokens
+        self._resize(now)
+        return Parcel(pieces, tokens)
+
+    def prolong(
+        self, asked_units: int, peer: str, renews: int, request_id: int, now: float
+    ) -> Parcel:
+        """Let a loan run on, as far as the demand here does not need its units back."""
+        self.settle(now)
+        until = min(now + LOAN_S + LOAN_MARGIN_S, self.lease.valid_until)
+        valid_s = until - now - LOAN_MARGIN_S
+        loans = [loan for loan in self.lent if (loan.peer, loan.request_id) == (peer, renews)]
+        needed = max(0, self.wanted_units(now) - self.units())
+        granted = min(asked_units, sum(loan.units for loan in loans) - needed)
+        if granted < SMALLEST_LOAN_UNITS or any(loan.until >= until for loan in loans):
+            return Parcel([], 0.0)
+        _deduct(loans, granted)
+        self.lent.append(Loan(granted, until, peer, request_id))
+        return Parcel([SharePiece(units=granted, valid_s=valid_s)], 0.0)
+
+    def borrow(
+        self, parcel: Parcel, peer: str, request_id: int, asked_at: float, now: float
+    ) -> int:
+        """Use units of another host from now on.
+
+        :param asked_at: monotonic time before the request was sent; the pieces count from it.
+        :return: the units added.
+        """
+        self.settle(now)
+        loans = _usable_loans(parcel, peer, request_id, asked_at, now)
+        units = sum(loan.units for loan in loans)
+        self.borrowed += loans
+        self._resize(now)
+        self.bucket.put(min(parcel.tokens, self.burst * units / TOTAL_UNITS), now)
+        return units
+
+    def run_on(
+        self, parcel: Parcel, peer: str, renews: int, request_id: int, asked_at: float, now: float
+    ) -> int:
+        """Use a prolonged loan; no more of it than is still held here.
+
+        :return: the units prolonged.
+        """
+        self.settle(now)
+        held = [loan for loan in self.borrowed if (loan.peer, loan.request_id) == (peer, renews)]
+        loans = _usable_loans(parcel, peer, request_id, asked_at, now)[:1]
+        for loan in loans:
+            loan.units = min(loan.units, sum(one.units for one in held))
+            _deduct(held, loan.units)
+        for loan in held:
+            loan.request_id = 0
+        self.borrowed += loans
+        self._resize(now)
+        return sum(loan.units for loan in loans)
+
+    def _lend_own(
+        self, asked_units: int, peer: str, request_id: int, now: float
+    ) -> list[SharePiece]:
+        until = min(now + LOAN_S + LOAN_MARGIN_S, self.lease.valid_until)
+        valid_s = until - now - LOAN_MARGIN_S
+        units = min(asked_units, self.base - self.lent_units())
+        if units <= 0 or valid_s <= 0.0:
+            return []
+        self.lent.append(Loan(units, until, peer, request_id))
+        return [SharePiece(units=units, valid_s=valid_s)]
+
+    def _pass_on(self, asked_units: int, now: float) -> list[SharePiece]:
+        pieces: list[SharePiece] = []
+        for loan in sorted(self.borrowed, key=lambda loan: loan.until, reverse=True):
+            units = min(asked_units, loan.units)
+            valid_s = loan.until - now - LOAN_MARGIN_S
+            if units <= 0 or valid_s <= 0.0 or len(pieces) >= MAX_PIECES - 1:
+                continue
+            loan.units -= units
+            asked_units -= units
+            pieces.append(SharePiece(units=units, valid_s=valid_s))
+        return pieces
+
+    def _resize(self, now: float) -> None:
+        part = max(0, self.units()) / TOTAL_UNITS
+        self.bucket.resize(self.rate * part, self.burst * part, now)
+        ends = (loan.until for loan in itertools.chain(self.lent, self.borrowed))
+        self._next_end = min(ends, default=float("inf"))
+
+
+def _usable_loans(
+    parcel: Parcel, peer: str, request_id: int, asked_at: float, now: float
+) -> list[Loan]:
+    loans = (
+        Loan(piece.units, asked_at + min(piece.valid_s, LOAN_S), peer, request_id)
+        for piece in parcel.pieces
+    )
+    return [loan for loan in loans if loan.until > now]
+
+
+def _deduct(loans: list[Loan], units: int) -> None:
+    for loan in loans:
+        taken = min(units, loan.units)
+        loan.units -= taken
+        units -= taken
--- a/packages/shares/src/radishbridge/shares/bucket.py
+++ b/packages/shares/src/radishbridge/shares/bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket for one holder's fraction of a rate."""
+"""A token bucket for one holder's part of a rate."""
 
 from __future__ import annotations
 
@@ -27,12 +27,24 @@
         self.tokens -= amount
         return True
 
+    def put(self, amount: float, now: float) -> None:
+        """Add tokens received from another holder; what exceeds the burst is lost."""
+        self.refill(now)
+        self.tokens = min(self.burst, self.tokens + amount)
+
     def refill(self, now: float) -> None:
         """Add the tokens of the time since the last refill."""
         elapsed = max(0.0, now - self.refilled_at)
         self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
         self.refilled_at = max(self.refilled_at, now)
 
+    def resize(self, rate: float, burst: float, now: float) -> None:
+        """Change rate and burst from ``now`` on; tokens above the new burst are lost."""
+        self.refill(now)
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(burst, self.tokens)
+
     def wait_s(self, amount: float) -> float:
         """Return the seconds until ``amount`` tokens will be there at the present rate."""
         if self.rate <= 0.0 or amount > self.burst:
--- /dev/null
+++ b/packages/shares/src/radishbridge/shares/exchange.py
@@ -0,0 +1,294 @@
+"""Moves units and tokens between hosts on demand."""
+
+from __future__ import annotations
+
+import math
+import typing as t
+
+from radishbridge.peers import Peer, PeerMesh, PeerMessage, TokenRequest, TokenTransfer
+from radishbridge.shares.account import (
+    MAX_PIECES,
+    SMALLEST_LOAN_UNITS,
+    Parcel,
+    ShareAccount,
+)
+from radishbridge.shares.lease import ShareLease
+from radishbridge.shares.table import TOTAL_UNITS
+
+ANSWER_DEADLINE_S = 0.25
+MAX_ASKED = 8
+ASK_PAUSE_S = 0.02
+LONGEST_ASK_PAUSE_S = 0.5
+RENEW_BEFORE_S = 0.5
+ASK_AHEAD_S = 0.15
+HINT_VALID_S = 0.5
+MAX_PENDING = 4096
+
+
+class PendingRequest:
+    """A request whose answer is still accepted.
+
+    :param asked_at: monotonic time before the request was sent.
+    :param renews: the earlier request whose loan it prolongs, 0 for a new loan.
+    """
+
+    __slots__ = ("asked_at", "host", "quantity", "renews")
+
+    def __init__(self, host: str, quantity: str, renews: int, asked_at: float) -> None:
+        self.host = host
+        self.quantity = quantity
+        self.renews = renews
+        self.asked_at = asked_at
+
+
+class Hint:
+    """What a host said it could still lend."""
+
+    __slots__ = ("at", "units")
+
+    def __init__(self, units: int, at: float) -> None:
+        self.units = units
+        self.at = at
+
+
+class LastRequest:
+    """The newest request that a host has sent, to drop doubled ones."""
+
+    __slots__ = ("asker", "request_id")
+
+    def __init__(self, asker: int, request_id: int) -> None:
+        self.asker = asker
+        self.request_id = request_id
+
+
+class AskState:
+    """When a quantity's units may next be asked for, and of whom."""
+
+    __slots__ = ("hints", "next_at", "pause_s", "turn")
+
+    def __init__(self) -> None:
+        self.hints: dict[str, Hint] = {}
+        self.next_at = float("-inf")
+        self.pause_s = ASK_PAUSE_S
+        self.turn = 0
+
+
+class ShareExchange:
+    """Asks other holders for units, and answers their requests.
+
+    A lender debits before it sends; an answer that is lost costs its units until the loan's
+    end; one that is doubled, late or meant for another process is dropped.
+
+    :param accounts: the quantities by name.
+    :param clock: monotonic clock in seconds.
+    """
+
+    __slots__ = (
+        "_asks",
+        "_next_id",
+        "accounts",
+        "answered",
+        "clock",
+        "closed",
+        "lease",
+        "mesh",
+        "pending",
+        "received",
+    )
+
+    def __init__(
+        self,
+        mesh: PeerMesh,
+        lease: ShareLease,
+        accounts: dict[str, ShareAccount],
+        clock: t.Callable[[], float],
+    ) -> None:
+        self.mesh = mesh
+        self.lease = lease
+        self.accounts = accounts
+        self.clock = clock
+        self.closed = False
+        self.pending: dict[int, PendingRequest] = {}
+        self.answered: dict[str, LastRequest] = {}
+        self.received: list[t.Callable[[str], None]] = []
+        self._asks: dict[str, AskState] = {}
+        self._next_id = 0
+        mesh.subscribe(TokenRequest, self.on_request)
+        mesh.subscribe(TokenTransfer, self.on_transfer)
+
+    def consider(self, quantity: str, now: float) -> None:
+        """Ask for units where the demand here needs more than are held."""
+        account = self.accounts[quantity]
+        ask = self._asks.setdefault(quantity, AskState())
+        if now < ask.next_at:
+            return
+        ask.next_at = now + ASK_PAUSE_S
+        account.settle(now)
+        wanted = account.wanted_units(now)
+        self._renew(quantity, account, wanted, now)
+        shortfall = wanted - account.units() + account.ending_units(now + ASK_AHEAD_S)
+        if shortfall < SMALLEST_LOAN_UNITS or not account.runs_short(now):
+            return
+        ask.next_at = now + ask.pause_s
+        ask.pause_s = min(2 * ask.pause_s, LONGEST_ASK_PAUSE_S)
+        for host, units in self._whom_to_ask(ask, shortfall, now).items():
+            self._send(host, quantity, units, 0, now)
+
+    def expects_answer(self, quantity: str, now: float) -> bool:
+        """Tell whether an answer for a quantity may still come."""
+        return any(
+            pending.quantity == quantity and now <= pending.asked_at + ANSWER_DEADLINE_S
+            for pending in self.pending.values()
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget requests whose answers would be late."""
+        late = [
+            request_id
+            for request_id, pending in self.pending.items()
+            if now > pending.asked_at + ANSWER_DEADLINE_S
+        ]
+        for request_id in late:
+            del self.pending[request_id]
+
+    def on_request(self, peer: Peer, message: PeerMessage) -> None:
+        """Answer another host's request; a doubled one is dropped."""
+        assert isinstance(message, TokenRequest)
+        account = self.accounts.get(message.quantity)
+        if account is None or self.closed or not self._is_new(peer, message):
+            return
+        now = self.clock()
+        units = max(0, min(message.units, TOTAL_UNITS))
+        name, request_id = f"{peer.name}/{message.asker}", message.request_id
+        if message.renews:
+            parcel = account.prolong(units, name, message.renews, request_id, now)
+        else:
+            parcel = account.lend(units, name, request_id, now)
+        self.mesh.send(
+            peer.name,
+            TokenTransfer(
+                quantity=message.quantity,
+                request_id=request_id,
+                amount=parcel.tokens,
+                deadline=message.deadline,
+                pieces=parcel.pieces,
+                asker=message.asker,
+                spare_units=account.spare_units(now),
+            ),
+        )
+
+    def on_transfer(self, peer: Peer, message: PeerMessage) -> None:
+        """Take an answer in; one that is doubled, late or malformed is dropped."""
+        assert isinstance(message, TokenTransfer)
+        now = self.clock()
+        pending = self.pending.get(message.request_id)
+        if pending is None or pending.host != peer.name or pending.quantity != message.quantity:
+            return
+        if message.asker != self.lease.key.incarnation or not _is_sound(message):
+            return
+        del self.pending[message.request_id]
+        account = self.accounts.get(message.quantity)
+        if account is None or now > pending.asked_at + ANSWER_DEADLINE_S:
+            return
+        units = self._accept(account, peer, message, pending, now)
+        ask = self._asks.setdefault(message.quantity, AskState())
+        ask.hints[peer.name] = Hint(message.spare_units, now)
+        if units > 0 or message.spare_units > 0:
+            ask.pause_s = ASK_PAUSE_S
+            ask.next_at = min(ask.next_at, now)
+        for listener in self.received:
+            listener(message.quantity)
+
+    def _accept(
+        self,
+        account: ShareAccount,
+        peer: Peer,
+        message: TokenTransfer,
+        pending: PendingRequest,
+        now: float,
+    ) -> int:
+        parcel = Parcel(message.pieces, message.amount)
+        request_id, asked_at = message.request_id, pending.asked_at
+        if pending.renews:
+            return account.run_on(parcel, peer.name, pending.renews, request_id, asked_at, now)
+        return account.borrow(parcel, peer.name, request_id, asked_at, now)
+
+    def _renew(self, quantity: str, account: ShareAccount, wanted: int, now: float) -> None:
+        ending = [
+            loan
+            for loan in account.borrowed
+            if loan.request_id and loan.until - now < RENEW_BEFORE_S
+        ]
+        asked = {pending.renews for pending in self.pending.values()}
+        lasting = account.units() - sum(loan.units for loan in ending)
+        needed = wanted - lasting
+        for loan in ending[:MAX_ASKED]:
+            if needed < SMALLEST_LOAN_UNITS:
+                return
+            if loan.request_id not in asked:
+                self._send(loan.peer, quantity, min(needed, loan.units), loan.request_id, now)
+            needed -= loan.units
+
+    def _whom_to_ask(self, ask: AskState, shortfall: int, now: float) -> dict[str, int]:
+        names = [holder.name for holder in self.lease.table.holders]
+        others = [name for name in names if name != self.lease.key.name]
+        if not others:
+            return {}
+        fresh = {
+            name: hint.units
+            for name, hint in ask.hints.items()
+            if now - hint.at < HINT_VALID_S and name in others
+        }
+        asked: dict[str, int] = {}
+        for name in sorted(fresh, key=lambda name: -fresh[name])[:MAX_ASKED]:
+            units = min(fresh[name], shortfall)
+            if units >= SMALLEST_LOAN_UNITS:
+                asked[name] = units
+                shortfall -= units
+        unknown = [name for name in _rotated(others, ask.turn) if name not in fresh]
+        average = TOTAL_UNITS // (len(others) + 1)
+        count = min(MAX_ASKED - len(asked), len(unknown), math.ceil(shortfall / average))
+        ask.turn += max(0, count)
+        return asked | {name: math.ceil(shortfall / count) for name in unknown[: max(0, count)]}
+
+    def _send(self, host: str, quantity: str, units: int, renews: int, now: float) -> None:
+        if len(self.pending) >= MAX_PENDING:
+            return
+        self._next_id += 1
+        self.pending[self._next_id] = PendingRequest(host, quantity, renews, now)
+        request = TokenRequest(
+            quantity=quantity,
+            request_id=self._next_id,
+            amount=0.0,
+            deadline=now + ANSWER_DEADLINE_S,
+            units=units,
+            renews=renews,
+            asker=self.lease.key.incarnation,
+        )
+        if not self.mesh.send(host, request):
+            del self.pending[self._next_id]
+
+    def _is_new(self, peer: Peer, message: TokenRequest) -> bool:
+        # Ids of one process only grow; an overtaken request is as good as lost.
+        last = self.answered.get(peer.name)
+        doubled = last and last.asker == message.asker and message.request_id <= last.request_id
+        if doubled:
+            return False
+        self.answered[peer.name] = LastRequest(message.asker, message.request_id)
+        return True
+
+
+def _is_sound(message: TokenTransfer) -> bool:
+    numbers = [message.amount, *(piece.valid_s for piece in message.pieces)]
+    units = [piece.units for piece in message.pieces]
+    return (
+        len(units) <= MAX_PIECES
+        and all(math.isfinite(number) and number >= 0.0 for number in numbers)
+        and all(one >= 0 for one in units)
+        and sum(units) <= TOTAL_UNITS
+    )
+
+
+def _rotated(names: list[str], turn: int) -> list[str]:
+    start = turn % len(names)
+    return names[start:] + names[:start]
--- /dev/null
+++ b/standin/src/radishbridge_standin/memory.py
@@ -0,0 +1,222 @@
+"""A store and a mesh in memory, in virtual time, for tests and measurements."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import types
+import typing as t
+
+import msgspec
+
+from radishbridge.peers import Handler, Peer, PeerMessage
+from radishbridge.records import Failure, ResultCode
+from radishbridge.store import HostList, Listing, StoredObject, WatchEvent
+
+
+@types.coroutine
+def _suspend() -> t.Generator[None, None, None]:
+    yield
+
+
+class VirtualClock:
+    """A clock that only moves when told; each host's view of it may differ.
+
+    :param offset_s: added to the common time.
+    :param speed: seconds of this view for each common second.
+    """
+
+    __slots__ = ("now", "offset_s", "speed")
+
+    def __init__(self, offset_s: float = 0.0, speed: float = 1.0) -> None:
+        self.now = 0.0
+        self.offset_s = offset_s
+        self.speed = speed
+
+    def __call__(self) -> float:
+        return self.offset_s + self.now * self.speed
+
+
+class MemoryStore:
+    """Objects shared by the ``StoreClient`` views of all hosts."""
+
+    __slots__ = ("calls", "fenced", "objects", "revision")
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.revision = 0
+        self.calls = 0
+        self.fenced = True
+
+    def write(self, kind: str, name: str, value: bytes, expected: int) -> StoredObject | Failure:
+        """Write conditionally."""
+        held = self.objects.get((kind, name))
+        if self.fenced and (held.version if held else 0) != expected:
+            return Failure(ResultCode.VERSION_CONFLICT, f"{kind}/{name}")
+        self.revision += 1
+        stored = StoredObject(kind=kind, name=name, version=self.revision, value=msgspec.Raw(value))
+        self.objects[kind, name] = stored
+        return stored
+
+
+class StoreClient:
+    """One host's view of a ``MemoryStore``; each call suspends before and after its effect.
+
+    :param reachable: calls take effect.
+    :param answers: answers come back.
+    """
+
+    __slots__ = ("answers", "reachable", "store")
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store = store
+        self.reachable = True
+        self.answers = True
+
+    async def get(self, kind: str, name: str) -> StoredObject | Failure:
+        """Read one object."""
+        self.store.calls += 1
+        await _suspend()
+        found = self.store.objects.get((kind, name))
+        reached = self.reachable
+        await _suspend()
+        if not (reached and self.answers):
+            return Failure(ResultCode.STORE_UNAVAILABLE, "down")
+        return found or Failure(ResultCode.NOT_FOUND, f"{kind}/{name}")
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> StoredObject | Failure:
+        """Write conditionally; a lost answer gives ``WRITE_UNCLEAR``."""
+        self.store.calls += 1
+        await _suspend()
+        if not self.reachable:
+            return Failure(ResultCode.STORE_UNAVAILABLE, "down")
+        written = self.store.write(kind, name, value, expected_version)
+        await _suspend()
+        return written if self.answers else Failure(ResultCode.WRITE_UNCLEAR, "answer lost")
+
+    async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
+        """Read all objects of the kinds."""
+        found = [stored for (kind, _), stored in self.store.objects.items() if kind in kinds]
+        return Listing(revision=self.store.revision, objects=found)
+
+    async def watch(
+        self, kinds: t.Sequence[str], after_revision: int
+    ) -> t.AsyncIterator[WatchEvent | Failure]:
+        """End at once."""
+        yield Failure(ResultCode.WATCH_EXPIRED, "no watches here")
+
+    async def hosts(self) -> HostList | Failure:
+        """Read an empty list."""
+        return HostList(hosts=[])
+
+
+class Flight(t.NamedTuple):
+    """A message under way; ``number`` keeps the order of equal times."""
+
+    due: float
+    number: int
+    target: str
+    sender: Peer
+    message: PeerMessage
+
+
+class MemoryNetwork:
+    """Carries messages between ``MemoryMesh`` objects with loss, doubling and delay.
+
+    :param random: decides on faults.
+    :param delay_s: shortest delay.
+    :param jitter_s: random addition to the delay; larger than the spacing, it reorders.
+    :param loss: part of messages lost.
+    :param doubling: part of messages that arrive twice.
+    """
+
+    __slots__ = (
+        "cut",
+        "delay_s",
+        "doubling",
+        "flights",
+        "jitter_s",
+        "loss",
+        "meshes",
+        "now",
+        "number",
+        "random",
+        "sent",
+    )
+
+    def __init__(
+        self,
+        random: random.Random,
+        delay_s: float,
+        jitter_s: float = 0.0,
+        loss: float = 0.0,
+        doubling: float = 0.0,
+    ) -> None:
+        self.random = random
+        self.delay_s = delay_s
+        self.jitter_s = jitter_s
+        self.loss = loss
+        self.doubling = doubling
+        self.meshes: dict[str, MemoryMesh] = {}
+        self.flights: list[Flight] = []
+        self.cut: set[frozenset[str]] = set()
+        self.number = itertools.count()
+        self.now = 0.0
+        self.sent = 0
+
+    def send(self, sender: Peer, target: str, message: PeerMessage) -> bool:
+        """Put a message on its way."""
+        self.sent += 1
+        copies = 1 + (self.random.random() < self.doubling)
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                due = self.now + self.delay_s + self.random.random() * self.jitter_s
+                heapq.heappush(
+                    self.flights, Flight(due, next(self.number), target, sender, message)
+                )
+        return True
+
+    def deliver(self, paused: t.Container[str] = ()) -> None:
+        """Hand over what is due; messages to paused hosts wait, those over a cut link are lost."""
+        waiting = []
+        while self.flights and self.flights[0].due <= self.now:
+            flight = heapq.heappop(self.flights)
+            if flight.target in paused:
+                waiting.append(flight)
+            elif frozenset((flight.sender.name, flight.target)) not in self.cut:
+                self.meshes[flight.target].receive(flight.sender, flight.message)
+        for flight in waiting:
+            heapq.heappush(self.flights, flight)
+
+
+class MemoryMesh:
+    """One process's end of a ``MemoryNetwork``."""
+
+    __slots__ = ("handlers", "network", "own")
+
+    def __init__(self, network: MemoryNetwork, name: str, incarnation: int) -> None:
+        self.own = Peer(name, "region", "data-centre")
+        self.own.incarnation = incarnation
+        self.network = network
+        self.handlers: dict[type[PeerMessage], list[Handler]] = {}
+        network.meshes[name] = self
+
+    def send(self, host: str, message: PeerMessage) -> bool:
+        """Queue a message."""
+        return host in self.network.meshes and self.network.send(self.own, host, message)
+
+    def subscribe(self, message_type: type[PeerMessage], handler: Handler) -> None:
+        """Call a handler for each message of a type."""
+        self.handlers.setdefault(message_type, []).append(handler)
+
+    def live(self) -> list[Peer]:
+        """Return all other ends."""
+        return [mesh.own for mesh in self.network.meshes.values() if mesh is not self]
+
+    def receive(self, sender: Peer, message: PeerMessage) -> None:
+        """Call the handlers of a message."""
+        for handler in self.handlers.get(type(message), []):
+            handler(sender, message)
