--- /dev/null
+++ b/tests/shares_mutants.py
@@ -0,0 +1,220 @@
+"""Faulty variants of the shares, each of which the model check must catch."""
+
+from __future__ import annotations
+
+import typing as t
+
+import pytest
+
+from radishbridge.peers import Peer, TokenTransfer
+from radishbridge.shares import (
+    TOTAL_UNITS,
+    Loan,
+    Parcel,
+    ShareAccount,
+    ShareExchange,
+    ShareLease,
+    ShareTable,
+    TokenBucket,
+    account,
+    exchange,
+)
+from radishbridge_standin import memory
+
+Mutate = t.Callable[[pytest.MonkeyPatch], None]
+
+
+def no_lease_margin(patch: pytest.MonkeyPatch) -> None:
+    """Reclaim as soon as a lease may have ended by an exact clock, without any waiting."""
+    original = ShareLease._mark_silent
+
+    def mark_silent(self: ShareLease, sent_at: float, answered_at: float) -> None:
+        original(self, sent_at + self.times.margin_s, answered_at)
+        for seen in self.observations.values():
+            if seen.silent_since is not None:
+                seen.silent_since = float("-inf")
+
+    patch.setattr(ShareLease, "_mark_silent", mark_silent)
+
+
+def no_loan_margin(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(account, "LOAN_MARGIN_S", 0.0)
+
+
+def no_fencing(patch: pytest.MonkeyPatch) -> None:
+    """Write the table whatever its version."""
+    original = memory.MemoryStore.write
+
+    def write(self: memory.MemoryStore, kind: str, name: str, value: bytes, expected: int) -> t.Any:
+        held = self.objects.get((kind, name))
+        return original(self, kind, name, value, held.version if held else 0)
+
+    patch.setattr(memory.MemoryStore, "write", write)
+
+
+def credit_before_debit(patch: pytest.MonkeyPatch) -> None:
+    """Send units and tokens and keep them too."""
+    original = ShareAccount.lend
+
+    def lend(
+        self: ShareAccount, asked_units: int, peer: str, request_id: int, now: float
+    ) -> Parcel:
+        self.settle(now)
+        lent, tokens = list(self.lent), self.bucket.tokens
+        parcel = original(self, asked_units, peer, request_id, now)
+        self.lent, self.bucket.tokens = lent, tokens
+        return parcel
+
+    patch.setattr(ShareAccount, "lend", lend)
+
+
+def lease_counted_from_the_answer(patch: pytest.MonkeyPatch) -> None:
+    original = ShareLease.confirm
+
+    def confirm(self: ShareLease, table: ShareTable, now: float) -> None:
+        own = table.find(self.key)
+        if (
+            own is not None
+            and own.renewals == self._renewals
+            and self.renewed_at < self._attempt_at
+        ):
+            self._attempt_at = now
+        original(self, table, now)
+
+    patch.setattr(ShareLease, "confirm", confirm)
+
+
+def new_holder_starts_full(patch: pytest.MonkeyPatch) -> None:
+    original = TokenBucket.resize
+
+    def resize(self: TokenBucket, rate: float, burst: float, now: float) -> None:
+        starts = self.burst == 0.0
+        original(self, rate, burst, now)
+        self.tokens = burst if starts else self.tokens
+
+    patch.setattr(TokenBucket, "resize", resize)
+
+
+def grow_before_shrink(patch: pytest.MonkeyPatch) -> None:
+    """Use the target units at once, before others have given them up."""
+    original = ShareLease.plan
+
+    def plan(self: ShareLease, now: float, floor_units: int = 0) -> ShareTable | None:
+        planned = original(self, now, floor_units)
+        if planned is not None:
+            self._use(TOTAL_UNITS // len(planned.holders), now)
+        return planned
+
+    patch.setattr(ShareLease, "plan", plan)
+
+
+def shrink_after_the_answer(patch: pytest.MonkeyPatch) -> None:
+    """Go on with the old units until the write that gives them up is answered."""
+    original = ShareLease.plan
+
+    def plan(self: ShareLease, now: float, floor_units: int = 0) -> ShareTable | None:
+        units = self.units
+        planned = original(self, now, floor_units)
+        self._use(units, now)
+        return planned
+
+    patch.setattr(ShareLease, "plan", plan)
+
+
+def duplicates_not_dropped(patch: pytest.MonkeyPatch) -> None:
+    original = ShareExchange.on_transfer
+
+    def on_transfer(self: ShareExchange, peer: Peer, message: t.Any) -> None:
+        pending = self.pending.get(message.request_id)
+        original(self, peer, message)
+        if pending is not None:
+            self.pending[message.request_id] = pending
+
+    patch.setattr(ShareExchange, "on_transfer", on_transfer)
+
+
+def late_answer_accepted(patch: pytest.MonkeyPatch) -> None:
+    """Count borrowed units from the answer, however late it is."""
+    patch.setattr(exchange, "ANSWER_DEADLINE_S", float("inf"))
+    original = ShareAccount.borrow
+
+    def borrow(
+        self: ShareAccount, parcel: Parcel, peer: str, request_id: int, asked_at: float, now: float
+    ) -> int:
+        return original(self, parcel, peer, request_id, now, now)
+
+    patch.setattr(ShareAccount, "borrow", borrow)
+
+
+def answer_to_a_former_process_accepted(patch: pytest.MonkeyPatch) -> None:
+    original = ShareExchange.on_transfer
+
+    def on_transfer(self: ShareExchange, peer: Peer, message: t.Any) -> None:
+        assert isinstance(message, TokenTransfer)
+        message.asker = self.lease.key.incarnation
+        original(self, peer, message)
+
+    patch.setattr(ShareExchange, "on_transfer", on_transfer)
+
+
+def passed_on_units_kept(patch: pytest.MonkeyPatch) -> None:
+    """Lend borrowed units on without giving them up."""
+    original = ShareAccount._pass_on
+
+    def pass_on(self: ShareAccount, asked_units: int, now: float) -> t.Any:
+        kept = [Loan(loan.units, loan.until, loan.peer, loan.request_id) for loan in self.borrowed]
+        pieces = original(self, asked_units, now)
+        self.borrowed = kept
+        return pieces
+
+    patch.setattr(ShareAccount, "_pass_on", pass_on)
+
+
+def promise_while_renewing(patch: pytest.MonkeyPatch) -> None:
+    """Promise although the last renewal is recent."""
+    original = ShareLease.promise
+
+    def promise(self: ShareLease, now: float) -> t.Any:
+        self.last_put_at = float("-inf")
+        self.store_answers = False
+        made = original(self, now)
+        self.promised_until = float("-inf")
+        return made
+
+    patch.setattr(ShareLease, "promise", promise)
+
+
+def lapsed_lease_extended(patch: pytest.MonkeyPatch) -> None:
+    """Let promises bring a lapsed lease back."""
+    original = ShareLease.accept_promise
+
+    def accept_promise(
+        self: ShareLease, key: t.Any, units: int, valid_s: float, asked_at: float, now: float
+    ) -> None:
+        self.valid_until = max(self.valid_until, now + 1e-9)
+        original(self, key, units, valid_s, asked_at, now)
+
+    patch.setattr(ShareLease, "accept_promise", accept_promise)
+
+
+def reclaim_without_a_majority(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ShareLease, "_renewing_units", lambda self, now: TOTAL_UNITS)
+
+
+MUTANTS: list[Mutate] = [
+    no_lease_margin,
+    no_loan_margin,
+    no_fencing,
+    credit_before_debit,
+    lease_counted_from_the_answer,
+    new_holder_starts_full,
+    grow_before_shrink,
+    shrink_after_the_answer,
+    duplicates_not_dropped,
+    late_answer_accepted,
+    answer_to_a_former_process_accepted,
+    passed_on_units_kept,
+    promise_while_renewing,
+    lapsed_lease_extended,
+    reclaim_without_a_majority,
+]
