Read the clock anew when a request is admitted

Cause: a caller's time may be older than the grant window on a busy host, which would refuse a request that is within its rate. Change: the decision starts from the later of the caller's time and the clock. Conclusion: only a pause inside the decision itself refuses.

--- a/packages/shares/src/radishbridge/shares/admission.py
+++ b/packages/shares/src/radishbridge/shares/admission.py
@@ -79,11 +79,12 @@
         account = self.accounts.get(workspace)
         if account is None:
             return Failure(ResultCode.RATE_EXCEEDED, f"workspace {workspace} has no rate")
+        now = max(now, self.clock())
         admitted = account.admit(now)
         self.active.add(workspace)
         if not self._leaving:
             self.exchange.consider(workspace, now)
-        # The process may have been paused since ``now`` was read, for longer than its lease.
+        # The process may have been paused in this method, for longer than its lease.
         if self.clock() - now > GRANT_WINDOW_S:
             return Failure(ResultCode.SHARE_UNAVAILABLE, "the host was paused")
         if admitted:
