--- a/bench/lookup.py
+++ b/bench/lookup.py
@@ -25,7 +25,7 @@
 from radishbridge.routing import Block, BlockTable, HostIndex, pack_part, rank_hosts, unpack_part
 
 BLOCKS = 2_800_000
-BLOCKS_PER_PART = 25_000
+BLOCKS_PER_PART = 10_000
 V6_SHARE = 0.3
 NESTED_SHARE = 0.15
 SITES = 270
@@ -158,6 +158,11 @@
     return sites, HostIndex(hosts)
 
 
+def orders_bytes(hosts: HostIndex) -> int:
+    """Return the bytes of the orders of hosts worked out so far."""
+    return sum(sys.getsizeof(order) for order in hosts.orders.values())
+
+
 async def longest_stall(work: t.Callable[[], t.Awaitable[None]]) -> float:
     """Return the longest time in seconds for which the event loop did not run during work."""
     task = asyncio.ensure_future(work())
@@ -206,8 +211,10 @@
     asked = addresses(table, rng)
     sites, hosts = make_hosts(rng)
     figures |= percentiles(timed(table.find, asked), "find")
-    ranked = timed(lambda one: rank_hosts(one, table, sites, hosts), asked)
-    figures |= percentiles(ranked, "rank")
+    for name in ("rank_first", "rank"):
+        ranked = timed(lambda one: rank_hosts(one, table, sites, hosts), asked)
+        figures |= percentiles(ranked, name)
+    figures |= {"orders_bytes": orders_bytes(hosts)}
     path = sorted(directory.iterdir())[0]
     return figures | asyncio.run(measure_update(table, path, asked[0]))
 
--- a/packages/routing/src/radishbridge/routing/lookup.py
+++ b/packages/routing/src/radishbridge/routing/lookup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 import hashlib
 import itertools
 import typing as t
@@ -18,10 +19,11 @@
 
 # Blocks are hashed into buckets, so that the order of a data centre's hosts is worked out once for
 # each bucket and not for each look-up.
-BUCKETS = 1024
+BUCKETS = 8192
 
 _HASH_BYTES = 8
 _BUCKET_BYTES = 2
+_UNSET = 0xFFFF
 
 
 class EntryHost(t.Protocol):
@@ -71,11 +73,13 @@
 
 
 class HostIndex:
-    """Live hosts by data centre; build a new one when the hosts or the drains change.
+    """Live hosts by data centre; build a new one from the last when the hosts or the drains change.
 
     :param hosts: the live hosts.
     :param drains: drains in force; those of hosts, data centres and regions count.
     :param limit: most hosts in an answer.
+    :param previous: the index before the change; what it has worked out for data centres that have
+        the same hosts still is kept.
     """
 
     __slots__ = ("by_data_center", "limit", "orders", "regions")
@@ -85,8 +89,9 @@
         hosts: t.Iterable[EntryHost],
         drains: t.Iterable[Drain] = (),
         limit: int = HOSTS_PER_ANSWER,
+        previous: HostIndex | None = None,
     ) -> None:
-        live = list(hosts)
+        live = sorted(hosts, key=lambda host: host.name)
         drained: set[tuple[str, str]] = {(drain.scope, drain.target) for drain in drains}
         # An answer of leaving hosts still helps where there are no others.
         staying = [host for host in live if not _is_leaving(host, drained)] or live
@@ -95,20 +100,30 @@
         for host in staying:
             self.by_data_center.setdefault(host.data_center, []).append(_ranked(host))
         self.regions = {host.data_center: host.region for host in staying}
-        self.orders: dict[tuple[str, int], tuple[RankedHost, ...]] = {}
-
-    def ordered(self, data_center: str, bucket: int) -> tuple[RankedHost, ...]:
+        # For each data centre the indexes of the first hosts of each bucket, once worked out.
+        self.orders: dict[str, array.array[int]] = {}
+        if previous is not None and previous.limit == limit:
+            self.orders |= {
+                name: order
+                for name, order in previous.orders.items()
+                if previous.by_data_center[name] == self.by_data_center.get(name)
+            }
+
+    def ordered(self, data_center: str, bucket: int) -> list[RankedHost]:
         """Return the first hosts of a data centre for a bucket of blocks.
 
         They are ordered by rendezvous hashing: one that goes leaves the others in their order.
         """
-        at = (data_center, bucket)
-        order = self.orders.get(at)
+        hosts = self.by_data_center[data_center]
+        size = min(self.limit, len(hosts))
+        order = self.orders.get(data_center)
         if order is None:
-            hosts = self.by_data_center[data_center]
-            by_hash = sorted(hosts, key=lambda host: _hash(bucket, host.name))
-            order = self.orders[at] = tuple(by_hash[: self.limit])
-        return order
+            order = self.orders[data_center] = array.array("H", [_UNSET]) * (BUCKETS * size)
+        at = bucket * size
+        if order[at] == _UNSET:
+            indexes = sorted(range(len(hosts)), key=lambda one: _hash(bucket, hosts[one].name))
+            order[at : at + size] = array.array("H", indexes[:size])
+        return [hosts[index] for index in order[at : at + size]]
 
 
 def rank_hosts(
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -83,6 +83,23 @@
             if old.hosts[0].name != gone:
                 assert new.hosts[0] == old.hosts[0]
 
+    def test_an_index_made_from_the_last_one_answers_the_same(self) -> None:
+        blocks, last = table(), HostIndex(HOSTS)
+        changes = [HOSTS[1:], HOSTS, [one for one in HOSTS if one.region == "r1"], HOSTS[::-1]]
+        for hosts in changes:
+            last, fresh = HostIndex(hosts, previous=last), HostIndex(hosts)
+            for number in range(50):
+                address = f"10.0.{number}.1"
+                answer = rank_hosts(address, blocks, SITES, last)
+                assert answer == rank_hosts(address, blocks, SITES, fresh)
+
+    def test_what_is_worked_out_is_kept_for_the_same_hosts_only(self) -> None:
+        first = HostIndex(HOSTS)
+        rank("10.0.7.9", first)
+        assert set(first.orders) == {"r1-a", "r1-b"}
+        assert set(HostIndex(HOSTS[1:], previous=first).orders) == {"r1-b"}
+        assert not HostIndex(HOSTS, limit=2, previous=first).orders
+
     @pytest.mark.parametrize("address", ["192.0.2.1", "2001:db8::1", "nonsense", "::ffff:1.2.3.4"])
     def test_an_unknown_site_gets_an_answer(self, address: str) -> None:
         answer = rank(address, HostIndex(HOSTS))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 import typing as t
 
 import msgspec
@@ -155,6 +156,22 @@
         assert [failure.code for failure in result] == [ResultCode.FILE_UNREADABLE]
 
 
+class TestSettingsPage:
+    def test_names_each_field_and_no_other(self) -> None:
+        page = pathlib.Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
+        rows = [line for line in page.read_text().splitlines() if line.startswith("| `")]
+        cells = [row.split("|")[1] for row in rows if row.count("|") == 4]
+        named = [name for cell in cells for name in re.findall(r"`([a-z_.]+)`", cell)]
+        assert sorted(named) == sorted(self.fields(Settings))
+
+    def fields(self, struct: type[msgspec.Struct], prefix: str = "") -> t.Iterator[str]:
+        for field in msgspec.structs.fields(struct):
+            if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+                yield from self.fields(field.type, f"{prefix}{field.name}.")
+            else:
+                yield prefix + field.name
+
+
 class TestParseDocument:
     @pytest.mark.parametrize(
         ("text", "line"),
