--- a/bench/forward.py
+++ b/bench/forward.py
@@ -25,7 +25,7 @@
 
 from bench._load import LoadFigures
 from bench._processes import cpu_seconds, resident_bytes
-from radishbridge.host.keys import KeyRing, key_digest
+from radishbridge.host.keys import KeyRing
 from radishbridge.host.paths import check_target
 from radishbridge.records import (
     Backend,
@@ -36,6 +36,7 @@
     Service,
     Workspace,
     encode_record,
+    key_digest,
 )
 from radishbridge.routing import AttemptOutcome, LocalRouter, Permit, ServiceRoute
 from radishbridge.store import HttpStore
--- a/packages/host/src/radishbridge/host/keys.py
+++ b/packages/host/src/radishbridge/host/keys.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 
 from multidict import MultiMapping
 
-from radishbridge.records import Failure, Key, Record, ResultCode
+from radishbridge.records import Failure, Key, Record, ResultCode, key_digest
 
 API_KEY_HEADER = "X-Api-Key"
 _BEARER = "bearer "
@@ -64,11 +63,6 @@
             self.by_digest.pop(digest, None)
 
 
-def key_digest(secret: str) -> str:
-    """Return the hexadecimal digest under which a secret is stored."""
-    return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
-
-
 def _secrets(headers: MultiMapping[str]) -> set[str]:
     values = {value.strip() for value in headers.getall(API_KEY_HEADER, ())}
     for value in headers.getall("Authorization", ()):
--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -13,6 +13,7 @@
 )
 from radishbridge.records.check import check_value, find_faults, unknown_fields
 from radishbridge.records.codes import CODE_INFO, CodeInfo, Execution, ResultCode
+from radishbridge.records.digest import key_digest
 from radishbridge.records.failures import Failure
 from radishbridge.records.fields import FieldFault, FieldRule, SelfChecking, is_address
 from radishbridge.records.jsonc import Document, check_document, load_document, parse_document
@@ -107,6 +108,7 @@
     "find_faults",
     "form_of",
     "is_address",
+    "key_digest",
     "load_document",
     "load_settings",
     "merge_spec",
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -75,7 +75,8 @@
         self.caller = await self.stack.enter_async_context(aiohttp.ClientSession())
         self.write("workspace", "school-17", Workspace())
         self.write("key", "school-17-a", Key(workspace="school-17", digest=key_digest(SECRET)))
-        self.replica.mark_fresh(1, self.replica.clock())
+        self.replica.advance(1)
+        self.replica.note_read(1, self.replica.clock(), 0)
         self.replica.complete = True
         return self
 
