--- a/packages/store/src/radishbridge/store/__init__.py
+++ b/packages/store/src/radishbridge/store/__init__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from radishbridge.store.backoff import Backoff
+from radishbridge.store.clock import steady_clock
 from radishbridge.store.exchange import DigestExchange
 from radishbridge.store.feed import ReplicaFeed, StoreContact
 from radishbridge.store.freshness import Evidence, Freshness, Proof, Witness
 from radishbridge.store.http import HttpStore
+from radishbridge.store.leases import Lease, LeaseSettings, LeaseValue
 from radishbridge.store.protocol import (
     HostEntry,
     HostList,
@@ -28,6 +30,9 @@
     "HostEntry",
     "HostList",
     "HttpStore",
+    "Lease",
+    "LeaseSettings",
+    "LeaseValue",
     "Listing",
     "ObjectStore",
     "Proof",
@@ -41,5 +46,6 @@
     "StoredObject",
     "WatchEvent",
     "Witness",
+    "steady_clock",
     "write_resolved",
 ]
--- a/standin/src/radishbridge_standin/fake.py
+++ b/standin/src/radishbridge_standin/fake.py
@@ -79,7 +79,7 @@
             return
         generation = self.table.generation
         wakeup = asyncio.Event()
-        self.table.wakeups.add(wakeup)
+        self.table.wakeups[wakeup] = None
         self.table.open_watches += 1
         try:
             while not (self.cut or self.table.faults.down or generation != self.table.generation):
@@ -94,7 +94,7 @@
                 await wakeup.wait()
                 wakeup.clear()
         finally:
-            self.table.wakeups.discard(wakeup)
+            self.table.wakeups.pop(wakeup, None)
             self.table.open_watches -= 1
         yield Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended")
 
--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -156,7 +156,7 @@
     ) -> None:
         generation = self.table.generation
         wakeup = asyncio.Event()
-        self.table.wakeups.add(wakeup)
+        self.table.wakeups[wakeup] = None
         try:
             while batch is not None:
                 sign = WatchEvent(revision=batch.revision)
@@ -167,7 +167,7 @@
                     return
                 batch = self.table.read_events(batch.revision, kinds)
         finally:
-            self.table.wakeups.discard(wakeup)
+            self.table.wakeups.pop(wakeup, None)
 
     def _json(self, value: t.Any) -> web.Response:
         body = msgspec.json.encode(value)
--- a/standin/src/radishbridge_standin/table.py
+++ b/standin/src/radishbridge_standin/table.py
@@ -115,7 +115,7 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.calls_by_second: collections.Counter[int] = collections.Counter()
         self.late: list[Write] = []
-        self.wakeups: set[asyncio.Event] = set()
+        self.wakeups: dict[asyncio.Event, None] = {}
 
     def count(self, call: str) -> None:
         """Count a call."""
@@ -188,7 +188,7 @@
 
     def notify(self) -> None:
         """Wake the open watches, each of which delivers at least a sign of life."""
-        for wakeup in self.wakeups:
+        for wakeup in list(self.wakeups):
             wakeup.set()
 
     def set_hosts(self, hosts: list[HostEntry]) -> None:
