--- a/packages/store/src/radishbridge/store/feed.py
+++ b/packages/store/src/radishbridge/store/feed.py
@@ -92,11 +92,15 @@
                 await self.sleep(REGRESSION_PAUSE_S)
             attempt = 0 if self.replica.revision > revision else attempt + 1
             await self.sleep(self.backoff.pause_s(attempt, self.randomness))
+            # The regular proofs find out when the store answers again.
+            while self.contact.answers is False:
+                await self.sleep(self.backoff.first_s)
 
     async def _prove_forever(self) -> None:
+        # The first listing is a proof by itself.
         while True:
-            await self.prove()
             await self.sleep(PROOF_INTERVAL_S * self.randomness.uniform(0.9, 1.1))
+            await self.prove()
 
     async def follow(self) -> Failure:
         """Load the copy if need be, then apply the watch until it fails."""
@@ -128,8 +132,13 @@
         self._note_contact(listing)
         if isinstance(listing, Failure):
             return listing
+        # A first copy is not passed on: the others have theirs, or digests show what they miss.
+        changes = replica.complete
         for number, stored in enumerate(listing.objects):
-            self._apply(stored)
+            if changes:
+                self._apply(stored)
+            else:
+                replica.apply(stored)
             if number % APPLIED_AT_ONCE == 0:
                 await asyncio.sleep(0)
         replica.compare(listing, known)
--- a/standin/src/radishbridge_standin/mesh.py
+++ b/standin/src/radishbridge_standin/mesh.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from radishbridge.peers import Handler, Peer, PeerMessage
+from radishbridge.peers import RELAYS_PER_DATA_CENTER, Handler, Peer, PeerMessage, rank
 
 
 class Delivery(msgspec.Struct, kw_only=True):
@@ -34,20 +34,24 @@
 class FakeNetwork:
     """Connects the meshes of several hosts; messages wait until they are delivered.
 
-    Hosts in ``hung`` count as alive but neither send nor receive.
+    Hosts in ``hung`` count as alive but neither send nor receive. With ``sparse``, hosts see those
+    of their own data centre, and the two relays of each data centre those of the others.
 
     :param encode: each message goes through its wire form, which counts its bytes.
     """
 
     __slots__ = (
         "bytes_sent",
+        "centers",
         "cuts",
         "encode",
         "faults",
         "hung",
         "meshes",
         "randomness",
+        "relays",
         "sent",
+        "sparse",
         "waiting",
     )
 
@@ -56,8 +60,11 @@
         self.encode = encode
         self.faults = MeshFaults()
         self.meshes: dict[str, FakeMesh] = {}
+        self.centers: dict[str, dict[str, Peer]] = {}
+        self.relays: dict[str, list[str]] = {}
         self.cuts: set[frozenset[str]] = set()
         self.hung: set[str] = set()
+        self.sparse = False
         self.waiting: list[Delivery] = []
         self.sent: dict[str, int] = {}
         self.bytes_sent: dict[str, int] = {}
@@ -66,12 +73,16 @@
         """Add a host, or replace the one of that name by a newly started one."""
         mesh = FakeMesh(self, Peer(host, region, data_center))
         self.meshes[host] = mesh
+        self.centers.setdefault(data_center, {})[host] = mesh.peer
+        self.relays.clear()
         self.waiting = [one for one in self.waiting if host not in (one.sender, one.receiver)]
         return mesh
 
     def leave(self, host: str) -> None:
         """Remove a host at once, as a crash does."""
-        del self.meshes[host]
+        peer = self.meshes.pop(host).peer
+        del self.centers[peer.data_center][host]
+        self.relays.clear()
 
     def cut(self, side: t.Collection[str]) -> None:
         """Cut the hosts of one side off from all others."""
@@ -86,6 +97,26 @@
         """Return whether messages pass between two hosts."""
         return other in self.meshes and frozenset((one, other)) not in self.cuts
 
+    def visible_to(self, peer: Peer) -> list[Peer]:
+        """Return the peers that a host keeps connections with."""
+        if not self.sparse:
+            return [mesh.peer for mesh in self.meshes.values()]
+        near = self.centers[peer.data_center]
+        if peer.name not in self._relays(peer.data_center):
+            return list(near.values())
+        far = (
+            peers[name]
+            for center, peers in self.centers.items()
+            if center != peer.data_center
+            for name in self._relays(center)
+        )
+        return [*near.values(), *far]
+
+    def _relays(self, center: str) -> list[str]:
+        if center not in self.relays:
+            self.relays[center] = rank(center, self.centers[center])[:RELAYS_PER_DATA_CENTER]
+        return self.relays[center]
+
     def send(self, delivery: Delivery) -> None:
         """Take a message on its way."""
         size = len(msgspec.msgpack.encode(delivery.message)) if self.encode else 0
@@ -145,7 +176,7 @@
     def live(self) -> list[Peer]:
         """Return the other hosts that messages pass to."""
         return [
-            mesh.peer
-            for name, mesh in self.network.meshes.items()
-            if name != self.peer.name and self.network.connected(self.peer.name, name)
+            peer
+            for peer in self.network.visible_to(self.peer)
+            if peer.name != self.peer.name and self.network.connected(self.peer.name, peer.name)
         ]
--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -99,10 +99,13 @@
         self.table.open_watches += 1
         try:
             await self._stream(response, batch, kinds)
+        except ConnectionResetError:
+            # The client has left.
+            return response
         finally:
             self.table.open_watches -= 1
         if self.table.faults.down:
-            return _abort(request)
+            _abort(request)
         return response
 
     async def get_hosts(self, request: web.Request) -> web.StreamResponse:
--- a/tests/test_replica_relay.py
+++ b/tests/test_replica_relay.py
@@ -69,6 +69,15 @@
                 2
             }
 
+    async def test_first_copy_is_not_passed_on(self) -> None:
+        one = ReplicaFleet(locations(2)[:2], "ob")
+        for number in range(500):
+            one.write("key", f"k{number}", key())
+        await one.run(5)
+        assert len(roots(one)) == 1
+        assert sum(one.network.sent.values()) < 100
+        await one.close()
+
     async def test_change_reaches_every_host_fresh(self) -> None:
         async with fleet(5) as one:
             one.write("key", "a", key(withdrawn=True))
