--- a/tests/test_replica_relay.py
+++ b/tests/test_replica_relay.py
@@ -1,15 +1,19 @@
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 import typing as t
 
 import pytest
 
-from radishbridge.peers import ReplicaDigest
-from radishbridge.records import Failure, Key, ResultCode
-from radishbridge.store import Evidence, Proof
+from radishbridge.peers import Heartbeat, HostAddress, ReplicaDigest, ZmqMesh, rank
+from radishbridge.records import Failure, Key, PeerSettings, ResultCode, encode_record
+from radishbridge.store import Evidence, Proof, Relay, RelaySettings, Replica
+from radishbridge_standin.fake import FakeStore
+from radishbridge_standin.processes import free_port
 from radishbridge_standin.replicas import Location, ReplicaFleet, ReplicaHost
+from radishbridge_standin.table import ObjectTable, Write
 
 REGIONS = {"ob": ["ob-a", "ob-b"], "sw": ["sw-a", "sw-b"]}
 
@@ -267,3 +271,48 @@
             one.network.deliver()
         assert first.replica.digest.buckets == second.replica.digest.buckets
         assert len(first.replica.objects) == len(second.replica.objects) >= 600
+
+
+class TestRelayOverSockets:
+    async def test_host_that_does_not_watch_is_kept_fresh(self) -> None:
+        table = ObjectTable()
+        for number in range(300):
+            value = encode_record("key", key())
+            table.write(Write(kind="key", name=f"k{number}", value=value, expected_version=0))
+        addresses = [
+            HostAddress(
+                name=f"host-{number}",
+                region="ob",
+                data_center="ob-a",
+                address=f"127.0.0.1:{free_port()}",
+            )
+            for number in range(3)
+        ]
+        relays = []
+        tasks = []
+        for entry in addresses:
+            mesh = ZmqMesh(entry.name, entry.address, PeerSettings(), lambda: Heartbeat(revision=0))
+            settings = RelaySettings(host=entry.name, data_center="ob-a", store_region="ob")
+            store = FakeStore(table)
+            relay = Relay(settings, "ob", store, Replica(), mesh, random.Random(entry.name))
+            relays.append(relay)
+            tasks += [asyncio.create_task(mesh.run()), asyncio.create_task(relay.run())]
+            mesh.update_directory(addresses)
+        last = rank("ob-a", [entry.name for entry in addresses])[-1]
+        listener = next(one for one in relays if one.settings.host == last)
+        try:
+            async with asyncio.timeout(30):
+                while sum(one.is_watching() for one in relays) != 2:
+                    await asyncio.sleep(0.05)
+                while not listener.freshness.is_fresh(listener.clock()):
+                    await asyncio.sleep(0.05)
+                table.write(Write(kind="key", name="last", value=value, expected_version=0))
+                while listener.replica.version("key", "last") == 0:
+                    await asyncio.sleep(0.05)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        assert not listener.is_watching()
+        assert len(listener.replica.records) == 301
+        assert listener.replica.digest.root() == relays[0].replica.digest.root()
