--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -20,6 +20,7 @@
     rank_hosts,
 )
 from radishbridge.routing.protocol import AttemptOutcome, Permit, Router, ServiceRoute
+from radishbridge.routing.retry import FailedAttempt, Retries, RetryBudget
 from radishbridge.routing.router import LocalRouter
 
 __all__ = [
@@ -30,11 +31,14 @@
     "BlockPart",
     "BlockTable",
     "EntryHost",
+    "FailedAttempt",
     "HostIndex",
     "LocalRouter",
     "LookupAnswer",
     "Permit",
     "RankedHost",
+    "Retries",
+    "RetryBudget",
     "Router",
     "ServiceRoute",
     "pack_part",
