Count requests without locks, read whole answers at once

Cause: the forwarding's processor time was 1.2 to 1.3 times that of the pass-through. Change: own collector in place of the library's locked counters; an answer that has arrived whole is taken without waiting; headers are filtered by one pass over those present.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -48,6 +48,9 @@
 DECISIONS = 50_000
 MIB = 1_048_576
 SAMPLE_S = 0.02
+SLOW_PART_S = 0.005
+# Direction, transfers at once, and the part of the size that each of them moves.
+IMAGE_CASES = (("answer", 1, 1), ("body", 1, 1), ("answer", 4, 4), ("slow answer", 4, 32))
 
 
 class Side(msgspec.Struct, kw_only=True):
@@ -63,8 +66,15 @@
     failed: int
 
 
+class Round(t.NamedTuple):
+    """One round of one side; ``cpu_us`` is the processor time for each request."""
+
+    figures: LoadFigures
+    cpu_us: float
+
+
 class Comparison(msgspec.Struct, kw_only=True):
-    """The result of the bench."""
+    """The result of the bench; the ratios are medians over pairs of rounds, host over bare."""
 
     connections: int
     rounds: int
@@ -154,29 +164,33 @@
 
 
 async def compare(setup: Setup, rounds: int, round_s: float, connections: int) -> Comparison:
-    """Load both sides in alternating rounds."""
+    """Load both sides in alternating rounds, each pair in the opposite order of the last."""
     sides = {"passthrough": setup.passthrough, "host-1": setup.host.address}
-    seen: dict[str, list[tuple[LoadFigures, float]]] = {name: [] for name in sides}
+    seen: dict[str, list[Round]] = {name: [] for name in sides}
     for number in range(rounds + 1):
-        for name, address in sides.items():
+        for name in sorted(sides, reverse=bool(number % 2)):
             before = cpu_seconds(setup.pid(name))
-            figures = await _load(address, round_s, connections)
+            figures = await _load(sides[name], round_s, connections)
             used_s = cpu_seconds(setup.pid(name)) - before
             # The first round warms up connections and caches and is left out.
             if number:
-                seen[name].append((figures, used_s))
-    passthrough, host = (_median(seen[name]) for name in sides)
+                seen[name].append(Round(figures, used_s / figures.requests * 1e6))
+    pairs = list(zip(seen["host-1"], seen["passthrough"], strict=True))
     return Comparison(
         connections=connections,
         rounds=rounds,
-        passthrough=passthrough,
-        host=host,
-        throughput_ratio=round(host.requests_per_s / passthrough.requests_per_s, 3),
-        p50_ratio=round(host.p50_ms / passthrough.p50_ms, 3),
-        cpu_ratio=round(host.cpu_us / passthrough.cpu_us, 3),
+        passthrough=_side(seen["passthrough"]),
+        host=_side(seen["host-1"]),
+        throughput_ratio=_ratio(pairs, lambda one: one.figures.requests_per_s),
+        p50_ratio=_ratio(pairs, lambda one: one.figures.p50_ms),
+        cpu_ratio=_ratio(pairs, lambda one: one.cpu_us),
     )
 
 
+def _ratio(pairs: list[tuple[Round, Round]], value: t.Callable[[Round], float]) -> float:
+    return round(statistics.median(value(host) / value(bare) for host, bare in pairs), 3)
+
+
 async def _load(address: str, round_s: float, connections: int) -> LoadFigures:
     arguments = [f"http://{address}/s/devices/1", SECRET, str(connections), str(round_s)]
     process = await asyncio.create_subprocess_exec(
@@ -186,16 +200,16 @@
     return msgspec.json.decode(output, type=LoadFigures)
 
 
-def _median(rounds: list[tuple[LoadFigures, float]]) -> Side:
-    def middle(value: t.Callable[[LoadFigures, float], float]) -> float:
-        return round(statistics.median(value(*one) for one in rounds), 3)
+def _side(rounds: list[Round]) -> Side:
+    def middle(value: t.Callable[[Round], float]) -> float:
+        return round(statistics.median(map(value, rounds)), 3)
 
     return Side(
-        requests_per_s=middle(lambda figures, _: figures.requests_per_s),
-        p50_ms=middle(lambda figures, _: figures.p50_ms),
-        p99_ms=middle(lambda figures, _: figures.p99_ms),
-        cpu_us=middle(lambda figures, used_s: used_s / figures.requests * 1e6),
-        failed=sum(figures.failed for figures, _ in rounds),
+        requests_per_s=middle(lambda one: one.figures.requests_per_s),
+        p50_ms=middle(lambda one: one.figures.p50_ms),
+        p99_ms=middle(lambda one: one.figures.p99_ms),
+        cpu_us=middle(lambda one: one.cpu_us),
+        failed=sum(one.figures.failed for one in rounds),
     )
 
 
@@ -254,9 +268,12 @@
     headers = {"Authorization": f"Bearer {SECRET}"}
     timeout = aiohttp.ClientTimeout(total=600)
     async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
-        if direction == "answer":
+        if direction.endswith("answer"):
+            received = 0
             async with session.get(f"{base}/image/{size}") as answer:
-                received = sum([len(part) async for part in answer.content.iter_any()])
+                async for part in answer.content.iter_any():
+                    received += len(part)
+                    await asyncio.sleep(SLOW_PART_S if direction == "slow answer" else 0)
             if received != size:
                 raise RuntimeError(f"{received} bytes of {size}")
         else:
@@ -275,8 +292,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--image", action="store_true")
     parser.add_argument("--size-mib", type=int, default=1024)
-    parser.add_argument("--rounds", type=int, default=5)
-    parser.add_argument("--round-s", type=float, default=4.0)
+    parser.add_argument("--rounds", type=int, default=12)
+    parser.add_argument("--round-s", type=float, default=1.5)
     parser.add_argument("--connections", type=int, default=16)
     parser.add_argument("--decision", action="store_true")
     options = parser.parse_args()
@@ -292,8 +309,8 @@
             await setup.start(session)
         if options.image:
             size = options.size_mib * MIB
-            for direction, at_once in (("answer", 1), ("body", 1), ("answer", 4)):
-                memory = await measure_image(setup, direction, size // at_once, at_once)
+            for direction, at_once, part_of in IMAGE_CASES:
+                memory = await measure_image(setup, direction, size // part_of, at_once)
                 print(msgspec.json.encode(memory).decode())
             return
         comparison = await compare(setup, options.rounds, options.round_s, options.connections)
--- a/packages/host/src/radishbridge/host/burn.py
+++ b/packages/host/src/radishbridge/host/burn.py
@@ -70,7 +70,7 @@
         code = exchange.code
         if code in _BY_CALLER:
             return
-        count = self._interval(now_s).count(exchange.workspace, exchange.service)
+        count = self._interval(now_s).count(exchange.workspace, exchange.target.name)
         if code is ResultCode.RATE_EXCEEDED:
             count.over_rate += 1
         elif code is ResultCode.OK and exchange.status < SERVER_ERROR_STATUS:
--- a/packages/host/src/radishbridge/host/exchange.py
+++ b/packages/host/src/radishbridge/host/exchange.py
@@ -49,11 +49,6 @@
         self.may_have_run = False
         self.cut_off = False
 
-    @property
-    def service(self) -> str:
-        """Name of the service, empty before it is known."""
-        return self.target.name
-
     @property
     def status(self) -> int:
         """Status of the answer, 0 where there is none."""
--- a/packages/host/src/radishbridge/host/gate.py
+++ b/packages/host/src/radishbridge/host/gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing as t
 
 from aiohttp import web
@@ -125,6 +126,5 @@
 
 def _head_bytes(request: web.BaseRequest) -> int:
     headers = request.raw_headers
-    return len(request.raw_path) + sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in headers
-    )
+    text_bytes = sum(map(len, itertools.chain.from_iterable(headers)))
+    return len(request.raw_path) + text_bytes + len(headers) * HEADER_OVERHEAD_BYTES
--- a/packages/host/src/radishbridge/host/headers.py
+++ b/packages/host/src/radishbridge/host/headers.py
@@ -11,23 +11,26 @@
 from radishbridge.host.deadline import DEADLINE_HEADER, Deadline
 
 # Proxy-Connection is no standard header, but old clients send it.
-HOP_BY_HOP = (
-    "Connection",
-    "Keep-Alive",
-    "Proxy-Authenticate",
-    "Proxy-Authorization",
-    "Proxy-Connection",
-    "TE",
-    "Trailer",
-    "Transfer-Encoding",
-    "Upgrade",
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
 )
-KEY_HEADERS = ("Authorization", "X-Api-Key")
+KEY_HEADERS = frozenset({"authorization", "x-api-key"})
 FORWARDED_FOR = "X-Forwarded-For"
 FORWARDED_HOST = "X-Forwarded-Host"
 FORWARDED_PROTO = "X-Forwarded-Proto"
 NOT_RUN_HEADER = "X-Not-Run"
-_REQUEST_DROPPED = (*HOP_BY_HOP, *KEY_HEADERS, "Host", "Expect", FORWARDED_HOST, FORWARDED_PROTO)
+_REPLACED = frozenset({"expect", "host", "x-forwarded-host", "x-forwarded-proto"})
+_REQUEST_DROPPED = HOP_BY_HOP | KEY_HEADERS | _REPLACED
 # Headers that give the message its length and target stay, even if Connection names them.
 _NEVER_NAMED = frozenset({"content-length", "host", "close", "keep-alive", ""})
 
@@ -57,13 +60,12 @@
     return _end_to_end(headers, HOP_BY_HOP)
 
 
-def _end_to_end(headers: t.Mapping[str, str], dropped: t.Sequence[str]) -> CIMultiDict[str]:
+def _end_to_end(headers: t.Mapping[str, str], dropped: frozenset[str]) -> CIMultiDict[str]:
     passed = CIMultiDict(headers)
     if "Connection" in passed:
         lists = (value.lower().split(",") for value in passed.getall("Connection"))
         named = {name.strip() for name in itertools.chain.from_iterable(lists)}
-        for name in named - _NEVER_NAMED:
-            passed.popall(name, None)
-    for name in dropped:
+        dropped = dropped | (named - _NEVER_NAMED)
+    for name in [name for name in headers if name.lower() in dropped]:
         passed.popall(name, None)
     return passed
--- a/packages/host/src/radishbridge/host/metrics.py
+++ b/packages/host/src/radishbridge/host/metrics.py
@@ -2,69 +2,102 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
 import time
 import typing as t
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from radishbridge.host.burn import BurnLog
 from radishbridge.host.exchange import Exchange
+from radishbridge.records import ResultCode
 
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+_BOUNDS = (*map(str, map(float, LATENCY_BUCKETS_S)), "+Inf")
 
 
-class Metrics:
-    """The metrics of one host, in a registry of their own.
+class _Latencies:
+    """Counts of one service's requests by time."""
 
-    :param burn: counts for the report on service-level burn.
+    __slots__ = ("buckets", "sum_s")
+
+    def __init__(self) -> None:
+        self.buckets = [0] * len(_BOUNDS)
+        self.sum_s = 0.0
+
+
+class RequestCounts(Collector):
+    """Counts requests in plain dictionaries, and builds the metrics when they are collected.
+
+    The library's own counters take a lock for each change. All changes here come from the one
+    event loop, so that no lock is needed.
     """
 
-    __slots__ = ("_counters", "_histograms", "burn", "latency", "registry", "requests")
+    __slots__ = ("latencies", "requests")
 
     def __init__(self) -> None:
-        self.burn = BurnLog()
-        self.registry = CollectorRegistry()
-        self.requests = Counter(
+        self.requests: dict[tuple[str, str, ResultCode], int] = {}
+        self.latencies: dict[str, _Latencies] = {}
+
+    def note(self, service: str, workspace: str, code: ResultCode, time_s: float) -> None:
+        """Count a finished request."""
+        at = (service, workspace, code)
+        self.requests[at] = self.requests.get(at, 0) + 1
+        latencies = self.latencies.get(service)
+        if latencies is None:
+            latencies = self.latencies[service] = _Latencies()
+        latencies.buckets[bisect.bisect_left(LATENCY_BUCKETS_S, time_s)] += 1
+        latencies.sum_s += time_s
+
+    def collect(self) -> t.Iterator[Metric]:
+        """Yield the metrics."""
+        requests = CounterMetricFamily(
             "radishbridge_requests",
             "Requests by service, workspace and result code.",
-            ("service", "workspace", "code"),
-            registry=self.registry,
+            labels=("service", "workspace", "code"),
         )
-        self.latency = Histogram(
+        for (service, workspace, code), count in self.requests.items():
+            requests.add_metric((service, workspace, code.name), count)
+        yield requests
+        times = HistogramMetricFamily(
             "radishbridge_request_seconds",
             "Time from a request's arrival to the end of its answer, by service.",
-            ("service",),
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
+            labels=("service",),
         )
-        self._counters: dict[tuple[str, str, str], Counter] = {}
-        self._histograms: dict[str, Histogram] = {}
+        for service, latencies in self.latencies.items():
+            totals = itertools.accumulate(latencies.buckets)
+            buckets = list(zip(_BOUNDS, map(float, totals), strict=True))
+            times.add_metric((service,), buckets, latencies.sum_s)
+        yield times
+
+
+class Metrics:
+    """The metrics of one host, in a registry of their own.
+
+    :param burn: counts for the report on service-level burn.
+    """
+
+    __slots__ = ("burn", "counts", "registry")
+
+    def __init__(self) -> None:
+        self.burn = BurnLog()
+        self.registry = CollectorRegistry()
+        self.counts = RequestCounts()
+        self.registry.register(self.counts)
 
     def note(self, exchange: Exchange, now: float) -> None:
         """Count a finished request.
 
         :param now: monotonic time in seconds.
         """
-        service = exchange.service
-        self._counter(service, exchange.workspace, exchange.code.name).inc()
-        self._histogram(service).observe(now - exchange.arrived_at)
+        time_s = now - exchange.arrived_at
+        self.counts.note(exchange.target.name, exchange.workspace, exchange.code, time_s)
         self.burn.note(exchange, time.time())
 
     def watch(self, name: str, text: str, value: t.Callable[[], float]) -> None:
         """Publish a value that is read at each collection."""
         gauge = Gauge(f"radishbridge_{name}", text, registry=self.registry)
         gauge.set_function(value)
-
-    # The library finds a labelled child under a lock; keeping the children saves that time.
-    def _counter(self, *labels: str) -> Counter:
-        at = t.cast(tuple[str, str, str], labels)
-        counter = self._counters.get(at)
-        if counter is None:
-            counter = self._counters[at] = self.requests.labels(*labels)
-        return counter
-
-    def _histogram(self, service: str) -> Histogram:
-        histogram = self._histograms.get(service)
-        if histogram is None:
-            histogram = self._histograms[service] = self.latency.labels(service)
-        return histogram
--- a/packages/host/src/radishbridge/host/relay.py
+++ b/packages/host/src/radishbridge/host/relay.py
@@ -26,8 +26,13 @@
         raise aiohttp.ClientPayloadError("the backend server changed the protocol unasked")
     headers = answer_headers(answer.headers)
     length = answer.content_length
-    if answer.content.is_eof() or (length is not None and length <= SMALL_ANSWER_BYTES):
+    if answer.content.is_eof():
+        body = answer.content.read_nowait()
+    elif length is not None and length <= SMALL_ANSWER_BYTES:
         body = await answer.read()
+    else:
+        body = None
+    if body is not None:
         return web.Response(
             status=answer.status, reason=answer.reason, headers=headers, body=body or None
         )
