Add claims on idempotency keys and a list of poison requests

Cause: a request that may not be repeated has to run at most once, also when its caller sends it again through another host after the first one died; a request that crashes backend servers has to stop after the second. Change: packages/claims claims the key's digest in the store before the request runs; routing has the list of fingerprints that were in flight at crashes. Result: 300 generated races of 12 sends over 4 hosts with lost, late and refused writes: no second run; a registry that trusts unclear writes runs twice within 100 seeds. Conclusion: the decisions stand; the daemon does not use them yet.

--- /dev/null
+++ b/packages/claims/src/radishbridge/claims/__init__.py
@@ -0,0 +1,23 @@
+"""At most one run for requests that may not be repeated."""
+
+from __future__ import annotations
+
+from radishbridge.claims.registry import (
+    CLAIM_KIND,
+    Claim,
+    ClaimRegistry,
+    ClaimState,
+    ClaimValue,
+    claim_name,
+    decode_claim,
+)
+
+__all__ = [
+    "CLAIM_KIND",
+    "Claim",
+    "ClaimRegistry",
+    "ClaimState",
+    "ClaimValue",
+    "claim_name",
+    "decode_claim",
+]
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -45,6 +45,8 @@
     REQUEST_INCOMPLETE = 121
     INTERNAL_ERROR = 122
     CALLER_GONE = 123
+    ALREADY_RUN = 124
+    IDEMPOTENCY_KEY_MISSING = 125
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -126,6 +128,12 @@
     ),
     ResultCode.INTERNAL_ERROR: CodeInfo("The host failed on the request.", _MAY, 500),
     ResultCode.CALLER_GONE: CodeInfo("The caller went away before its answer.", _MAY, 499),
+    ResultCode.ALREADY_RUN: CodeInfo(
+        "A request with this idempotency key has run before.", Execution.RUN, 409
+    ),
+    ResultCode.IDEMPOTENCY_KEY_MISSING: CodeInfo(
+        "The route's requests may not be repeated and need an Idempotency-Key.", _NOT_RUN, 400
+    ),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NONE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo("A record's schema version is newer than known.", _NONE),
     ResultCode.SETTINGS_INVALID: CodeInfo("A settings file has an invalid field.", _NONE),
--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -19,6 +19,7 @@
     RankedHost,
     rank_hosts,
 )
+from radishbridge.routing.poison import Crash, PoisonList, request_fingerprint
 from radishbridge.routing.protocol import AttemptOutcome, Permit, Router, ServiceRoute
 from radishbridge.routing.retry import FailedAttempt, Retries, RetryBudget
 from radishbridge.routing.router import LocalRouter
@@ -30,12 +31,14 @@
     "Block",
     "BlockPart",
     "BlockTable",
+    "Crash",
     "EntryHost",
     "FailedAttempt",
     "HostIndex",
     "LocalRouter",
     "LookupAnswer",
     "Permit",
+    "PoisonList",
     "RankedHost",
     "Retries",
     "RetryBudget",
@@ -44,5 +47,6 @@
     "pack_part",
     "parse_address",
     "rank_hosts",
+    "request_fingerprint",
     "unpack_part",
 ]
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,201 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import typing as t
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishbridge.claims import CLAIM_KIND, Claim, ClaimRegistry, claim_name
+from radishbridge.records import Execution, Failure, ResultCode
+from radishbridge.store import ResolvedWriter
+from radishbridge_standin.fake import FakeStore
+from radishbridge_standin.table import Faults, ObjectTable, Write
+
+
+async def no_sleep(seconds: float) -> None:
+    await asyncio.sleep(0)
+
+
+def registry(table: ObjectTable, host: str = "host-1", pause: t.Any = None) -> ClaimRegistry:
+    store = FakeStore(table) if pause is None else FakeStore(table, pause)
+    writer = ResolvedWriter(store, random.Random(1), attempts=3, sleep=no_sleep)
+    return ClaimRegistry(store, writer, host, incarnation=1)
+
+
+async def claim(registry: ClaimRegistry, key: str = "k") -> Claim | Failure:
+    return await registry.claim("school-17", key)
+
+
+def code(result: object) -> ResultCode:
+    assert isinstance(result, Failure), result
+    return result.code
+
+
+class TestClaim:
+    async def test_the_first_host_gets_it_and_the_second_does_not(self) -> None:
+        table = ObjectTable()
+        assert isinstance(await claim(registry(table)), Claim)
+        assert code(await claim(registry(table, "host-2"))) is ResultCode.DUPLICATE_REQUEST
+
+    async def test_keys_of_different_workspaces_do_not_meet(self) -> None:
+        hosts = registry(ObjectTable())
+        assert isinstance(await hosts.claim("a", "k"), Claim)
+        assert isinstance(await hosts.claim("b", "k"), Claim)
+
+    async def test_a_repeat_after_the_answer_is_told_that_it_ran(self) -> None:
+        table = ObjectTable()
+        held = await claim(registry(table))
+        assert isinstance(held, Claim)
+        await registry(table).finish(held, 201)
+        repeated = await claim(registry(table, "host-2"))
+        assert code(repeated) is ResultCode.ALREADY_RUN
+        assert isinstance(repeated, Failure)
+        assert "201" in repeated.reason
+
+    async def test_a_repeat_after_the_host_died_is_told_that_it_may_have_run(self) -> None:
+        table = ObjectTable()
+        await claim(registry(table, "host-1"))
+        repeated = await claim(registry(table, "host-2"))
+        assert isinstance(repeated, Failure)
+        assert repeated.info.execution is Execution.MAY_HAVE_RUN
+
+    async def test_a_released_key_can_be_claimed_by_one_other(self) -> None:
+        table = ObjectTable()
+        held = await claim(registry(table))
+        assert isinstance(held, Claim)
+        assert await registry(table).release(held) is None
+        assert isinstance(await claim(registry(table, "host-2")), Claim)
+        assert code(await claim(registry(table, "host-3"))) is ResultCode.DUPLICATE_REQUEST
+
+    async def test_a_late_release_does_not_free_another_hosts_claim(self) -> None:
+        table = ObjectTable()
+        first = await claim(registry(table))
+        assert isinstance(first, Claim)
+        await registry(table).release(first)
+        assert isinstance(await claim(registry(table, "host-2")), Claim)
+        assert code(await registry(table).release(first)) is ResultCode.VERSION_CONFLICT
+        assert code(await claim(registry(table, "host-3"))) is ResultCode.DUPLICATE_REQUEST
+
+    @pytest.mark.parametrize("faults", [Faults(down=True), Faults(refuse=True)])
+    async def test_without_the_store_nothing_is_claimed(self, faults: Faults) -> None:
+        table = ObjectTable()
+        table.faults = faults
+        refused = await claim(registry(table))
+        assert code(refused) is ResultCode.CLAIM_UNAVAILABLE
+        assert isinstance(refused, Failure)
+        assert refused.info.execution is Execution.NOT_RUN
+
+    @pytest.mark.parametrize("faults", [Faults(lost_answers=1), Faults(lost_requests=1)])
+    async def test_an_unclear_write_is_read_back(self, faults: Faults) -> None:
+        table = ObjectTable()
+        table.faults = faults
+        assert isinstance(await claim(registry(table)), Claim)
+        assert code(await claim(registry(table, "host-2"))) is ResultCode.DUPLICATE_REQUEST
+
+    async def test_a_damaged_claim_counts_as_taken(self) -> None:
+        table = ObjectTable()
+        name = claim_name("school-17", "k")
+        table.write(Write(kind=CLAIM_KIND, name=name, value=b'{"host":1}', expected_version=0))
+        assert code(await claim(registry(table))) is ResultCode.DUPLICATE_REQUEST
+
+    async def test_the_store_never_sees_the_key(self) -> None:
+        table = ObjectTable()
+        await claim(registry(table), "secret-order-number")
+        assert not any(
+            "secret" in name or b"secret" in bytes(stored.value)
+            for (_, name), stored in table.objects.items()
+        )
+
+
+class TrustingRegistry(ClaimRegistry):
+    """A wrong registry: takes a refused or unclear write for a claim."""
+
+    async def claim(self, workspace: str, idempotency_key: str) -> Claim | Failure:
+        held = await super().claim(workspace, idempotency_key)
+        if isinstance(held, Failure) and held.code is ResultCode.CLAIM_UNAVAILABLE:
+            return Claim(claim_name(workspace, idempotency_key), 0, self._next_value())
+        return held
+
+
+class _Host:
+    """Runs requests with one key as the daemon does: claim, run, then finish or release."""
+
+    def __init__(
+        self, name: str, table: ObjectTable, runs: list[str], steps: random.Random
+    ) -> None:
+        self.name = name
+        self.runs = runs
+        self.steps = steps
+        self.registry = registry(table, name, self.pause)
+
+    async def pause(self) -> None:
+        for _ in range(self.steps.randrange(4)):
+            await asyncio.sleep(0)
+
+    async def send(self) -> None:
+        held = await claim(self.registry)
+        if isinstance(held, Failure):
+            return
+        await self.pause()
+        fate = self.steps.choice(["dies before", "dies after", "refused", "answered"])
+        if fate in ("dies after", "answered"):
+            self.runs.append(self.name)
+        if fate == "answered":
+            await self.registry.finish(held, 200)
+        if fate == "refused":
+            await self.registry.release(held)
+
+
+class TestAtMostOnce:
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        seed=st.integers(0, 2**32),
+        faults=st.lists(
+            st.sampled_from(["lost_answers", "lost_requests", "late_writes", "down", "up", "late"]),
+            max_size=12,
+        ),
+    )
+    def test_no_request_runs_twice(self, seed: int, faults: list[str]) -> None:
+        runs: list[str] = []
+        asyncio.run(self.race(random.Random(seed), faults, runs))
+        assert len(runs) <= 1
+
+    def test_the_check_catches_a_registry_that_trusts_unclear_writes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setitem(globals(), "ClaimRegistry", TrustingRegistry)
+        most = 0
+        for seed in range(100):
+            runs: list[str] = []
+            faults = ["late_writes", "lost_requests", "down", "up", "late"]
+            asyncio.run(self.race(random.Random(seed), faults, runs))
+            most = max(most, len(runs))
+        assert most > 1
+
+    def test_requests_do_run_in_the_check(self) -> None:
+        runs: list[str] = []
+        for seed in range(20):
+            asyncio.run(self.race(random.Random(seed), [], runs))
+        assert len(runs) > 5
+
+    async def race(self, rng: random.Random, faults: list[str], runs: list[str]) -> None:
+        table = ObjectTable()
+        hosts = [_Host(f"host-{n}", table, runs, random.Random(rng.random())) for n in range(4)]
+        sends = [asyncio.ensure_future(host.send()) for host in hosts for _ in range(3)]
+        for fault in faults:
+            for _ in range(rng.randrange(6)):
+                await asyncio.sleep(0)
+            if fault == "late":
+                table.land_late_writes()
+            elif fault in ("down", "up"):
+                table.faults.down = fault == "down"
+            else:
+                setattr(table.faults, fault, 1)
+        table.faults.down = False
+        table.land_late_writes()
+        await asyncio.gather(*sends)
+        table.land_late_writes()
+        await hosts[0].send()
