Tell a slow store from one that is down, and spread the listings after a long outage

Cause: a read that timed out after 2 s counted as a store that does not answer. A slow store still accepts changes, so hosts could have served withdrawn keys on evidence of an outage that was none. And after an outage longer than the store's history, every relay read a full listing at once. Change: reads of the revision may take 5 s and overlap; a host says that the store does not answer only if nothing came on its watch either. A relay whose watch has expired waits up to 4 s for another host's copy. The stand-in counts reads of the revision apart; RelaySettings holds the region. Conclusion: the evidence of an outage no longer rests on slowness.

--- a/bench/replica.py
+++ b/bench/replica.py
@@ -125,11 +125,14 @@
 
 def _relay(location: Location, store: HttpStore, network: FakeNetwork) -> Relay:
     settings = RelaySettings(
-        host=location.name, data_center=location.data_center, store_region="ob"
+        host=location.name,
+        region=location.region,
+        data_center=location.data_center,
+        store_region="ob",
     )
     mesh = network.join(location.name, location.region, location.data_center)
     randomness = random.Random(location.name)
-    return Relay(settings, location.region, store, Replica(), mesh, randomness)
+    return Relay(settings, store, Replica(), mesh, randomness)
 
 
 async def _deliver(network: FakeNetwork) -> None:
@@ -139,7 +142,10 @@
 
 
 async def measure_fleet(hosts: int) -> dict[str, t.Any]:
-    """Run a fleet through a start, a steady time, ten changes, an outage and its end."""
+    """Run a fleet through a start, a steady time, ten changes, an outage and its end.
+
+    The history of the store is lost in the outage, so that no watch can be resumed.
+    """
     locations = bavaria() if hosts <= len(bavaria()) else planned(hosts)
     one = ReplicaFleet(locations, locations[0].region)
     one.network.sparse = True
@@ -150,6 +156,9 @@
         phase = Phase(name, one.table)
         sent = collections.Counter(one.network.bytes_sent)
         one.table.faults.down = name == "outage"
+        if name == "return":
+            one.write("key", "key-0", _key())
+            one.table.compact()
         in_force_s = await _play(one, name)
         bytes_sent = collections.Counter(one.network.bytes_sent)
         bytes_sent.subtract(sent)
@@ -184,7 +193,13 @@
 
 async def measure_freshness() -> dict[str, t.Any]:
     """Count requests refused, and requests served with a withdrawn key, by fault and policy."""
-    faults = ["outage", "outage and a crash", "region cut off", "region cut off, key withdrawn"]
+    faults = [
+        "outage",
+        "outage and a crash",
+        "store hangs",
+        "region cut off",
+        "region cut off, key withdrawn",
+    ]
     faults += ["store's region lost"]
     results = [await _measure_fault(fault) for fault in faults]
     return {"requests_per_s": REQUESTS_PER_S, "fault_s": CUT_S, "faults": results}
@@ -221,6 +236,9 @@
 def _cause(one: ReplicaFleet, fault: str) -> None:
     if fault.startswith("outage"):
         one.table.faults.down = True
+    if fault == "store hangs":
+        one.table.faults.delay_s = 2.0 * CUT_S
+        one.table.cut_watches()
     if fault.endswith("crash"):
         one.stop("ob-a-0")
     if fault.startswith("region"):
--- a/packages/store/src/radishbridge/store/feed.py
+++ b/packages/store/src/radishbridge/store/feed.py
@@ -16,7 +16,9 @@
 from radishbridge.store.replica import Replica
 
 PROOF_INTERVAL_S = 1.0
+PROOFS_AT_ONCE = 5
 REGRESSION_PAUSE_S = 5.0
+EXPIRED_SPREAD_S = 4.0
 APPLIED_AT_ONCE = 100
 
 logger = logging.getLogger(__name__)
@@ -25,9 +27,10 @@
 
 
 class StoreContact(msgspec.Struct, kw_only=True):
-    """What the last call told about the store.
+    """What this host last heard of the store.
 
-    :param answers: whether the store answered; ``None`` before the first call.
+    :param answers: ``False`` where a read of the revision failed and no watch delivered anything
+        since it was sent; ``None`` before the first call.
     :param at: monotonic time at which that was known, in seconds.
     """
 
@@ -47,6 +50,7 @@
         "contact",
         "failed",
         "must_load",
+        "proving",
         "randomness",
         "replica",
         "sleep",
@@ -73,6 +77,7 @@
         self.sleep = sleep
         self.contact = StoreContact()
         self.must_load = False
+        self.proving = 0
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -86,9 +91,10 @@
             revision = self.replica.revision
             failure = await self.follow()
             logger.info("configuration feed interrupted: %s", failure.reason)
-            if failure.code is ResultCode.WATCH_EXPIRED or self.replica.regression:
-                self.must_load = True
+            if failure.code is ResultCode.WATCH_EXPIRED:
+                await self._wait_for_peers()
             if self.replica.regression:
+                self.must_load = True
                 await self.sleep(REGRESSION_PAUSE_S)
             attempt = 0 if self.replica.revision > revision else attempt + 1
             await self.sleep(self.backoff.pause_s(attempt, self.randomness))
@@ -96,11 +102,21 @@
             while self.contact.answers is False:
                 await self.sleep(self.backoff.first_s)
 
+    async def _wait_for_peers(self) -> None:
+        # After a long outage every relay's watch has expired at once. One that gets its copy from
+        # another host in the meantime needs no listing.
+        revision = self.replica.revision
+        await self.sleep(EXPIRED_SPREAD_S * self.randomness.random())
+        self.must_load = self.replica.revision == revision
+
     async def _prove_forever(self) -> None:
         # The first listing is a proof by itself.
-        while True:
-            await self.sleep(PROOF_INTERVAL_S * self.randomness.uniform(0.9, 1.1))
-            await self.prove()
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await self.sleep(PROOF_INTERVAL_S * self.randomness.uniform(0.9, 1.1))
+                # Reads overlap, so that a slow store still proves the copy fresh.
+                if self.proving < PROOFS_AT_ONCE:
+                    group.create_task(self.prove())
 
     async def follow(self) -> Failure:
         """Load the copy if need be, then apply the watch until it fails."""
@@ -113,6 +129,7 @@
             async for event in watch:
                 if isinstance(event, Failure):
                     return event
+                self._note_contact(True)
                 if event.object is not None:
                     self._apply(event.object)
                 else:
@@ -129,9 +146,9 @@
         known = {at: one.version for at, one in replica.objects.items() if at[0] in KINDS}
         sent_at = replica.clock()
         listing = await self.store.list(list(KINDS))
-        self._note_contact(listing)
         if isinstance(listing, Failure):
             return listing
+        self._note_contact(True)
         # A first copy is not passed on: the others have theirs, or digests show what they miss.
         changes = replica.complete
         for number, stored in enumerate(listing.objects):
@@ -155,17 +172,23 @@
         """Read the store's revision, which proves the copy fresh once it is reached."""
         known_revision = self.replica.revision
         sent_at = self.replica.clock()
-        listing = await self.store.list([])
-        self._note_contact(listing)
+        self.proving += 1
+        try:
+            listing = await self.store.list([])
+        finally:
+            self.proving -= 1
         if not isinstance(listing, Failure):
+            self._note_contact(True)
             self.replica.note_read(listing.revision, sent_at, known_revision)
-        elif self.failed is not None:
-            await self.failed()
+        elif self.contact.answers is not True or self.contact.at <= sent_at:
+            # Nothing came on the watch either: the store is not just slow.
+            self._note_contact(False)
+            if self.failed is not None:
+                await self.failed()
 
     def _apply(self, stored: StoredObject) -> None:
         if self.replica.apply(stored) and self.taken is not None:
             self.taken(stored)
 
-    def _note_contact(self, result: object) -> None:
-        answers = not isinstance(result, Failure)
+    def _note_contact(self, answers: bool) -> None:
         self.contact = StoreContact(answers=answers, at=self.replica.clock())
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -11,6 +11,8 @@
 from radishbridge.store.protocol import HostList, Listing, StoredObject, WatchEvent
 
 WATCH_SILENCE_S = 5.0
+# A proof of freshness may be slow, since its age counts from before it was sent.
+PROOF_TIMEOUT_S = 5.0
 VALUE_LIMIT_BYTES = 1_048_576
 # A line holds one value and its envelope.
 LINE_LIMIT_BYTES = 2 * VALUE_LIMIT_BYTES
@@ -24,29 +26,31 @@
     :param timeout_s: longest wait for one call, in seconds.
     """
 
-    __slots__ = ("_read_timeout", "_watch_timeout", "session", "url")
+    __slots__ = ("_proof_timeout", "_read_timeout", "_watch_timeout", "session", "url")
 
     def __init__(self, session: aiohttp.ClientSession, url: str, timeout_s: float) -> None:
         self.session = session
         self.url = url.rstrip("/")
         self._read_timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._proof_timeout = aiohttp.ClientTimeout(total=PROOF_TIMEOUT_S)
         self._watch_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=timeout_s, sock_read=WATCH_SILENCE_S
         )
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Read one object."""
-        body = await self._read(f"/v1/objects/{kind}/{name}", {})
+        body = await self._read(f"/v1/objects/{kind}/{name}", {}, self._read_timeout)
         return body if isinstance(body, Failure) else _decode(body, StoredObject)
 
     async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
-        """Read all objects of the kinds."""
-        body = await self._read("/v1/objects", {"kinds": ",".join(kinds)})
+        """Read all objects of the kinds; without kinds only the revision."""
+        timeout = self._read_timeout if kinds else self._proof_timeout
+        body = await self._read("/v1/objects", {"kinds": ",".join(kinds)}, timeout)
         return body if isinstance(body, Failure) else _decode(body, Listing)
 
     async def hosts(self) -> HostList | Failure:
         """Read the platform's list of hosts."""
-        body = await self._read("/v1/hosts", {})
+        body = await self._read("/v1/hosts", {}, self._read_timeout)
         return body if isinstance(body, Failure) else _decode(body, HostList)
 
     async def put(
@@ -92,11 +96,11 @@
             return
         yield Failure(ResultCode.STORE_UNAVAILABLE, "the watch ended")
 
-    async def _read(self, path: str, params: dict[str, str]) -> bytes | Failure:
+    async def _read(
+        self, path: str, params: dict[str, str], timeout: aiohttp.ClientTimeout
+    ) -> bytes | Failure:
         try:
-            async with self.session.get(
-                self.url + path, params=params, timeout=self._read_timeout
-            ) as answer:
+            async with self.session.get(self.url + path, params=params, timeout=timeout) as answer:
                 body = await answer.read()
         except (TimeoutError, aiohttp.ClientError) as error:
             return Failure(ResultCode.STORE_UNAVAILABLE, type(error).__name__)
--- a/packages/store/src/radishbridge/store/relay.py
+++ b/packages/store/src/radishbridge/store/relay.py
@@ -34,6 +34,7 @@
     """
 
     host: str
+    region: str
     data_center: str
     store_region: str
     start_grace_s: float = 1.0
@@ -52,7 +53,6 @@
     what is new. The others listen, ask for proofs, compare digests, and follow the store
     themselves only if no host that does answers them.
 
-    :param region: region of this host.
     :param clock: monotonic clock in seconds, the replica's own.
     """
 
@@ -68,7 +68,6 @@
         "mesh",
         "proofs",
         "randomness",
-        "region",
         "replica",
         "settings",
         "sleep",
@@ -78,7 +77,6 @@
     def __init__(
         self,
         settings: RelaySettings,
-        region: str,
         store: ObjectStore,
         replica: Replica,
         mesh: PeerMesh,
@@ -88,7 +86,6 @@
         sleep: Sleep = asyncio.sleep,
     ) -> None:
         self.settings = settings
-        self.region = region
         self.replica = replica
         self.mesh = mesh
         self.randomness = randomness
@@ -224,7 +221,7 @@
         contact = self.feed.contact
         if contact.answers is not None:
             witness = Witness(store_answers=contact.answers, same_copy=True, at=contact.at)
-            self.freshness.note_witness(self.settings.host, self.region, witness)
+            self.freshness.note_witness(self.settings.host, self.settings.region, witness)
 
     async def _read_hosts(self) -> None:
         read_at = self.clock()
--- a/standin/src/radishbridge_standin/fake.py
+++ b/standin/src/radishbridge_standin/fake.py
@@ -7,8 +7,11 @@
 
 from radishbridge.records import Failure, ResultCode
 from radishbridge.store import HostList, Listing, StoredObject, WatchEvent
+from radishbridge.store.http import PROOF_TIMEOUT_S
 from radishbridge_standin.table import ObjectTable, Write
 
+LIST_TIMEOUT_S = 2.0
+
 
 async def _no_pause() -> None:
     return
@@ -18,15 +21,20 @@
     """One host's ``ObjectStore`` over a table that several hosts may share.
 
     :param pause: awaited before a call is looked at and again before it is answered.
+    :param sleep: waits for as long as the faults delay a listing; without it none is delayed.
     """
 
-    __slots__ = ("cut", "pause", "table")
+    __slots__ = ("cut", "pause", "sleep", "table")
 
     def __init__(
-        self, table: ObjectTable, pause: t.Callable[[], t.Awaitable[None]] = _no_pause
+        self,
+        table: ObjectTable,
+        pause: t.Callable[[], t.Awaitable[None]] = _no_pause,
+        sleep: t.Callable[[float], t.Awaitable[None]] | None = None,
     ) -> None:
         self.table = table
         self.pause = pause
+        self.sleep = sleep
         self.cut = False
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
@@ -43,7 +51,7 @@
     async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
         """Read all objects of the kinds."""
         await self.pause()
-        if self._silent("list"):
+        if self._silent("list" if kinds else "revision") or await self._too_slow(kinds):
             return _unavailable()
         objects = [one for (kind, _), one in self.table.objects.items() if kind in kinds]
         listing = Listing(revision=self.table.revision, objects=objects)
@@ -74,7 +82,7 @@
         self, kinds: t.Sequence[str], after_revision: int
     ) -> t.AsyncIterator[WatchEvent | Failure]:
         """Yield events, and a sign of life after each wake-up of the table."""
-        if self._silent("watch"):
+        if self._silent("watch") or await self._too_slow(kinds):
             yield _unavailable()
             return
         generation = self.table.generation
@@ -105,6 +113,14 @@
             return _unavailable()
         return HostList(hosts=self.table.visible_hosts())
 
+    async def _too_slow(self, kinds: t.Sequence[str]) -> bool:
+        delay_s = self.table.faults.delay_s
+        if not delay_s or self.sleep is None:
+            return False
+        longest_s = LIST_TIMEOUT_S if kinds else PROOF_TIMEOUT_S
+        await self.sleep(min(delay_s, longest_s))
+        return delay_s > longest_s
+
     def _silent(self, call: str) -> bool:
         if self.cut:
             return True
--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -60,10 +60,10 @@
         return self._json(stored) if stored else web.Response(status=404)
 
     async def list(self, request: web.Request) -> web.StreamResponse:
-        """Answer all objects of the kinds asked for."""
-        if refusal := await self._admit(request, "list"):
-            return refusal
+        """Answer all objects of the kinds asked for; without kinds only the revision."""
         kinds = _kinds(request)
+        if refusal := await self._admit(request, "list" if kinds else "revision"):
+            return refusal
         objects = [stored for (kind, _), stored in self.table.objects.items() if kind in kinds]
         return self._json(Listing(revision=self.table.revision, objects=objects))
 
@@ -199,4 +199,4 @@
 
 
 def _kinds(request: web.Request) -> set[str]:
-    return set(request.query["kinds"].split(","))
+    return set(filter(None, request.query["kinds"].split(",")))
--- a/standin/src/radishbridge_standin/replicas.py
+++ b/standin/src/radishbridge_standin/replicas.py
@@ -68,16 +68,16 @@
 
     def __init__(self, fleet: ReplicaFleet, location: Location) -> None:
         self.location = location
-        self.store = FakeStore(fleet.table)
+        self.store = FakeStore(fleet.table, sleep=fleet.clock.sleep)
         self.replica = Replica(fleet.clock)
         self.freshness = Freshness(self.replica, fleet.store_region)
         self.relay = Relay(
             RelaySettings(
                 host=location.name,
+                region=location.region,
                 data_center=location.data_center,
                 store_region=fleet.store_region,
             ),
-            location.region,
             self.store,
             self.replica,
             fleet.network.join(location.name, location.region, location.data_center),
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -239,5 +239,5 @@
         async with following() as one:
             one.table.faults.down = True
             await one.run(60)
-            calls = one.table.calls["list"]
-            assert calls < 60 / 0.9 + 60 / 1.0 + 5
+            assert one.table.calls["revision"] <= 60 / 0.9
+            assert one.table.calls["list"] + one.table.calls["watch"] <= 3
--- a/tests/test_replica_relay.py
+++ b/tests/test_replica_relay.py
@@ -125,6 +125,18 @@
             await one.run(20)
             assert watching(one) == before
 
+    async def test_expired_watches_do_not_list_everything_from_every_relay(self) -> None:
+        async with fleet(3) as one:
+            one.table.faults.down = True
+            await one.run(5)
+            one.write("key", "a", key(withdrawn=True))
+            one.table.compact()
+            listed = one.table.calls["list"]
+            one.table.faults.down = False
+            await one.run(10)
+            assert 1 <= one.table.calls["list"] - listed < len(watching(one))
+            assert all(withdrawn(host) and host.is_fresh() for host in one.hosts.values())
+
     async def test_crashed_relay_is_replaced(self) -> None:
         async with fleet(3) as one:
             one.stop(watching(one, "ob-a")[0])
@@ -196,6 +208,34 @@
                 await one.run(1)
                 assert {proof(host) for host in one.hosts.values()} == {Proof.STORE_OUTAGE}
 
+    async def test_slow_store_still_proves_freshness(self) -> None:
+        async with fleet(3) as one:
+            one.table.faults.delay_s = 2.5
+            await one.run(6)
+            for _ in range(20):
+                await one.run(1)
+                assert {proof(host) for host in one.hosts.values()} == {Proof.STORE_READ}
+
+    async def test_store_too_slow_to_prove_anything_is_not_taken_for_an_outage(self) -> None:
+        async with fleet(3) as one:
+            one.table.faults.delay_s = 20.0
+            await one.run(8)
+            for _ in range(20):
+                await one.run(1)
+                assert {proof(host) for host in one.hosts.values()} == {ResultCode.KEYS_STALE}
+            one.write("key", "a", key(withdrawn=True))
+            await one.run(3)
+            assert all(withdrawn(host) for host in one.hosts.values())
+
+    async def test_store_that_hangs_is_taken_for_an_outage(self) -> None:
+        async with fleet(3) as one:
+            one.table.faults.delay_s = 1000.0
+            one.table.cut_watches()
+            await one.run(12)
+            for _ in range(20):
+                await one.run(1)
+                assert {proof(host) for host in one.hosts.values()} == {Proof.STORE_OUTAGE}
+
     async def test_region_cut_off_refuses_after_the_bound(self) -> None:
         async with fleet(3) as one:
             cut_off = [name for name in one.hosts if name.startswith("sw")]
@@ -292,9 +332,11 @@
         tasks = []
         for entry in addresses:
             mesh = ZmqMesh(entry.name, entry.address, PeerSettings(), lambda: Heartbeat(revision=0))
-            settings = RelaySettings(host=entry.name, data_center="ob-a", store_region="ob")
+            settings = RelaySettings(
+                host=entry.name, region="ob", data_center="ob-a", store_region="ob"
+            )
             store = FakeStore(table)
-            relay = Relay(settings, "ob", store, Replica(), mesh, random.Random(entry.name))
+            relay = Relay(settings, store, Replica(), mesh, random.Random(entry.name))
             relays.append(relay)
             tasks += [asyncio.create_task(mesh.run()), asyncio.create_task(relay.run())]
             mesh.update_directory(addresses)
