Wire relay, freshness, shares and look-up into the daemon

Change: compose runs Relay, Freshness, ShareAdmission and LookupApi; GET /v1/lookup on the callers' listener leaves out silent, leaving and drained hosts; shares are given back after the last request; HostAddress carries the callers' address, so that hosts that do not read the platform's list can answer look-ups; features for forwarding. Conclusion: one composition root runs the whole path.

--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -4,13 +4,19 @@
 import json
 
 import aiohttp
+import yarl
 from behave import then, when
 from behave.runner import Context
 
 
-async def _get(url: str, headers: dict[str, str]) -> tuple[int, bytes]:
-    async with aiohttp.ClientSession() as session, session.get(url, headers=headers) as answer:
-        return answer.status, await answer.read()
+async def _get(url: str, headers: dict[str, str]) -> tuple[int, bytes | aiohttp.ClientError]:
+    # The target is sent as it stands; the library would resolve dot segments.
+    target = yarl.URL(url, encoded=True)
+    async with aiohttp.ClientSession() as session, session.get(target, headers=headers) as answer:
+        try:
+            return answer.status, await answer.read()
+        except aiohttp.ClientError as error:
+            return answer.status, error
 
 
 @when('a caller with the key "{key}" asks "{host}" for "{path}"')
--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -17,15 +17,21 @@
 from radishbridge.host.connections import CallerServer
 from radishbridge.host.explain import Explainer
 from radishbridge.host.forward import Forwarder
-from radishbridge.host.gate import Gate, ReplicaFreshness
+from radishbridge.host.gate import Gate
 from radishbridge.host.keys import KeyRing
+from radishbridge.host.lookup import Front, LookupApi
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.host.state import HostState
 from radishbridge.peers import DirectoryFeed, HostAddress, ZmqMesh
 from radishbridge.records import Failure, Settings
 from radishbridge.routing import LocalRouter
-from radishbridge.store import HttpStore, Replica, ReplicaFeed
+from radishbridge.shares import ShareAdmission
+from radishbridge.store import Freshness, HttpStore, Relay, RelaySettings, Replica
+
+GIVE_BACK_S = 5.0
+# The rest of the time is for the news that a host is leaving to reach the other hosts.
+LOOKUP_TTL_SHARE = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -34,13 +40,13 @@
     """Run a host until ``stop`` is set, then shut it down gracefully."""
     async with contextlib.AsyncExitStack() as stack:
         host = _Host(settings, stack)
-        await host.start_replica()
-        await host.start_mesh()
+        host.start_control()
         await host.start_admin()
         shutdown = await host.start_front()
         logger.info("started", extra={"host": settings.host, "listen": settings.listen})
         await stop.wait()
         await shutdown.run()
+        await host.give_back()
 
 
 class _Host:
@@ -53,29 +59,61 @@
         self.replica = Replica()
         self.metrics = Metrics()
         self.router = LocalRouter(settings.region, settings.data_center, random.Random())
-        self.freshness = ReplicaFreshness(self.replica, limits.key_freshness_s)
+        self.freshness = Freshness(self.replica, settings.store.region, limits.key_freshness_s)
         keys = KeyRing()
         self.gate = Gate(self.replica, keys, self.router, limits, self.freshness)
-        self.replica.listeners += [keys.update, self.router.update]
         self.forwarder = Forwarder(BackendClient(), self.gate, self.router, self.metrics, limits)
         self.state = HostState(settings, self.replica, self.forwarder)
+        self.mesh = ZmqMesh(
+            settings.host, settings.peer_listen, settings.peers, self.state.heartbeat
+        )
+        session = aiohttp.ClientSession()
+        self.store = HttpStore(session, settings.store.url, settings.store.timeout_s)
+        self.admission = ShareAdmission(self.store, self.mesh, settings.host, self.mesh.incarnation)
+        self.gate.admission = self.admission
+        self.lookup = LookupApi(
+            self.mesh,
+            limits.shutdown_lookup_s * LOOKUP_TTL_SHARE,
+            lambda: self.forwarder.leaving,
+        )
+        self.replica.listeners += [
+            keys.update,
+            self.router.update,
+            self.admission.update,
+            self.lookup.update,
+        ]
+        stack.push_async_callback(session.close)
         stack.push_async_callback(self.forwarder.client.close)
 
-    async def start_replica(self) -> None:
-        """Start to follow the configuration."""
-        session = await self.stack.enter_async_context(aiohttp.ClientSession())
-        self.store = HttpStore(session, self.settings.store.url, self.settings.store.timeout_s)
-        self._run(ReplicaFeed(self.store, self.replica).run())
-
-    async def start_mesh(self) -> None:
-        """Start to talk to other hosts."""
+    def start_control(self) -> None:
+        """Start to talk to other hosts, and to follow the configuration and the shares."""
         settings = self.settings
-        self.mesh = ZmqMesh(
-            settings.host, settings.peer_listen, settings.peers, self.state.heartbeat
+        relay = Relay(
+            RelaySettings(
+                host=settings.host,
+                data_center=settings.data_center,
+                store_region=settings.store.region,
+            ),
+            settings.region,
+            self.store,
+            self.replica,
+            self.mesh,
+            random.Random(),
+            self.freshness,
         )
         self.state.live_peers = lambda: sorted(peer.name for peer in self.mesh.live())
         self._run(self.mesh.run())
         self._run(DirectoryFeed(self.mesh, self._read_hosts).run())
+        self._run(relay.run())
+        self._run(self.lookup.run())
+        self.shares_task = self._run(self.admission.run())
+
+    async def give_back(self) -> None:
+        """Give this host's units of the shares back."""
+        await _end(self.shares_task)
+        failure = await self.admission.leave(GIVE_BACK_S)
+        if failure is not None:
+            logger.warning("shares not given back: %s", failure.reason)
 
     async def start_admin(self) -> None:
         """Start the operators' listener."""
@@ -87,15 +125,16 @@
     async def start_front(self) -> Shutdown:
         """Start the callers' listener."""
         limits = self.settings.limits
-        server = CallerServer(self.forwarder.handle, limits)
+        server = CallerServer(Front(self.lookup, self.forwarder.handle).handle, limits)
         self.gate.server = server
         site = await self._listen(web.ServerRunner(server), self.settings.listen)
         return Shutdown(self.forwarder, server, site, limits)
 
-    def _run(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> None:
+    def _run(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(_report_end)
         self.stack.push_async_callback(_end, task)
+        return task
 
     async def _read_hosts(self) -> list[HostAddress] | Failure:
         listed = await self.store.hosts()
@@ -108,6 +147,7 @@
                 data_center=host.data_center,
                 address=host.peer_address,
                 leaving=host.leaving,
+                listen=host.address,
             )
             for host in listed.hosts
         ]
--- a/packages/host/src/radishbridge/host/explain.py
+++ b/packages/host/src/radishbridge/host/explain.py
@@ -71,19 +71,16 @@
             return Failure(ResultCode.KEY_MISSING, "the route needs a key")
         if not isinstance(self.state.replica.body("workspace", workspace), Workspace):
             return Failure(ResultCode.KEY_UNKNOWN, f"there is no workspace {workspace}")
-        if not self.freshness.fresh(now):
+        if not self.freshness.is_fresh(now):
             return Failure(ResultCode.KEYS_STALE, "the copy of the keys may be out of date")
-        steps.append(self._rate_step(workspace))
-        return None
-
-    def _rate_step(self, workspace: str) -> str:
         rate = self.state.replica.body("rate", workspace)
         if not isinstance(rate, Rate):
-            return f"Workspace {workspace} has no rate."
-        return (
+            return Failure(ResultCode.RATE_EXCEEDED, f"workspace {workspace} has no rate")
+        steps.append(
             f"Workspace {workspace} may send {rate.requests_per_second:g} requests a second "
             f"with a burst of {rate.burst:g}."
         )
+        return None
 
     def _explanation(
         self,
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -70,7 +70,7 @@
             self.metrics.note(exchange, time.monotonic())
 
     async def _answer(self, exchange: Exchange) -> web.StreamResponse:
-        failure = self.gate.admit(exchange)
+        failure = await self.gate.admit(exchange)
         answer = failure if failure is not None else await self._within_deadline(exchange)
         response = self._refuse(exchange, answer) if isinstance(answer, Failure) else answer
         exchange.response = response
--- a/packages/host/src/radishbridge/host/gate.py
+++ b/packages/host/src/radishbridge/host/gate.py
@@ -27,30 +27,13 @@
 class Freshness(t.Protocol):
     """Tells whether this host's copy of the keys is proved to be fresh."""
 
-    def fresh(self, now: float) -> bool:
+    def is_fresh(self, now: float) -> bool:
         """Return whether a withdrawal older than the bound would be known here.
 
         :param now: monotonic time in seconds.
         """
 
 
-class ReplicaFreshness:
-    """Takes the replica's own reads of the store as the proof.
-
-    :param bound_s: age up to which the copy counts as fresh, in seconds.
-    """
-
-    __slots__ = ("bound_s", "replica")
-
-    def __init__(self, replica: Replica, bound_s: float) -> None:
-        self.replica = replica
-        self.bound_s = bound_s
-
-    def fresh(self, now: float) -> bool:
-        """Return whether the last proof is younger than the bound."""
-        return now - self.replica.fresh_at <= self.bound_s
-
-
 class Gate:
     """Decides whether a request may go to a backend server.
 
@@ -77,7 +60,7 @@
         self.admission = admission
         self.server: CallerServer | None = None
 
-    def admit(self, exchange: Exchange) -> Failure | None:
+    async def admit(self, exchange: Exchange) -> Failure | None:
         """Check a request and note its service, deadline and workspace on the exchange."""
         if not self.replica.complete:
             return _STARTING
@@ -95,21 +78,23 @@
         if isinstance(deadline, Failure):
             return deadline
         exchange.deadline = deadline
-        return None if target.route.open else self._authorize(exchange)
+        return None if target.route.open else await self._authorize(exchange)
 
     def retry_after_s(self, workspace: str) -> float:
         """Return the seconds after which a request refused by rate may be admitted."""
         return 0.0 if self.admission is None else self.admission.retry_after_s(workspace)
 
-    def _authorize(self, exchange: Exchange) -> Failure | None:
+    async def _authorize(self, exchange: Exchange) -> Failure | None:
         workspace = self.keys.authenticate(exchange.request.headers)
         if isinstance(workspace, Failure):
             return workspace
-        if not self.freshness.fresh(exchange.arrived_at):
+        if not self.freshness.is_fresh(exchange.arrived_at):
             return _STALE
         exchange.workspace = workspace
         failure = self._claim_connection(exchange)
-        return self._spend(exchange) if failure is None else failure
+        if failure is not None or self.admission is None:
+            return failure
+        return await self.admission.acquire(workspace)
 
     def _claim_connection(self, exchange: Exchange) -> Failure | None:
         if self.server is None:
@@ -118,11 +103,6 @@
         limit = body.connections_per_host if isinstance(body, Workspace) else 0
         return self.server.claim(exchange.request, exchange.workspace, limit)
 
-    def _spend(self, exchange: Exchange) -> Failure | None:
-        if self.admission is None:
-            return None
-        return self.admission.admit(exchange.workspace, exchange.arrived_at)
-
 
 def _head_bytes(request: web.BaseRequest) -> int:
     headers = request.raw_headers
--- /dev/null
+++ b/packages/host/src/radishbridge/host/lookup.py
@@ -0,0 +1,152 @@
+"""Answers callers who ask which entry hosts to use."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from radishbridge.host.problem import problem_response
+from radishbridge.peers import HostAddress, ZmqMesh
+from radishbridge.records import ClientBlocks, Drain, Failure, Record, ResultCode, Site
+from radishbridge.routing import (
+    BlockTable,
+    HostIndex,
+    LookupAnswer,
+    parse_address,
+    rank_hosts,
+)
+
+LOOKUP_PATH = "/v1/lookup"
+REFRESH_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class LookupApi:
+    """Ranks the live hosts for a caller's address.
+
+    :param ttl_s: seconds for which callers may keep an answer.
+    :param leaving: returns whether this host is leaving.
+    """
+
+    __slots__ = ("drains", "entries", "hosts", "leaving", "mesh", "sites", "table", "ttl_s")
+
+    def __init__(self, mesh: ZmqMesh, ttl_s: float, leaving: t.Callable[[], bool]) -> None:
+        self.mesh = mesh
+        self.ttl_s = ttl_s
+        self.leaving = leaving
+        self.table = BlockTable()
+        self.sites: dict[str, Site] = {}
+        self.drains: dict[str, Drain] = {}
+        self.entries: list[HostAddress] = []
+        self.hosts = HostIndex([])
+
+    def update(self, record: Record) -> None:
+        """Take over a changed record of blocks, sites or drains."""
+        body = record.body
+        if record.kind == "client-blocks":
+            failure = self.table.load(record.name, body if isinstance(body, ClientBlocks) else None)
+            if failure is not None:
+                logger.error("client blocks kept as they were: %s", failure.reason)
+        elif record.kind == "site":
+            _replace(self.sites, record.name, body if isinstance(body, Site) else None)
+        elif record.kind == "drain":
+            _replace(self.drains, record.name, body if isinstance(body, Drain) else None)
+            self.entries = []
+
+    async def run(self) -> None:
+        """Follow the live hosts until cancelled."""
+        while True:
+            self.refresh()
+            await asyncio.sleep(REFRESH_S)
+
+    def refresh(self) -> None:
+        """Build the index anew where the live hosts or the drains have changed."""
+        entries = self.live_entries()
+        if entries != self.entries:
+            self.entries = entries
+            self.hosts = HostIndex(map(_EntryHost, entries), self.drains.values())
+
+    def live_entries(self) -> list[HostAddress]:
+        """Return the hosts of the directory that this host does not know to be dead.
+
+        A host hears those of its own data centre; of the others it trusts the directory.
+        """
+        directory = self.mesh.directory
+        live = {peer.name: peer for peer in self.mesh.live()}
+        silent = directory.standing_peers() - live.keys()
+        gone = {name for name, peer in live.items() if peer.leaving}
+        if self.leaving():
+            gone.add(self.mesh.host)
+        return [
+            msgspec.structs.replace(entry, leaving=entry.leaving or name in gone)
+            for name, entry in sorted(directory.hosts.items())
+            if name not in silent and entry.listen
+        ]
+
+    def answer(self, request: web.BaseRequest) -> web.Response:
+        """Answer a look-up for the caller's own address or the one it names."""
+        asked = request.query.get("address", "")
+        if asked and parse_address(asked) is None:
+            return problem_response(
+                Failure(ResultCode.REQUEST_MALFORMED, "address is not an IP address")
+            )
+        ranked = self.rank(asked or request.remote or "")
+        if isinstance(ranked, Failure):
+            return problem_response(ranked, self.ttl_s)
+        headers = {"Cache-Control": f"max-age={int(ranked.ttl_s)}"}
+        body = msgspec.json.encode(ranked)
+        return web.Response(body=body, content_type="application/json", headers=headers)
+
+    def rank(self, address: str) -> LookupAnswer | Failure:
+        """Return the hosts for a caller's address, the best first."""
+        return rank_hosts(address, self.table, self.sites, self.hosts, self.ttl_s)
+
+
+class Front:
+    """Handles each request on the callers' listener: look-ups here, the others are forwarded."""
+
+    __slots__ = ("forward", "lookup")
+
+    def __init__(
+        self,
+        lookup: LookupApi,
+        forward: t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]],
+    ) -> None:
+        self.lookup = lookup
+        self.forward = forward
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        if request.raw_path.partition("?")[0] != LOOKUP_PATH:
+            return await self.forward(request)
+        response = self.lookup.answer(request)
+        if self.lookup.leaving():
+            response.force_close()
+        return response
+
+
+class _EntryHost:
+    """A host of the directory as the ranking takes it, with its address for callers."""
+
+    __slots__ = ("address", "data_center", "leaving", "name", "region")
+
+    def __init__(self, entry: HostAddress) -> None:
+        self.name = entry.name
+        self.region = entry.region
+        self.data_center = entry.data_center
+        self.address = entry.listen
+        self.leaving = entry.leaving
+
+
+_T = t.TypeVar("_T")
+
+
+def _replace(held: dict[str, _T], name: str, body: _T | None) -> None:
+    held.pop(name, None)
+    if body is not None:
+        held[name] = body
--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -31,13 +31,17 @@
 
 
 class HostAddress(msgspec.Struct, kw_only=True, frozen=True):
-    """Where a host is and on which ``IP:port`` it takes messages from other hosts."""
+    """Where a host is and on which ``IP:port`` it takes messages from other hosts.
+
+    :param listen: ``IP:port`` of its listener for callers.
+    """
 
     name: str
     region: str
     data_center: str
     address: str
     leaving: bool = False
+    listen: str = ""
 
 
 class DirectoryUpdate(msgspec.Struct, kw_only=True, tag="directory"):
--- a/packages/shares/src/radishbridge/shares/protocol.py
+++ b/packages/shares/src/radishbridge/shares/protocol.py
@@ -17,5 +17,8 @@
         :return: ``None`` where admitted, ``RATE_EXCEEDED`` or ``SHARE_UNAVAILABLE`` otherwise.
         """
 
+    async def acquire(self, workspace: str) -> Failure | None:
+        """Spend one request, waiting shortly for a share that is under way."""
+
     def retry_after_s(self, workspace: str) -> float:
         """Return the seconds after which a refused request may be admitted."""
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -14,7 +14,7 @@
 from radishbridge.host.backends import BackendClient
 from radishbridge.host.connections import CallerServer
 from radishbridge.host.forward import Forwarder
-from radishbridge.host.gate import Gate, ReplicaFreshness
+from radishbridge.host.gate import Gate
 from radishbridge.host.keys import KeyRing, key_digest
 from radishbridge.host.metrics import Metrics
 from radishbridge.records import (
@@ -28,7 +28,7 @@
     encode_record,
 )
 from radishbridge.routing import LocalRouter
-from radishbridge.store import Replica, StoredObject
+from radishbridge.store import Freshness, Replica, StoredObject
 from radishbridge_standin.backend import BackendServer
 
 LOOPBACK = "127.0.0.1"
@@ -58,7 +58,7 @@
         self.router = LocalRouter("oberbayern", "ob-a", random.Random(7))
         keys = KeyRing()
         self.replica.listeners += [keys.update, self.router.update]
-        freshness = ReplicaFreshness(self.replica, 1e9)
+        freshness = Freshness(self.replica, "oberbayern", 1e9)
         self.gate = Gate(self.replica, keys, self.router, self.limits, freshness)
         self.servers: list[BackendServer] = []
         self.backends: list[Backend] = []
