--- a/packages/client/src/radishbridge/client/write.py
+++ b/packages/client/src/radishbridge/client/write.py
@@ -18,7 +18,7 @@
     merge_spec,
     upgrade_spec,
 )
-from radishbridge.store import ObjectStore, StoredObject
+from radishbridge.store import ObjectStore, StoredObject, write_resolved
 
 Change = t.Literal["created", "changed", "unchanged", "deleted"]
 WRITE_ATTEMPTS = 5
@@ -128,8 +128,8 @@
 
 
 async def put_value(store: ObjectStore, held: StoredRecord, value: bytes) -> StoredObject | Failure:
-    """Write a value over the version that was read."""
-    return await store.put(held.kind, held.name, value, held.version)
+    """Write a value over the version that was read; a lost answer is resolved by reading back."""
+    return await write_resolved(store, held.kind, held.name, value, held.version)
 
 
 def split_failures(values: t.Iterable[T | Failure]) -> tuple[list[T], list[Failure]]:
