--- a/tests/client_fleet.py
+++ b/tests/client_fleet.py
@@ -107,13 +107,13 @@
 
 
 class FakeFleet:
-    """A store and hosts; ``faults`` are applied to the next writes in their order."""
+    """A store and hosts; ``refused`` says of the next writes whether the store refuses them."""
 
     def __init__(self, hosts: int) -> None:
         self.store = ObjectTable()
-        self.faults: collections.deque[str] = collections.deque()
+        self.refused: collections.deque[bool] = collections.deque()
         application = ObjectApi(self.store).application()
-        application.middlewares.append(self._fail)
+        application.middlewares.append(self._refuse)
         self.server = TestServer(application)
         self.hosts = [FakeHost(f"host-{n}", self.store) for n in range(1, hosts + 1)]
 
@@ -135,20 +135,14 @@
     async def put(self, kind: str, name: str, spec: dict[str, t.Any]) -> None:
         held = self.store.objects.get((kind, name))
         value = json.dumps({"schema": SCHEMA_VERSIONS[kind], "spec": spec}).encode()
-        await self.write(kind, name, value, held.version if held else 0)
-
-    async def write(self, kind: str, name: str, value: bytes, expected_version: int) -> None:
-        write = Write(kind=kind, name=name, value=value, expected_version=expected_version)
-        assert self.store.write(write)
+        version = held.version if held else 0
+        assert self.store.write(Write(kind=kind, name=name, value=value, expected_version=version))
 
     @web.middleware
-    async def _fail(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
-        fault = self.faults.popleft() if request.method == "PUT" and self.faults else ""
-        if fault == "refuse":
+    async def _refuse(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
+        if request.method == "PUT" and self.refused and self.refused.popleft():
             return web.Response(status=503)
         response: web.StreamResponse = await handler(request)
-        if fault == "lose answer" and request.transport is not None:
-            request.transport.abort()
         return response
 
 
--- a/tests/test_client_apply.py
+++ b/tests/test_client_apply.py
@@ -9,6 +9,7 @@
 
 from radishbridge.client import ExitCode
 from radishbridge.records import RejectedRecord
+from radishbridge_standin.table import Faults, Write
 
 RATE = {"requests_per_second": 10, "burst": 20}
 FAULTY = """[
@@ -94,7 +95,9 @@
         path = write_records(tmp_path / "r.jsonc", ("workspace", "school-17", {}))
         async with fake_fleet() as fleet:
             newer = b'{"schema": 99, "spec": {"title": "x"}}'
-            await fleet.write("workspace", "school-17", newer, 0)
+            fleet.store.write(
+                Write(kind="workspace", name="school-17", value=newer, expected_version=0)
+            )
             assert await fleet.client("apply", path) == ExitCode.USAGE
             assert fleet.store.revision == 1
 
@@ -135,11 +138,18 @@
         shown = "- burst: 5\n+ burst: 20" in capsys.readouterr().err
         assert shown == (code is ExitCode.CONFLICT)
 
+    @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests", "late_writes"])
+    async def test_an_unanswered_write_takes_effect_once(self, fault: str, records: str) -> None:
+        async with fake_fleet() as fleet:
+            fleet.store.faults = Faults(**{fault: 1})
+            assert await fleet.client("apply", records) == ExitCode.OK
+            assert fleet.store.revision == 2
+
     async def test_a_store_that_is_down_is_told_with_what_was_written(
         self, records: str, capsys: pytest.CaptureFixture[str]
     ) -> None:
         async with fake_fleet() as fleet:
-            fleet.faults.extend(["", *["refuse"] * 20])
+            fleet.refused.extend([False, *[True] * 20])
             assert await fleet.client("apply", records) == ExitCode.UNAVAILABLE
         output = capsys.readouterr()
         assert "workspace/school-17: created, version 1" in output.out
@@ -194,11 +204,9 @@
         self, records: str, capsys: pytest.CaptureFixture[str]
     ) -> None:
         async with fake_fleet(3) as fleet:
-            joining = fleet.store.visible_hosts()[-1]
-            fleet.store.set_hosts(fleet.store.visible_hosts()[:-1])
-            fleet.hosts[0].on_ask = lambda: fleet.store.set_hosts(
-                [fleet.hosts[0].entry(), fleet.hosts[1].entry(), joining]
-            )
+            all_hosts = fleet.store.visible_hosts()
+            fleet.store.set_hosts(all_hosts[:2])
+            fleet.hosts[0].on_ask = lambda: fleet.store.set_hosts(all_hosts)
             fleet.hosts[1].lags = True
             fleet.hosts[2].lags = True
             assert await self._apply(fleet, records) == ExitCode.NOT_IN_FORCE
--- a/tests/test_client_key.py
+++ b/tests/test_client_key.py
@@ -48,7 +48,7 @@
     ) -> None:
         async with fake_fleet() as fleet:
             await fleet.put("workspace", "school-17", {})
-            fleet.faults.extend(["refuse"] * 20)
+            fleet.refused.extend([True] * 20)
             assert await fleet.client("key", "issue", "school-17") == ExitCode.UNAVAILABLE
         assert capsys.readouterr().out == ""
 
--- a/tests/test_client_status.py
+++ b/tests/test_client_status.py
@@ -75,7 +75,9 @@
 class TestHosts:
     async def test_shows_the_platforms_list(self, capsys: pytest.CaptureFixture[str]) -> None:
         async with fake_fleet() as fleet:
-            fleet.store.visible_hosts()[0].leaving = True
+            leaving, live = fleet.store.visible_hosts()
+            leaving.leaving = True
+            fleet.store.set_hosts([leaving, live])
             assert await fleet.client("hosts", "--json") == ExitCode.OK
         assert [host["leaving"] for host in json.loads(capsys.readouterr().out)] == [True, False]
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,15 +4,27 @@
 import subprocess
 import sys
 
+import pytest
+
+
+@pytest.fixture(scope="module")
+def lines() -> list[str]:
+    command = [sys.executable, "-m", "radishbridge_standin.demo"]
+    result = subprocess.run(
+        command, capture_output=True, text=True, cwd=pathlib.Path(__file__).parent, check=False
+    )
+    assert result.returncode == 0, result.stderr
+    return result.stdout.splitlines()
+
 
 class TestDemo:
-    def test_serves_requests_through_every_host(self) -> None:
-        command = [sys.executable, "-m", "radishbridge_standin.demo"]
-        result = subprocess.run(
-            command, capture_output=True, text=True, cwd=pathlib.Path(__file__).parent, check=False
-        )
-        assert result.returncode == 0, result.stderr
-        lines = result.stdout.splitlines()
+    def test_serves_requests_through_every_host(self, lines: list[str]) -> None:
         assert "host-1: cat-1 answered 20" in lines
         assert "host-2: cat-2 answered 20" in lines
         assert "host-3: cat-3 answered 20" in lines
+
+    def test_shows_the_operators_commands_and_ends(self, lines: list[str]) -> None:
+        assert "host-1 would forward the request to service catalogue" in lines
+        assert {f"host-{n}: error 103, not run: 20" for n in (1, 2, 3)} <= set(lines)
+        assert "3 of 3 hosts as they should be" in lines
+        assert lines[-1] == "All processes have ended."
