--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -60,10 +60,10 @@
         return self._json(stored) if stored else web.Response(status=404)
 
     async def list(self, request: web.Request) -> web.StreamResponse:
-        """Answer all objects of the kinds asked for."""
-        if refusal := await self._admit(request, "list"):
-            return refusal
+        """Answer all objects of the kinds asked for; without kinds only the revision."""
         kinds = _kinds(request)
+        if refusal := await self._admit(request, "list" if kinds else "revision"):
+            return refusal
         objects = [stored for (kind, _), stored in self.table.objects.items() if kind in kinds]
         return self._json(Listing(revision=self.table.revision, objects=objects))
 
@@ -99,10 +99,13 @@
         self.table.open_watches += 1
         try:
             await self._stream(response, batch, kinds)
+        except ConnectionResetError:
+            # The client has left.
+            return response
         finally:
             self.table.open_watches -= 1
         if self.table.faults.down:
-            return _abort(request)
+            _abort(request)
         return response
 
     async def get_hosts(self, request: web.Request) -> web.StreamResponse:
@@ -156,7 +159,7 @@
     ) -> None:
         generation = self.table.generation
         wakeup = asyncio.Event()
-        self.table.wakeups.add(wakeup)
+        self.table.wakeups[wakeup] = None
         try:
             while batch is not None:
                 sign = WatchEvent(revision=batch.revision)
@@ -167,7 +170,7 @@
                     return
                 batch = self.table.read_events(batch.revision, kinds)
         finally:
-            self.table.wakeups.discard(wakeup)
+            self.table.wakeups.pop(wakeup, None)
 
     def _json(self, value: t.Any) -> web.Response:
         body = msgspec.json.encode(value)
@@ -196,4 +199,4 @@
 
 
 def _kinds(request: web.Request) -> set[str]:
-    return set(request.query["kinds"].split(","))
+    return set(filter(None, request.query["kinds"].split(",")))
