Measure the replica's memory and complete its figures

Cause: the design note lacked processor time and memory; answers cut short by the stand-in had no test.

--- a/bench/replica.py
+++ b/bench/replica.py
@@ -2,25 +2,29 @@
 
 ``python bench/replica.py calls`` runs ten hosts for about 40 s of real time against the stand-in
 object API over HTTP. ``python bench/replica.py fleet HOSTS`` runs a fleet in virtual time.
+``python bench/replica.py memory PARTS`` measures a copy with parts of client blocks of nearly 1 MB.
 ``python bench/replica.py freshness`` compares refusing with serving. Each prints JSON.
 """
 
 from __future__ import annotations
 
 import asyncio
+import base64
 import collections
 import itertools
 import json
 import random
 import sys
 import time
+import tracemalloc
 import typing as t
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
-from radishbridge.records import Key
-from radishbridge.store import HttpStore, Relay, RelaySettings, Replica
+from radishbridge.records import ClientBlocks, Key, encode_record
+from radishbridge.store import HttpStore, Relay, RelaySettings, Replica, StoredObject
 from radishbridge_standin.mesh import FakeNetwork
 from radishbridge_standin.objects import ObjectApi
 from radishbridge_standin.replicas import STEP_S, Location, ReplicaFleet, ReplicaHost
@@ -36,6 +40,7 @@
 WITHDRAWN_AFTER_S = 10
 HOST_LAG_S = 30.0
 RECORDS = 500
+PART_BYTES = 780_000
 COUNTS = [
     "requests",
     "refused_when_refusing",
@@ -259,6 +264,42 @@
     return [host for name, host in one.hosts.items() if not cut_off or name.startswith("sw")]
 
 
+def measure_memory(parts: int) -> dict[str, t.Any]:
+    """Measure the memory that a replica keeps, and the time to take it in."""
+    randomness = random.Random(1)
+    values = [
+        encode_record(
+            "client-blocks", ClientBlocks(family=4, sites=["s"], packed=_packed(randomness))
+        )
+        for _ in range(parts)
+    ]
+    started_at = time.process_time()
+    tracemalloc.start()
+    replica = Replica()
+    for number, value in enumerate(values, start=1):
+        replica.apply(
+            StoredObject(
+                kind="client-blocks",
+                name=f"part-{number}",
+                version=number,
+                value=msgspec.Raw(value),
+            )
+        )
+    kept, peak = tracemalloc.get_traced_memory()
+    return {
+        "parts": parts,
+        "value_bytes": sum(map(len, values)),
+        "in_force": len(replica.records),
+        "kept_bytes": kept,
+        "peak_bytes": peak,
+        "processor_s": round(time.process_time() - started_at, 3),
+    }
+
+
+def _packed(randomness: random.Random) -> str:
+    return base64.b64encode(randomness.randbytes(PART_BYTES)).decode()
+
+
 def main(arguments: list[str]) -> None:
     """Run the measurement that the arguments name, and print it as JSON."""
     started_at = time.monotonic()
@@ -266,6 +307,8 @@
         result = asyncio.run(measure_calls())
     elif arguments[:1] == ["fleet"]:
         result = asyncio.run(measure_fleet(int(arguments[1])))
+    elif arguments[:1] == ["memory"]:
+        result = measure_memory(int(arguments[1]))
     elif arguments[:1] == ["freshness"]:
         result = asyncio.run(measure_freshness())
     else:
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -181,6 +181,16 @@
         assert (table.revision, table.objects) == (0, {})
 
 
+class TestObjectApi:
+    async def test_cuts_answers_short(self) -> None:
+        table = ObjectTable()
+        table.faults.malformed_answers = 2
+        async with http_store(table) as store:
+            assert code(await store.put("key", "a", b"1", 0)) is ResultCode.WRITE_UNCLEAR
+            assert code(await store.get("key", "a")) is ResultCode.STORE_UNAVAILABLE
+            assert code(await store.get("key", "a")) is ResultCode.OK
+
+
 class TestControl:
     async def test_sets_faults_and_reads_counters(self) -> None:
         table = ObjectTable()
