Keep an object's name within its part of the URL path

Cause: a name with a slash, a question mark or a percent sign reached another path of the platform. Change: the adapter quotes kind and name. Conclusion: names that fail validation elsewhere can't address anything else here.

--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import typing as t
+import urllib.parse
 
 import aiohttp
 import msgspec
+import yarl
 
 from radishbridge.records import Failure, ResultCode
 from radishbridge.store.protocol import HostList, Listing, StoredObject, WatchEvent
@@ -39,7 +41,7 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | Failure:
         """Read one object."""
-        body = await self._read(f"/v1/objects/{kind}/{name}", {}, self._read_timeout)
+        body = await self._read(_object_path(kind, name), {}, self._read_timeout)
         return body if isinstance(body, Failure) else _decode(body, StoredObject)
 
     async def list(self, kinds: t.Sequence[str]) -> Listing | Failure:
@@ -62,7 +64,7 @@
         headers = {"If-Match": f'"{expected_version}"', "Content-Type": "application/json"}
         try:
             async with self.session.put(
-                f"{self.url}/v1/objects/{kind}/{name}",
+                yarl.URL(self.url + _object_path(kind, name), encoded=True),
                 data=value,
                 headers=headers,
                 timeout=self._read_timeout,
@@ -107,6 +109,11 @@
         return body if answer.status == 200 else _status_failure(answer.status)
 
 
+def _object_path(kind: str, name: str) -> str:
+    # A name must not reach another path, whatever is in it.
+    return "/v1/objects/" + "/".join(urllib.parse.quote(part, safe="") for part in (kind, name))
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -111,6 +111,14 @@
         objects = [e.object for e in events if isinstance(e, WatchEvent) and e.object is not None]
         assert [bytes(one.value) == value for one in objects] == [True] * 3
 
+    @pytest.mark.parametrize("name", ["a b", "a/b", "ü", "a%2Fb", "a?b#c"])
+    async def test_name_is_one_part_of_the_path(self, name: str) -> None:
+        table = ObjectTable()
+        async with serving(table, 2.0) as store:
+            assert code(await store.put("key", name, b"1", 0)) is ResultCode.OK
+            assert list(table.objects) == [("key", name)]
+            assert code(await store.get("key", name)) is ResultCode.OK
+
     async def test_refuses_a_value_above_a_megabyte_before_it_is_sent(self) -> None:
         table = ObjectTable()
         async with serving(table, 2.0) as store:
