--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -91,10 +91,10 @@
         relay = Relay(
             RelaySettings(
                 host=settings.host,
+                region=settings.region,
                 data_center=settings.data_center,
                 store_region=settings.store.region,
             ),
-            settings.region,
             self.store,
             self.replica,
             self.mesh,
