--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,12 @@
 	$(BIN)/black --quiet $(CODE)
 	$(BIN)/ruff check --fix $(CODE)
 	$(BIN)/black --quiet $(CODE)
+
+.PHONY: slopes capacity
+
+slopes: venv
+	mkdir -p bench/results
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR) $(BIN)/python -m bench.slopes > bench/results/slopes.json
+
+capacity: venv
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR) $(BIN)/python -m bench.capacity
