Take changed client blocks in a worker thread, in order

Cause: unpacking a part of client blocks in the event loop holds up requests, and two changes of one part unpacked at the same time could come into force in the wrong order. Change: routing/block_feed.py unpacks one part after another in a worker thread; of several changes the last one stays, a damaged one is reported and leaves the last good part. bench/lookup.py measures it.

--- a/bench/lookup.py
+++ b/bench/lookup.py
@@ -22,7 +22,7 @@
 import msgspec
 
 from radishbridge.records import ClientBlocks, Record, Site, decode_record, encode_record
-from radishbridge.routing import Block, BlockTable, HostIndex, pack_part, rank_hosts, unpack_part
+from radishbridge.routing import Block, BlockFeed, BlockTable, HostIndex, pack_part, rank_hosts
 
 BLOCKS = 2_800_000
 BLOCKS_PER_PART = 10_000
@@ -33,6 +33,7 @@
 DATA_CENTERS = 40
 HOSTS = 1_100
 LOOKUPS = 100_000
+UPDATES = 20
 TICK_S = 0.001
 SEED = 7
 
@@ -183,15 +184,8 @@
         table.load(path.name, body)
         table.find(address)
 
-    async def threaded() -> None:
-        part = await asyncio.to_thread(unpack_part, body)
-        if not part:
-            raise ValueError(path.name)
-        table.replace(path.name, part)
-        table.find(address)
-
-    inline_s = [await longest_stall(inline) for _ in range(20)]
-    threaded_s = [await longest_stall(threaded) for _ in range(20)]
+    inline_s = [await longest_stall(inline) for _ in range(UPDATES)]
+    threaded_s = [(await measure_feed(table, [path]))[1] for _ in range(UPDATES)]
     started = time.perf_counter()
     table.replace(path.name, table.parts[path.name])
     table.find(address)
@@ -203,6 +197,24 @@
     }
 
 
+async def measure_feed(table: BlockTable, paths: list[pathlib.Path]) -> tuple[float, float]:
+    """Return the seconds in which a feed takes in parts, and the event loop's longest stall."""
+    feed = BlockFeed(table)
+    for path in paths:
+        feed.update(Record(kind="client-blocks", name=path.name, version=1, body=read_part(path)))
+
+    async def settle() -> None:
+        while not feed.settled:
+            await asyncio.sleep(TICK_S)
+
+    task = asyncio.create_task(feed.run())
+    started = time.perf_counter()
+    stall_s = await longest_stall(settle)
+    elapsed = time.perf_counter() - started
+    task.cancel()
+    return elapsed, stall_s
+
+
 def measure(directory: pathlib.Path) -> dict[str, t.Any]:
     """Load the parts of a directory and ask them."""
     rng = random.Random(SEED)
@@ -215,8 +227,10 @@
         ranked = timed(lambda one: rank_hosts(one, table, sites, hosts), asked)
         figures |= percentiles(ranked, name)
     figures |= {"orders_bytes": orders_bytes(hosts)}
-    path = sorted(directory.iterdir())[0]
-    return figures | asyncio.run(measure_update(table, path, asked[0]))
+    paths = sorted(directory.iterdir())
+    figures |= asyncio.run(measure_update(table, paths[0], asked[0]))
+    feed_s, stall_s = asyncio.run(measure_feed(BlockTable(), paths))
+    return figures | {"feed_load_s": round(feed_s, 2), "feed_stall_max_ms": round(stall_s * 1e3, 2)}
 
 
 def main(blocks: int = BLOCKS, per_part: int = BLOCKS_PER_PART) -> None:
--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from radishbridge.routing.block_feed import BlockFeed
 from radishbridge.routing.blocks import (
     Block,
     BlockPart,
@@ -28,6 +29,7 @@
     "LOOKUP_TTL_S",
     "AttemptOutcome",
     "Block",
+    "BlockFeed",
     "BlockPart",
     "BlockTable",
     "EntryHost",
