--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -58,6 +58,7 @@
 class TokenRequest(msgspec.Struct, kw_only=True, tag="token-request"):
     """Asks another holder for tokens of a share.
 
+    :param amount: tokens that the asker wants.
     :param units: part of the quantity's rate and burst that the asker wants to borrow.
     :param renews: id of an earlier request whose loan is to be prolonged; 0 asks for a new loan.
     :param asker: incarnation of the asking process, which the answer echoes.
@@ -79,18 +80,23 @@
 
     :param units: the part, in units of the share table.
     :param valid_s: seconds of use, counted from before the asker sent its request.
+    :param passed_on: the sender has borrowed it itself, so that it cannot be prolonged.
     """
 
     units: int
     valid_s: float
+    passed_on: bool = False
 
 
 class TokenTransfer(msgspec.Struct, kw_only=True, tag="token-transfer"):
     """Tokens that the sender has debited before it sent them.
 
+    :param amount: tokens that go with no piece.
     :param pieces: what the sender lends of the quantity's rate and burst.
+    :param piece_tokens: tokens that go with the pieces.
     :param asker: incarnation of the process that asked.
     :param spare_units: what the sender could still lend.
+    :param spare_tokens: tokens that the sender could still give.
     """
 
     quantity: str
@@ -98,8 +104,26 @@
     amount: float
     deadline: float
     pieces: list[SharePiece] = []
+    piece_tokens: float = 0.0
     asker: int = 0
     spare_units: int = 0
+    spare_tokens: float = 0.0
+
+
+class LoanReturned(msgspec.Struct, kw_only=True, tag="loan-returned"):
+    """The sender has given up a loan before its end.
+
+    :param request_id: the request that the loan answered.
+    :param asker: incarnation of the sender.
+    :param units: the units given up.
+    :param amount: tokens that go back with them.
+    """
+
+    quantity: str
+    request_id: int
+    asker: int
+    units: int
+    amount: float
 
 
 class PromiseRequest(msgspec.Struct, kw_only=True, tag="promise-request"):
@@ -131,6 +155,7 @@
     | RelayedObject
     | TokenRequest
     | TokenTransfer
+    | LoanReturned
     | PromiseRequest
     | RenewalPromise
 )
--- a/packages/shares/src/radishbridge/shares/account.py
+++ b/packages/shares/src/radishbridge/shares/account.py
@@ -7,18 +7,23 @@
 
 from radishbridge.peers import SharePiece
 from radishbridge.shares.bucket import TokenBucket
+from radishbridge.shares.demand import Demand
 from radishbridge.shares.lease import ShareLease
 from radishbridge.shares.table import TOTAL_UNITS
 
 LOAN_S = 1.0
-LOAN_MARGIN_S = 0.1
+CLOCK_RATIO = 1.045
 SMALLEST_LOAN_UNITS = 100
+SMALLEST_GIFT_TOKENS = 0.05
 MAX_PIECES = 16
-DEMAND_TIME_CONSTANT_S = 0.25
+ANSWER_DEADLINE_S = 0.25
 HEADROOM = 1.2
 IDLE_REQUESTS_PER_S = 0.05
 READY_TOKENS = 2.0
+READY_UNITS_TOKENS = 1.5
 LOOK_AHEAD_S = 0.3
+LOW_PART = 0.4
+ASK_AHEAD_S = 0.15
 
 
 class Loan:
@@ -47,32 +52,23 @@
         self.tokens = tokens
 
 
-class Demand:
-    """Requests per second that arrive here, averaged over a short time."""
+class LoanReturn:
+    """A loan given up before its end, and the tokens that go back with it."""
 
-    __slots__ = ("_at", "_rate")
+    __slots__ = ("loan", "tokens")
 
-    def __init__(self, now: float) -> None:
-        self._rate = 0.0
-        self._at = now
-
-    def add(self, amount: float, now: float) -> None:
-        """Count requests."""
-        self._rate = self.rate(now) + amount / DEMAND_TIME_CONSTANT_S
-        self._at = max(self._at, now)
-
-    def rate(self, now: float) -> float:
-        """Return the average as of ``now``."""
-        elapsed = max(0.0, now - self._at)
-        return self._rate * math.exp(-elapsed / DEMAND_TIME_CONSTANT_S)
+    def __init__(self, loan: Loan, tokens: float) -> None:
+        self.loan = loan
+        self.tokens = tokens
 
 
 class ShareAccount:
     """Admits requests of one quantity within the units this host may use.
 
-    Over all hosts the units in use and under way never exceed ``TOTAL_UNITS``, a bucket never
-    holds more than its host's units of the burst, and tokens travel only within the burst of
-    the units that travel with them. Hence the sum of all tokens never exceeds the burst.
+    Over all hosts the units in use and under way never exceed ``TOTAL_UNITS`` and a bucket
+    never holds more than its host's units of the burst. Tokens travel either within the burst
+    of units that travel with them, or alone; then the sender's bucket may hold that much less
+    until they have arrived or are void. Hence the sum of all tokens never exceeds the burst.
 
     :param lease: this process's lease on its units of the table.
     :param rate: tokens per second over all hosts.
@@ -89,6 +85,7 @@
         "lease",
         "lent",
         "rate",
+        "sent",
     )
 
     def __init__(self, lease: ShareLease, rate: float, burst: float, now: float) -> None:
@@ -97,6 +94,7 @@
         self.burst = burst
         self.base = 0
         self.lent: list[Loan] = []
+        self.sent: list[Loan] = []
         self.borrowed: list[Loan] = []
         self.bucket = TokenBucket(0.0, 0.0, now)
         self.demand = Demand(now)
@@ -110,9 +108,13 @@
         self.burst = burst
         self._resize(now)
 
-    def admit(self, now: float) -> bool:
-        """Spend one token if there is one."""
-        self.demand.add(1.0, now)
+    def admit(self, now: float, again: bool = False) -> bool:
+        """Spend one token if there is one.
+
+        :param again: the request was refused before and is not counted as demand once more.
+        """
+        if not again:
+            self.demand.add(1.0, now)
         if now >= self._next_end or self.lease.usable(now) != self.base:
             self.settle(now)
         return self.bucket.take(1.0, now)
@@ -125,6 +127,19 @@
         """Return the units of the table that are lent out as of the last settlement."""
         return sum(loan.units for loan in self.lent)
 
+    def sent_units(self) -> int:
+        """Return the units of the table whose burst tokens under way may still use."""
+        return sum(loan.units for loan in self.sent)
+
+    def own_units(self) -> int:
+        """Return the units of the table that may be lent.
+
+        Neither those that are lent or kept for tokens under way, nor those that other holders
+        wait for.
+        """
+        lasting = min(self.base, self.lease.target)
+        return max(0, lasting - self.lent_units() - self.sent_units())
+
     def ending_units(self, time: float) -> int:
         """Return the borrowed units that end before a time and cannot be prolonged."""
         return sum(
@@ -141,6 +156,7 @@
             self._resize(end)
         self.borrowed = [loan for loan in self.borrowed if loan.until > now and loan.units > 0]
         self.lent = [loan for loan in self.lent if loan.until > now and loan.units > 0]
+        self.sent = [loan for loan in self.sent if loan.until > now]
         self.base = self.lease.usable(now)
         self._resize(now)
 
@@ -149,18 +165,69 @@
         arriving = self.demand.rate(now)
         if self.rate <= 0.0 or self.burst <= 0.0 or arriving < IDLE_REQUESTS_PER_S:
             return 0
-        part = max(arriving * HEADROOM / self.rate, READY_TOKENS / self.burst)
+        part = max(arriving * HEADROOM / self.rate, READY_UNITS_TOKENS / self.burst)
         return min(TOTAL_UNITS, math.ceil(part * TOTAL_UNITS))
 
+    def missing_units(self, now: float) -> int:
+        """Return the units to ask for; small swings of the demand are left to tokens.
+
+        Borrowed units that end soon count as gone already.
+        """
+        ending = self.ending_units(now + ASK_AHEAD_S)
+        held = self.units() - ending
+        ready = self.burst * held / TOTAL_UNITS >= READY_UNITS_TOKENS
+        suffices = ready and self.demand.rate(now) <= self.rate * held / TOTAL_UNITS
+        if suffices or not (ending or self.runs_short(now)):
+            return 0
+        return max(0, self.wanted_units(now) - held)
+
+    def missing_tokens(self, now: float) -> float:
+        """Return the tokens to ask for, which the bucket has room for."""
+        return self.bucket.burst - self.bucket.tokens if self.runs_short(now) else 0.0
+
     def runs_short(self, now: float) -> bool:
         """Tell whether the tokens here will be used up soon at the present demand."""
-        arriving = self.demand.rate(now) * HEADROOM
-        missing = arriving - self.bucket.rate
-        return self.bucket.tokens < READY_TOKENS + max(0.0, missing) * LOOK_AHEAD_S
+        arriving = self.demand.rate(now)
+        if arriving < IDLE_REQUESTS_PER_S:
+            return False
+        ahead = READY_TOKENS + arriving * LOOK_AHEAD_S
+        return self.bucket.tokens < max(1.0, min(ahead, LOW_PART * self.bucket.burst))
 
     def spare_units(self, now: float) -> int:
         """Return the units in use here that the demand does not need."""
-        return max(0, self.units() - self.wanted_units(now))
+        arriving = self.demand.rate(now) * HEADROOM
+        needed = math.ceil(TOTAL_UNITS * arriving / self.rate) if self.rate > 0.0 else 0
+        return max(0, self.units() - self.sent_units() - needed)
+
+    def spare_tokens(self, now: float) -> float:
+        """Return the tokens that may be given away without units."""
+        tokens = self.bucket.tokens
+        in_use = self.demand.rate(now) >= IDLE_REQUESTS_PER_S
+        kept = max(tokens / 2, LOW_PART * self.bucket.burst if in_use else 0.0)
+        room = self.burst * (self.own_units() - self.base // 2) / TOTAL_UNITS
+        return max(0.0, min(tokens - kept, room))
+
+    def give(self, asked: float, now: float) -> float:
+        """Debit tokens that travel without units.
+
+        The bucket may hold that much less until they have arrived or are void, so that what
+        is under way and what refills here meanwhile do not add up to more than the burst.
+        """
+        until = now + ANSWER_DEADLINE_S * CLOCK_RATIO
+        self.settle(now)
+        given = min(asked, self.spare_tokens(now))
+        if given < SMALLEST_GIFT_TOKENS or until > self.lease.valid_until:
+            return 0.0
+        units = math.ceil(given * TOTAL_UNITS / self.burst)
+        self.sent.append(Loan(units, until, "", 0))
+        self.bucket.tokens -= given
+        self._resize(now)
+        return given
+
+    def receive(self, tokens: float, now: float) -> None:
+        """Credit tokens that came without units; what the bucket has no room for is lost."""
+        self.settle(now)
+        self.bucket.put(tokens, now)
 
     def lend(self, asked_units: int, peer: str, request_id: int, now: float) -> Parcel:
         """Give up units that are not needed here, and the tokens that go with them.
@@ -188,11 +255,12 @@
     ) -> Parcel:
         """Let a loan run on, as far as the demand here does not need its units back."""
         self.settle(now)
-        until = min(now + LOAN_S + LOAN_MARGIN_S, self.lease.valid_until)
-        valid_s = until - now - LOAN_MARGIN_S
+        until = min(now + LOAN_S * CLOCK_RATIO, self.lease.valid_until)
+        valid_s = (until - now) / CLOCK_RATIO
         loans = [loan for loan in self.lent if (loan.peer, loan.request_id) == (peer, renews)]
         needed = max(0, self.wanted_units(now) - self.units())
-        granted = min(asked_units, sum(loan.units for loan in loans) - needed)
+        awaited = max(0, self.lent_units() + self.sent_units() - self.lease.target)
+        granted = min(asked_units, sum(loan.units for loan in loans) - needed - awaited)
         if granted < SMALLEST_LOAN_UNITS or any(loan.until >= until for loan in loans):
             return Parcel([], 0.0)
         _deduct(loans, granted)
@@ -234,12 +302,38 @@
         self._resize(now)
         return sum(loan.units for loan in loans)
 
+    def hand_back(self, now: float) -> list[LoanReturn]:
+        """Give up loans that are no longer needed, with the tokens that belong to them."""
+        self.settle(now)
+        returns: list[LoanReturn] = []
+        for loan in [one for one in self.borrowed if one.request_id]:
+            held = self.units()
+            if loan.units > self.spare_units(now):
+                continue
+            tokens = self.bucket.tokens * loan.units / held
+            self.bucket.tokens -= tokens
+            self.borrowed.remove(loan)
+            self._resize(now)
+            returns.append(LoanReturn(loan, tokens))
+        return returns
+
+    def take_back(self, units: int, tokens: float, peer: str, request_id: int, now: float) -> None:
+        """Use units again that a borrower has given up; a loan comes back only once."""
+        self.settle(now)
+        loans = [loan for loan in self.lent if (loan.peer, loan.request_id) == (peer, request_id)]
+        freed = min(units, sum(loan.units for loan in loans))
+        _deduct(loans, freed)
+        for loan in loans:
+            loan.request_id = 0
+        self._resize(now)
+        self.bucket.put(min(tokens, self.burst * freed / TOTAL_UNITS), now)
+
     def _lend_own(
         self, asked_units: int, peer: str, request_id: int, now: float
     ) -> list[SharePiece]:
-        until = min(now + LOAN_S + LOAN_MARGIN_S, self.lease.valid_until)
-        valid_s = until - now - LOAN_MARGIN_S
-        units = min(asked_units, self.base - self.lent_units())
+        until = min(now + LOAN_S * CLOCK_RATIO, self.lease.valid_until)
+        valid_s = (until - now) / CLOCK_RATIO
+        units = min(asked_units, self.own_units())
         if units <= 0 or valid_s <= 0.0:
             return []
         self.lent.append(Loan(units, until, peer, request_id))
@@ -249,18 +343,20 @@
         pieces: list[SharePiece] = []
         for loan in sorted(self.borrowed, key=lambda loan: loan.until, reverse=True):
             units = min(asked_units, loan.units)
-            valid_s = loan.until - now - LOAN_MARGIN_S
+            valid_s = (loan.until - now) / CLOCK_RATIO
             if units <= 0 or valid_s <= 0.0 or len(pieces) >= MAX_PIECES - 1:
                 continue
             loan.units -= units
             asked_units -= units
-            pieces.append(SharePiece(units=units, valid_s=valid_s))
+            pieces.append(SharePiece(units=units, valid_s=valid_s, passed_on=True))
         return pieces
 
     def _resize(self, now: float) -> None:
-        part = max(0, self.units()) / TOTAL_UNITS
-        self.bucket.resize(self.rate * part, self.burst * part, now)
-        ends = (loan.until for loan in itertools.chain(self.lent, self.borrowed))
+        units = max(0, self.units())
+        rate = self.rate * units / TOTAL_UNITS
+        burst = self.burst * max(0, units - self.sent_units()) / TOTAL_UNITS
+        self.bucket.resize(rate, burst, now)
+        ends = (loan.until for loan in itertools.chain(self.lent, self.borrowed, self.sent))
         self._next_end = min(ends, default=float("inf"))
 
 
@@ -268,7 +364,12 @@
     parcel: Parcel, peer: str, request_id: int, asked_at: float, now: float
 ) -> list[Loan]:
     loans = (
-        Loan(piece.units, asked_at + min(piece.valid_s, LOAN_S), peer, request_id)
+        Loan(
+            piece.units,
+            asked_at + min(piece.valid_s, LOAN_S),
+            peer,
+            0 if piece.passed_on else request_id,
+        )
         for piece in parcel.pieces
     )
     return [loan for loan in loans if loan.until > now]
--- a/packages/shares/src/radishbridge/shares/admission.py
+++ b/packages/shares/src/radishbridge/shares/admission.py
@@ -76,11 +76,18 @@
         :param now: monotonic time in seconds.
         :return: ``None`` where admitted, ``RATE_EXCEEDED`` or ``SHARE_UNAVAILABLE`` otherwise.
         """
+        return self._decide(workspace, now, again=False)
+
+    def readmit(self, workspace: str, now: float) -> Failure | None:
+        """Decide anew on a request that was refused, without counting it as demand again."""
+        return self._decide(workspace, now, again=True)
+
+    def _decide(self, workspace: str, now: float, again: bool) -> Failure | None:
         account = self.accounts.get(workspace)
         if account is None:
             return Failure(ResultCode.RATE_EXCEEDED, f"workspace {workspace} has no rate")
         now = max(now, self.clock())
-        admitted = account.admit(now)
+        admitted = account.admit(now, again)
         self.active.add(workspace)
         if not self._leaving:
             self.exchange.consider(workspace, now)
@@ -95,16 +102,15 @@
 
     async def acquire(self, workspace: str) -> Failure | None:
         """Admit a request, waiting shortly for units that are under way from other hosts."""
-        give_up_at = self.clock() + LONGEST_WAIT_S
-        while True:
-            now = self.clock()
-            refusal = self.admit(workspace, now)
-            if refusal is None or now >= give_up_at:
-                return refusal
-            if not self.exchange.expects_answer(workspace, now):
-                return refusal
+        now = self.clock()
+        give_up_at = now + LONGEST_WAIT_S
+        refusal = self.admit(workspace, now)
+        while refusal is not None and self.exchange.expects_answer(workspace, now):
             if not await self._wait(workspace, give_up_at - now):
                 return refusal
+            now = self.clock()
+            refusal = self.readmit(workspace, now)
+        return refusal
 
     def retry_after_s(self, workspace: str) -> float:
         """Return the seconds after which a refused request may be admitted."""
@@ -140,7 +146,8 @@
     def lent_units(self, now: float) -> int:
         """Return the most units of the table that are lent out for any quantity."""
         self.settle(now)
-        return max((account.lent_units() for account in self.accounts.values()), default=0)
+        accounts = self.accounts.values()
+        return max((one.lent_units() + one.sent_units() for one in accounts), default=0)
 
     def tick(self, now: float) -> None:
         """Ask ahead for the quantities in use, and forget requests that are late."""
@@ -149,11 +156,15 @@
             name
             for name in self.active
             if name not in self.accounts
-            or self.accounts[name].demand.rate(now) < IDLE_REQUESTS_PER_S
+            or (
+                self.accounts[name].demand.rate(now) < IDLE_REQUESTS_PER_S
+                and not self.accounts[name].borrowed
+            )
         }
         self.active -= idle
         for name in self.active:
             self.exchange.consider(name, now)
+            self.exchange.hand_back(name, now)
 
     async def run(self) -> None:
         """Run the tasks of the shares until cancelled."""
--- a/packages/shares/src/radishbridge/shares/exchange.py
+++ b/packages/shares/src/radishbridge/shares/exchange.py
@@ -5,9 +5,18 @@
 import math
 import typing as t
 
-from radishbridge.peers import Peer, PeerMesh, PeerMessage, TokenRequest, TokenTransfer
+from radishbridge.peers import (
+    LoanReturned,
+    Peer,
+    PeerMesh,
+    PeerMessage,
+    TokenRequest,
+    TokenTransfer,
+)
 from radishbridge.shares.account import (
+    ANSWER_DEADLINE_S,
     MAX_PIECES,
+    SMALLEST_GIFT_TOKENS,
     SMALLEST_LOAN_UNITS,
     Parcel,
     ShareAccount,
@@ -15,13 +24,13 @@
 from radishbridge.shares.lease import ShareLease
 from radishbridge.shares.table import TOTAL_UNITS
 
-ANSWER_DEADLINE_S = 0.25
 MAX_ASKED = 8
+ASKED_FOR_TOKENS = 3
 ASK_PAUSE_S = 0.02
 LONGEST_ASK_PAUSE_S = 0.5
+ASK_BACKOFF = 1.3
 RENEW_BEFORE_S = 0.5
-ASK_AHEAD_S = 0.15
-HINT_VALID_S = 0.5
+HINT_VALID_S = 0.05
 MAX_PENDING = 4096
 
 
@@ -42,14 +51,31 @@
 
 
 class Hint:
-    """What a host said it could still lend."""
+    """What a host said it could still lend and give."""
 
-    __slots__ = ("at", "units")
+    __slots__ = ("at", "tokens", "units")
 
-    def __init__(self, units: int, at: float) -> None:
+    def __init__(self, units: int, tokens: float, at: float) -> None:
         self.units = units
+        self.tokens = tokens
         self.at = at
 
+    @property
+    def rank(self) -> float:
+        """What decides whom to ask first: tokens serve at once."""
+        return self.tokens + self.units / TOTAL_UNITS
+
+
+class Want:
+    """What to ask one host for."""
+
+    __slots__ = ("host", "tokens", "units")
+
+    def __init__(self, host: str, units: int, tokens: float) -> None:
+        self.host = host
+        self.units = units
+        self.tokens = tokens
+
 
 class LastRequest:
     """The newest request that a host has sent, to drop doubled ones."""
@@ -115,6 +141,7 @@
         self._next_id = 0
         mesh.subscribe(TokenRequest, self.on_request)
         mesh.subscribe(TokenTransfer, self.on_transfer)
+        mesh.subscribe(LoanReturned, self.on_return)
 
     def consider(self, quantity: str, now: float) -> None:
         """Ask for units where the demand here needs more than are held."""
@@ -126,13 +153,14 @@
         account.settle(now)
         wanted = account.wanted_units(now)
         self._renew(quantity, account, wanted, now)
-        shortfall = wanted - account.units() + account.ending_units(now + ASK_AHEAD_S)
-        if shortfall < SMALLEST_LOAN_UNITS or not account.runs_short(now):
+        units = account.missing_units(now)
+        tokens = account.missing_tokens(now)
+        if units < SMALLEST_LOAN_UNITS and tokens < SMALLEST_GIFT_TOKENS:
             return
         ask.next_at = now + ask.pause_s
-        ask.pause_s = min(2 * ask.pause_s, LONGEST_ASK_PAUSE_S)
-        for host, units in self._whom_to_ask(ask, shortfall, now).items():
-            self._send(host, quantity, units, 0, now)
+        ask.pause_s = min(ASK_BACKOFF * ask.pause_s, LONGEST_ASK_PAUSE_S)
+        for want in self._whom_to_ask(ask, units, tokens, now):
+            self._send(want.host, quantity, want, 0, now)
 
     def expects_answer(self, quantity: str, now: float) -> bool:
         """Tell whether an answer for a quantity may still come."""
@@ -164,16 +192,19 @@
             parcel = account.prolong(units, name, message.renews, request_id, now)
         else:
             parcel = account.lend(units, name, request_id, now)
+        tokens = account.give(message.amount, now) if message.amount > 0.0 else 0.0
         self.mesh.send(
             peer.name,
             TokenTransfer(
                 quantity=message.quantity,
                 request_id=request_id,
-                amount=parcel.tokens,
+                amount=tokens,
                 deadline=message.deadline,
                 pieces=parcel.pieces,
+                piece_tokens=parcel.tokens,
                 asker=message.asker,
                 spare_units=account.spare_units(now),
+                spare_tokens=account.spare_tokens(now),
             ),
         )
 
@@ -192,13 +223,37 @@
             return
         units = self._accept(account, peer, message, pending, now)
         ask = self._asks.setdefault(message.quantity, AskState())
-        ask.hints[peer.name] = Hint(message.spare_units, now)
-        if units > 0 or message.spare_units > 0:
+        ask.hints[peer.name] = Hint(message.spare_units, message.spare_tokens, now)
+        if units > 0 or message.amount > 0.0:
             ask.pause_s = ASK_PAUSE_S
             ask.next_at = min(ask.next_at, now)
         for listener in self.received:
             listener(message.quantity)
 
+    def hand_back(self, quantity: str, now: float) -> None:
+        """Return the loans that the demand here no longer needs."""
+        for returned in self.accounts[quantity].hand_back(now):
+            message = LoanReturned(
+                quantity=quantity,
+                request_id=returned.loan.request_id,
+                asker=self.lease.key.incarnation,
+                units=returned.loan.units,
+                amount=returned.tokens,
+            )
+            self.mesh.send(returned.loan.peer, message)
+
+    def on_return(self, peer: Peer, message: PeerMessage) -> None:
+        """Take a returned loan back."""
+        assert isinstance(message, LoanReturned)
+        account = self.accounts.get(message.quantity)
+        if account is None or message.units < 0:
+            return
+        if not math.isfinite(message.amount) or message.amount < 0.0:
+            return
+        borrower = f"{peer.name}/{message.asker}"
+        now = self.clock()
+        account.take_back(message.units, message.amount, borrower, message.request_id, now)
+
     def _accept(
         self,
         account: ShareAccount,
@@ -207,7 +262,9 @@
         pending: PendingRequest,
         now: float,
     ) -> int:
-        parcel = Parcel(message.pieces, message.amount)
+        if message.amount > 0.0:
+            account.receive(message.amount, now)
+        parcel = Parcel(message.pieces, message.piece_tokens)
         request_id, asked_at = message.request_id, pending.asked_at
         if pending.renews:
             return account.run_on(parcel, peer.name, pending.renews, request_id, asked_at, now)
@@ -226,32 +283,32 @@
             if needed < SMALLEST_LOAN_UNITS:
                 return
             if loan.request_id not in asked:
-                self._send(loan.peer, quantity, min(needed, loan.units), loan.request_id, now)
+                want = Want(loan.peer, min(needed, loan.units), 0.0)
+                self._send(loan.peer, quantity, want, loan.request_id, now)
             needed -= loan.units
 
-    def _whom_to_ask(self, ask: AskState, shortfall: int, now: float) -> dict[str, int]:
+    def _whom_to_ask(self, ask: AskState, units: int, tokens: float, now: float) -> list[Want]:
         names = [holder.name for holder in self.lease.table.holders]
         others = [name for name in names if name != self.lease.key.name]
-        if not others:
-            return {}
-        fresh = {
-            name: hint.units
-            for name, hint in ask.hints.items()
-            if now - hint.at < HINT_VALID_S and name in others
-        }
-        asked: dict[str, int] = {}
-        for name in sorted(fresh, key=lambda name: -fresh[name])[:MAX_ASKED]:
-            units = min(fresh[name], shortfall)
-            if units >= SMALLEST_LOAN_UNITS:
-                asked[name] = units
-                shortfall -= units
-        unknown = [name for name in _rotated(others, ask.turn) if name not in fresh]
+        known = {name: hint for name, hint in ask.hints.items() if now - hint.at < HINT_VALID_S}
+        wants: list[Want] = []
+        for name in sorted(known, key=lambda name: known[name].rank, reverse=True):
+            want = Want(name, min(known[name].units, units), min(known[name].tokens, tokens))
+            if want.units >= SMALLEST_LOAN_UNITS or want.tokens >= SMALLEST_GIFT_TOKENS:
+                wants.append(want)
+                units -= want.units
+                tokens -= want.tokens
+        unknown = _rotated([name for name in others if name not in known], ask.turn)
         average = TOTAL_UNITS // (len(others) + 1)
-        count = min(MAX_ASKED - len(asked), len(unknown), math.ceil(shortfall / average))
-        ask.turn += max(0, count)
-        return asked | {name: math.ceil(shortfall / count) for name in unknown[: max(0, count)]}
+        count = max(math.ceil(units / average), ASKED_FOR_TOKENS * (tokens > 0.0))
+        asked = unknown[: max(0, min(count, MAX_ASKED - len(wants)))]
+        ask.turn += len(asked)
+        wants += [
+            Want(name, math.ceil(units / len(asked)), tokens / ASKED_FOR_TOKENS) for name in asked
+        ]
+        return wants[:MAX_ASKED]
 
-    def _send(self, host: str, quantity: str, units: int, renews: int, now: float) -> None:
+    def _send(self, host: str, quantity: str, want: Want, renews: int, now: float) -> None:
         if len(self.pending) >= MAX_PENDING:
             return
         self._next_id += 1
@@ -259,9 +316,9 @@
         request = TokenRequest(
             quantity=quantity,
             request_id=self._next_id,
-            amount=0.0,
+            amount=want.tokens,
             deadline=now + ANSWER_DEADLINE_S,
-            units=units,
+            units=want.units,
             renews=renews,
             asker=self.lease.key.incarnation,
         )
@@ -279,7 +336,7 @@
 
 
 def _is_sound(message: TokenTransfer) -> bool:
-    numbers = [message.amount, *(piece.valid_s for piece in message.pieces)]
+    numbers = [message.amount, message.piece_tokens, *(piece.valid_s for piece in message.pieces)]
     units = [piece.units for piece in message.pieces]
     return (
         len(units) <= MAX_PIECES
@@ -290,5 +347,5 @@
 
 
 def _rotated(names: list[str], turn: int) -> list[str]:
-    start = turn % len(names)
+    start = turn % len(names) if names else 0
     return names[start:] + names[:start]
--- a/packages/shares/src/radishbridge/shares/lease.py
+++ b/packages/shares/src/radishbridge/shares/lease.py
@@ -102,6 +102,7 @@
         "renewed_at",
         "store_answers",
         "table",
+        "target",
         "times",
         "units",
         "valid_until",
@@ -111,6 +112,7 @@
         self.key = key
         self.times = times
         self.units = 0
+        self.target = TOTAL_UNITS
         self.valid_until = float("-inf")
         self.renewed_at = float("-inf")
         self.last_put_at = float("-inf")
@@ -157,8 +159,8 @@
         if own is None and len(table.holders) >= MAX_HOLDERS:
             return None
         held = 0 if own is None else own.units
-        target = TOTAL_UNITS // (len(table.holders) + (own is None))
-        units = max(min(target, held + table.free_units()), min(held, floor_units))
+        self.target = TOTAL_UNITS // (len(table.holders) + (own is None))
+        units = max(min(self.target, held + table.free_units()), min(held, floor_units))
         if units < self.units:
             self._use(units, now)
         self._note_attempt(self._renewals + 1 if own is None else own.renewals + 1, now)
--- a/tests/shares_world.py
+++ b/tests/shares_world.py
@@ -76,6 +76,9 @@
         if self.membership is not None:
             self.membership.close()
 
+    def __del__(self) -> None:
+        self.close()
+
 
 class World:
     """All hosts, the store, the network, and the checks that hold at every moment."""
