--- a/standin/src/radishbridge_standin/objects.py
+++ b/standin/src/radishbridge_standin/objects.py
@@ -99,10 +99,13 @@
         self.table.open_watches += 1
         try:
             await self._stream(response, batch, kinds)
+        except ConnectionResetError:
+            # The client has left.
+            return response
         finally:
             self.table.open_watches -= 1
         if self.table.faults.down:
-            return _abort(request)
+            _abort(request)
         return response
 
     async def get_hosts(self, request: web.Request) -> web.StreamResponse:
@@ -156,7 +159,7 @@
     ) -> None:
         generation = self.table.generation
         wakeup = asyncio.Event()
-        self.table.wakeups.add(wakeup)
+        self.table.wakeups[wakeup] = None
         try:
             while batch is not None:
                 sign = WatchEvent(revision=batch.revision)
@@ -167,7 +170,7 @@
                     return
                 batch = self.table.read_events(batch.revision, kinds)
         finally:
-            self.table.wakeups.discard(wakeup)
+            self.table.wakeups.pop(wakeup, None)
 
     def _json(self, value: t.Any) -> web.Response:
         body = msgspec.json.encode(value)
