--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := records store peers shares routing moves host client
+PACKAGES := records store peers shares routing moves claims host client
 SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/standin/src
 empty :=
 space := $(empty) $(empty)
@@ -44,3 +44,12 @@
 	$(BIN)/black --quiet $(CODE)
 	$(BIN)/ruff check --fix $(CODE)
 	$(BIN)/black --quiet $(CODE)
+
+.PHONY: slopes capacity
+
+slopes: venv
+	mkdir -p bench/results
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR) $(BIN)/python -m bench.slopes > bench/results/slopes.json
+
+capacity: venv
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR) $(BIN)/python -m bench.capacity
--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from radishbridge.routing.block_feed import BlockFeed
 from radishbridge.routing.blocks import (
     Block,
     BlockPart,
@@ -19,6 +20,7 @@
     RankedHost,
     rank_hosts,
 )
+from radishbridge.routing.poison import Crash, PoisonList, request_fingerprint
 from radishbridge.routing.protocol import AttemptOutcome, Permit, Router, ServiceRoute
 from radishbridge.routing.retry import FailedAttempt, Retries, RetryBudget
 from radishbridge.routing.router import LocalRouter
@@ -28,14 +30,17 @@
     "LOOKUP_TTL_S",
     "AttemptOutcome",
     "Block",
+    "BlockFeed",
     "BlockPart",
     "BlockTable",
+    "Crash",
     "EntryHost",
     "FailedAttempt",
     "HostIndex",
     "LocalRouter",
     "LookupAnswer",
     "Permit",
+    "PoisonList",
     "RankedHost",
     "Retries",
     "RetryBudget",
@@ -44,5 +49,6 @@
     "pack_part",
     "parse_address",
     "rank_hosts",
+    "request_fingerprint",
     "unpack_part",
 ]
