Report a host complete only with a proof of freshness

Cause: a starting host was ready up to a second before it had a proof, and refused keyed requests meanwhile.

--- a/packages/store/src/radishbridge/store/exchange.py
+++ b/packages/store/src/radishbridge/store/exchange.py
@@ -35,19 +35,22 @@
     A host that has just started transfers a full copy the same way: all its buckets differ.
 
     :param taken: called with each object that was new to the replica, and the host it came from.
+    :param completed: called with the host whose copy has made this one complete.
     """
 
-    __slots__ = ("mesh", "replica", "taken", "wanted")
+    __slots__ = ("completed", "mesh", "replica", "taken", "wanted")
 
     def __init__(
         self,
         replica: Replica,
         mesh: PeerMesh,
         taken: t.Callable[[Peer, StoredObject], None],
+        completed: t.Callable[[Peer], None],
     ) -> None:
         self.replica = replica
         self.mesh = mesh
         self.taken = taken
+        self.completed = completed
         self.wanted: dict[At, int] = {}
         mesh.subscribe(ReplicaDigest, self.answer_digest)
         mesh.subscribe(ReplicaDifference, self.take_difference)
@@ -90,7 +93,9 @@
             self.mesh.send(peer.name, ObjectRequest(objects=missing[:REQUEST_OBJECTS]))
         elif message.complete and not message.more:
             self.replica.advance(message.revision)
-            self.replica.complete = True
+            if not self.replica.complete:
+                self.replica.complete = True
+                self.completed(peer)
 
     def answer_request(self, peer: Peer, message: PeerMessage) -> None:
         """Send the objects asked for, up to a limit of bytes."""
--- a/packages/store/src/radishbridge/store/feed.py
+++ b/packages/store/src/radishbridge/store/feed.py
@@ -110,7 +110,9 @@
         self.must_load = self.replica.revision == revision
 
     async def _prove_forever(self) -> None:
-        # The first listing is a proof by itself.
+        # A first listing is a proof by itself.
+        if self.replica.complete:
+            await self.prove()
         async with asyncio.TaskGroup() as group:
             while True:
                 await self.sleep(PROOF_INTERVAL_S * self.randomness.uniform(0.9, 1.1))
--- a/packages/store/src/radishbridge/store/relay.py
+++ b/packages/store/src/radishbridge/store/relay.py
@@ -96,7 +96,7 @@
             store, replica, randomness, taken=self._pass_on, failed=self._read_hosts, sleep=sleep
         )
         self.feed_task: asyncio.Task[None] | None = None
-        self.exchange = DigestExchange(replica, mesh, self._taken_from)
+        self.exchange = DigestExchange(replica, mesh, self._taken_from, self._completed)
         self.proofs = ProofExchange(
             self.freshness, mesh, clock, self._contact, self.is_watching, self._answered
         )
@@ -196,6 +196,10 @@
         if peer.data_center != self.settings.data_center:
             self._pass_on(stored)
 
+    def _completed(self, peer: Peer) -> None:
+        # Without a proof the host would be ready and refuse keyed requests for a second.
+        self.proofs.ask(peer.name)
+
     def _pass_on(self, stored: StoredObject) -> None:
         message = relayed(stored)
         for peer in self.mesh.live():
--- a/standin/src/radishbridge_standin/processes.py
+++ b/standin/src/radishbridge_standin/processes.py
@@ -104,7 +104,8 @@
             "listen": entry.address,
             "admin_listen": entry.admin_address,
             "peer_listen": entry.peer_address,
-            "store": {"url": self.store_url, "region": place.region},
+            # The store runs in the region of the first host.
+            "store": {"url": self.store_url, "region": [*self.hosts, entry][0].region},
         }
         path = self.directory / f"{place.host}.jsonc"
         path.write_text(json.dumps(document | settings))
--- a/tests/test_replica_relay.py
+++ b/tests/test_replica_relay.py
@@ -168,6 +168,14 @@
             assert len(host.replica.records) == 601
             assert proof(host) is Proof.STORE_OUTAGE
 
+    @pytest.mark.parametrize("number", range(5))
+    async def test_is_fresh_as_soon_as_its_copy_is_complete(self, number: int) -> None:
+        async with fleet(5) as one:
+            host = one.start(one.hosts[f"sw-a-{number}"].location)
+            while not host.replica.complete:
+                await one.run(0.25)
+            assert host.is_fresh()
+
     async def test_takes_the_highest_version_of_what_peers_have(self) -> None:
         async with fleet(3) as one:
             one.table.faults.down = True
