--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
-# Two commands matter on a fresh machine with Python 3.11: `make demo` and `make test`.
+# Three commands matter on a fresh machine with Python 3.11: `make demo`, `make fleet`, `make test`.
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := records store peers shares routing host client
+PACKAGES := records store peers shares routing moves claims host client
 SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/standin/src
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(strip $(SOURCES)))
 CODE := packages standin tests features bench
 
-.PHONY: venv demo test lint types unit features format
+.PHONY: venv demo fleet test lint types unit features format
 
 venv: $(VENV)/.ready
 
@@ -22,6 +22,9 @@
 demo: venv
 	$(BIN)/python -m radishbridge_standin.demo
 
+fleet: venv
+	$(BIN)/python -m radishbridge_standin.demo --keep
+
 test: lint types unit features
 
 lint: venv
