--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -71,6 +71,7 @@
         self.store = HttpStore(session, settings.store.url, settings.store.timeout_s)
         self.admission = ShareAdmission(self.store, self.mesh, settings.host, self.mesh.incarnation)
         self.gate.admission = self.admission
+        self.state.may_admit = self.admission.may_admit
         self.lookup = LookupApi(
             self.mesh,
             limits.shutdown_lookup_s * LOOKUP_TTL_SHARE,
--- a/packages/host/src/radishbridge/host/state.py
+++ b/packages/host/src/radishbridge/host/state.py
@@ -16,22 +16,24 @@
     """Answers what the host is, holds and does.
 
     :param live_peers: returns the names of the hosts that were heard of late.
+    :param may_admit: tells whether the host can admit requests within their rates.
     :param held_leases: returns the names of the leases that this host holds.
     """
 
-    __slots__ = ("forwarder", "held_leases", "live_peers", "replica", "settings")
+    __slots__ = ("forwarder", "held_leases", "live_peers", "may_admit", "replica", "settings")
 
     def __init__(self, settings: Settings, replica: Replica, forwarder: Forwarder) -> None:
         self.settings = settings
         self.replica = replica
         self.forwarder = forwarder
         self.live_peers: t.Callable[[], list[str]] = list
+        self.may_admit: t.Callable[[], bool] = lambda: True
         self.held_leases: t.Callable[[], list[str]] = list
 
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.replica.complete and not self.forwarder.leaving
+        return self.replica.complete and self.may_admit() and not self.forwarder.leaving
 
     def fresh_age_s(self, now: float) -> float:
         """Return the age of the last proof of freshness in seconds, -1 for never.
--- a/packages/shares/src/radishbridge/shares/admission.py
+++ b/packages/shares/src/radishbridge/shares/admission.py
@@ -13,7 +13,7 @@
 from radishbridge.shares.lease import ShareLease, ShareTimes
 from radishbridge.shares.membership import ShareMembership
 from radishbridge.shares.promises import PromiseExchange
-from radishbridge.shares.table import HolderKey
+from radishbridge.shares.table import MAX_HOLDERS, HolderKey
 from radishbridge.store import ObjectStore
 
 TICK_S = 0.05
@@ -22,6 +22,7 @@
 UNIT_WAIT_S = 1.0
 LONGEST_WAIT_S = 0.1
 MAX_WAITERS = 1000
+SHORTEST_WAIT_S = 0.002
 LEAVE_PAUSE_S = 0.2
 
 
@@ -101,12 +102,15 @@
         return Failure(ResultCode.RATE_EXCEEDED, f"workspace {workspace} is over its rate")
 
     async def acquire(self, workspace: str) -> Failure | None:
-        """Admit a request, waiting shortly for units that are under way from other hosts."""
+        """Admit a request, waiting shortly for tokens that are due or under way to this host."""
         now = self.clock()
         give_up_at = now + LONGEST_WAIT_S
         refusal = self.admit(workspace, now)
-        while refusal is not None and self.exchange.expects_answer(workspace, now):
-            if not await self._wait(workspace, give_up_at - now):
+        while refusal is not None and now < give_up_at:
+            refill_s = self.retry_after_s(workspace)
+            if now + refill_s <= give_up_at:
+                await asyncio.sleep(max(refill_s, SHORTEST_WAIT_S))
+            elif not await self._answered(workspace, now, give_up_at):
                 return refusal
             now = self.clock()
             refusal = self.readmit(workspace, now)
@@ -138,6 +142,11 @@
             return
         self._apply(record.name, self.clock())
 
+    def may_admit(self) -> bool:
+        """Tell whether this host holds units, or has to borrow because the table is full."""
+        full = len(self.lease.table.holders) >= MAX_HOLDERS
+        return full or self.lease.usable(self.clock()) > 0
+
     def settle(self, now: float) -> None:
         """Put a changed number of units in force for all quantities."""
         for account in self.accounts.values():
@@ -202,6 +211,11 @@
             self.accounts[workspace] = ShareAccount(self.lease, 0.0, 0.0, now)
             self._apply(workspace, now)
 
+    async def _answered(self, workspace: str, now: float, give_up_at: float) -> bool:
+        if not self.exchange.expects_answer(workspace, now):
+            return False
+        return await self._wait(workspace, give_up_at - now)
+
     async def _wait(self, workspace: str, timeout_s: float) -> bool:
         waiters = self._waiters.setdefault(workspace, [])
         if len(waiters) >= MAX_WAITERS:
--- a/packages/shares/src/radishbridge/shares/membership.py
+++ b/packages/shares/src/radishbridge/shares/membership.py
@@ -22,6 +22,8 @@
 CONFLICT_PAUSE_S = 0.02
 NON_HOLDER_PAUSE_S = 5.0
 LEAVE_ATTEMPTS = 5
+STARTING_S = 10.0
+STARTING_PAUSE_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -55,9 +57,13 @@
         self.lent_units = lent_units
 
     async def run(self) -> None:
-        """Renew until cancelled."""
+        """Renew until cancelled; more often at first, so that a start is served soon."""
+        started_at = self.clock()
         while True:
-            await asyncio.sleep(await self.step())
+            pause_s = await self.step()
+            if self.clock() - started_at < STARTING_S:
+                pause_s = min(pause_s, STARTING_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def step(self) -> float:
         """Read the table, then renew where no promise forbids it.
