Accept the connections that wait before the listening socket closes

Ruled out: answers cut in flight (each closes its own connection, none was short). Change: host/listener.py accepts all that waits and closes the socket with nothing in between.

--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -21,6 +21,7 @@
 from radishbridge.host.forward import Forwarder
 from radishbridge.host.gate import Gate
 from radishbridge.host.keys import KeyRing
+from radishbridge.host.listener import Listener
 from radishbridge.host.lookup import Front, LookupApi
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
@@ -135,8 +136,8 @@
         limits = self.settings.limits
         server = CallerServer(Front(self.lookup, self.forwarder.handle).handle, limits)
         self.gate.server = server
-        site = await self._listen(web.ServerRunner(server), self.settings.listen)
-        return Shutdown(self.forwarder, server, site, limits)
+        listener = await self._listen(web.ServerRunner(server), self.settings.listen)
+        return Shutdown(self.forwarder, server, listener, limits)
 
     def _run(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
@@ -160,13 +161,12 @@
             for host in listed.hosts
         ]
 
-    async def _listen(self, runner: web.AppRunner | web.ServerRunner, address: str) -> web.TCPSite:
+    async def _listen(self, runner: web.AppRunner | web.ServerRunner, address: str) -> Listener:
         await runner.setup()
         self.stack.push_async_callback(runner.cleanup)
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port))
-        await site.start()
-        return site
+        listener = Listener(runner, address)
+        await listener.start()
+        return listener
 
     def _watch_parts(self) -> None:
         watch = self.metrics.watch
--- /dev/null
+++ b/packages/host/src/radishbridge/host/listener.py
@@ -0,0 +1,63 @@
+"""Listening sockets that close without losing a connection that waits to be accepted."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import socket
+import typing as t
+
+from aiohttp import web
+
+BACKLOG = 1_024
+
+
+class Listener:
+    """One listening socket of a runner.
+
+    :param runner: set up before ``start``; makes the handlers of connections.
+    :param address: ``IP:port``.
+    """
+
+    __slots__ = ("runner", "site", "socket")
+
+    def __init__(self, runner: web.AppRunner | web.ServerRunner, address: str) -> None:
+        self.runner = runner
+        self.socket = _bind(address)
+        self.site = web.SockSite(runner, self.socket, backlog=BACKLOG)
+
+    async def start(self) -> None:
+        """Accept connections."""
+        await self.site.start()
+
+    async def stop(self) -> None:
+        """Accept what waits, then close the socket.
+
+        The kernel resets connections that still wait when their listening socket is closed, so
+        nothing but the closing may come between.
+        """
+        waiting = list(_accept_waiting(self.socket))
+        await self.site.stop()
+        loop = asyncio.get_running_loop()
+        server = self.runner.server
+        if server is None:
+            return
+        for connection in waiting:
+            await loop.connect_accepted_socket(server, connection)
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ipaddress.ip_address(host).version == 6 else socket.AF_INET
+    return socket.create_server((host, int(port)), family=family, backlog=BACKLOG)
+
+
+def _accept_waiting(listener: socket.socket) -> t.Iterator[socket.socket]:
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        connection.setblocking(False)
+        yield connection
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -6,10 +6,9 @@
 import logging
 import typing as t
 
-from aiohttp import web
-
 from radishbridge.host.connections import CallerServer
 from radishbridge.host.forward import Forwarder
+from radishbridge.host.listener import Listener
 from radishbridge.records import LimitSettings
 
 POLL_S = 0.02
@@ -20,22 +19,22 @@
 class Shutdown:
     """Takes a host out of use without cutting a request.
 
-    :param site: the callers' listening socket.
+    :param listener: the callers' listening socket.
     :param limits: ``shutdown_lookup_s`` and ``shutdown_s`` bound the two waits, in seconds.
     """
 
-    __slots__ = ("forwarder", "limits", "server", "site")
+    __slots__ = ("forwarder", "limits", "listener", "server")
 
     def __init__(
         self,
         forwarder: Forwarder,
         server: CallerServer,
-        site: web.BaseSite,
+        listener: Listener,
         limits: LimitSettings,
     ) -> None:
         self.forwarder = forwarder
         self.server = server
-        self.site = site
+        self.listener = listener
         self.limits = limits
 
     async def run(self) -> None:
@@ -43,7 +42,7 @@
         logger.info("leaving: readiness and look-up answers no longer name this host")
         self.forwarder.leaving = True
         await asyncio.sleep(self.limits.shutdown_lookup_s)
-        await self.site.stop()
+        await self.listener.stop()
         logger.info("stopped accepting", extra={"in_flight": self.forwarder.in_flight})
         finished = await self._wait(lambda: not self.forwarder.in_flight)
         # Connections still open have been idle for the whole time of leaving, since each answer
