Say what hosts do with drains, drop a result code that nothing returns

Change: texts corrected; the test of the note asks for the new text as it did for the old one. Conclusion: what is missing is the report of a drain's end.

--- a/packages/client/src/radishbridge/client/drain.py
+++ b/packages/client/src/radishbridge/client/drain.py
@@ -19,7 +19,10 @@
 
 SCOPES = ["backend", "data_center", "region", "host"]
 DEFAULT_DEADLINE_S = 60.0
-RECORD_ONLY = "note: the record is in place; hosts of this release do not carry out drains yet"
+NO_REPORT = (
+    "note: hosts give a drained backend server no new request; "
+    "they do not report when the last one ends"
+)
 
 
 class DrainSummary(msgspec.Struct, kw_only=True):
@@ -64,7 +67,7 @@
         written = await create_record(context.store, "drain", name, self._body(), reuse=True)
         if isinstance(written, list):
             return context.console.fail(written)
-        return await finish(context, [written], self.timeout, RECORD_ONLY)
+        return await finish(context, [written], self.timeout, NO_REPORT)
 
     def _body(self) -> Drain:
         return Drain(
@@ -118,7 +121,7 @@
 @cappa.command(name="drain")
 @dataclasses.dataclass(slots=True)
 class DrainGroup:
-    """Write and list records of drains; no host of this release acts on them yet."""
+    """Start, stop and list drains; hosts do not report yet when a drain has ended."""
 
     command: cappa.Subcommands[Start | Stop | ListDrains]
 
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -46,7 +46,6 @@
     INTERNAL_ERROR = 122
     CALLER_GONE = 123
     ALREADY_RUN = 124
-    IDEMPOTENCY_KEY_MISSING = 125
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -131,9 +130,6 @@
     ResultCode.ALREADY_RUN: CodeInfo(
         "A request with this idempotency key has run before.", Execution.RUN, 409
     ),
-    ResultCode.IDEMPOTENCY_KEY_MISSING: CodeInfo(
-        "The route's requests may not be repeated and need an Idempotency-Key.", _NOT_RUN, 400
-    ),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NONE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo("A record's schema version is newer than known.", _NONE),
     ResultCode.SETTINGS_INVALID: CodeInfo("A settings file has an invalid field.", _NONE),
--- a/tests/test_client_record.py
+++ b/tests/test_client_record.py
@@ -84,7 +84,7 @@
             await fleet.put("service", "catalogue", SERVICE)
             start = ("drain", "start", "backend", "cat-1", "--service", "catalogue")
             assert await fleet.client(*start) == ExitCode.OK
-            assert "do not carry out drains yet" in capsys.readouterr().out
+            assert "do not report when the last one ends" in capsys.readouterr().out
             assert fleet.spec("drain", "backend-cat-1")["target"] == "cat-1"
             assert await fleet.client(*start) == ExitCode.CONFLICT
             assert await fleet.client("drain", "stop", "backend-cat-1") == ExitCode.OK
