Unpack changed client blocks in a worker thread in the daemon

Change: the look-up uses BlockFeed, and keeps the orders of data centres whose hosts did not change. Conclusion: not measured in a whole daemon yet.

--- a/packages/host/src/radishbridge/host/lookup.py
+++ b/packages/host/src/radishbridge/host/lookup.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import typing as t
 
 import msgspec
@@ -11,8 +10,9 @@
 
 from radishbridge.host.problem import problem_response
 from radishbridge.peers import HostAddress, ZmqMesh
-from radishbridge.records import ClientBlocks, Drain, Failure, Record, ResultCode, Site
+from radishbridge.records import Drain, Failure, Record, ResultCode, Site
 from radishbridge.routing import (
+    BlockFeed,
     BlockTable,
     HostIndex,
     LookupAnswer,
@@ -23,8 +23,6 @@
 LOOKUP_PATH = "/v1/lookup"
 REFRESH_S = 0.5
 
-logger = logging.getLogger(__name__)
-
 
 class LookupApi:
     """Ranks the live hosts for a caller's address.
@@ -33,13 +31,14 @@
     :param leaving: returns whether this host is leaving.
     """
 
-    __slots__ = ("drains", "entries", "hosts", "leaving", "mesh", "sites", "table", "ttl_s")
+    __slots__ = ("drains", "entries", "feed", "hosts", "leaving", "mesh", "sites", "table", "ttl_s")
 
     def __init__(self, mesh: ZmqMesh, ttl_s: float, leaving: t.Callable[[], bool]) -> None:
         self.mesh = mesh
         self.ttl_s = ttl_s
         self.leaving = leaving
         self.table = BlockTable()
+        self.feed = BlockFeed(self.table)
         self.sites: dict[str, Site] = {}
         self.drains: dict[str, Drain] = {}
         self.entries: list[HostAddress] = []
@@ -48,28 +47,31 @@
     def update(self, record: Record) -> None:
         """Take over a changed record of blocks, sites or drains."""
         body = record.body
-        if record.kind == "client-blocks":
-            failure = self.table.load(record.name, body if isinstance(body, ClientBlocks) else None)
-            if failure is not None:
-                logger.error("client blocks kept as they were: %s", failure.reason)
-        elif record.kind == "site":
+        self.feed.update(record)
+        if record.kind == "site":
             _replace(self.sites, record.name, body if isinstance(body, Site) else None)
         elif record.kind == "drain":
             _replace(self.drains, record.name, body if isinstance(body, Drain) else None)
             self.entries = []
 
     async def run(self) -> None:
-        """Follow the live hosts until cancelled."""
-        while True:
-            self.refresh()
-            await asyncio.sleep(REFRESH_S)
+        """Follow the client blocks and the live hosts until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.feed.run())
+            tasks.create_task(self._follow_hosts())
 
     def refresh(self) -> None:
         """Build the index anew where the live hosts or the drains have changed."""
         entries = self.live_entries()
         if entries != self.entries:
             self.entries = entries
-            self.hosts = HostIndex(map(_EntryHost, entries), self.drains.values())
+            hosts = map(_EntryHost, entries)
+            self.hosts = HostIndex(hosts, self.drains.values(), previous=self.hosts)
+
+    async def _follow_hosts(self) -> None:
+        while True:
+            self.refresh()
+            await asyncio.sleep(REFRESH_S)
 
     def live_entries(self) -> list[HostAddress]:
         """Return the hosts of the directory that this host does not know to be dead.
--- a/tests/test_host_lookup.py
+++ b/tests/test_host_lookup.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import typing as t
 
 import msgspec
@@ -9,7 +10,7 @@
 from radishbridge.host.lookup import Front, LookupApi
 from radishbridge.peers import Directory, HostAddress, Peer, ZmqMesh
 from radishbridge.records import Drain, Record, ResultCode, Site
-from radishbridge.routing import LookupAnswer
+from radishbridge.routing import Block, LookupAnswer, pack_part
 
 TTL_S = 2.5
 
@@ -99,6 +100,25 @@
         assert fixture.lookup.sites == {}
 
 
+class TestClientBlocks:
+    async def test_a_changed_part_reaches_the_answers(self) -> None:
+        fixture = Fixture(_entry("host-1"), _entry("host-2", "b1"))
+        fixture.lookup.update(
+            Record(kind="site", name="s", version=1, body=Site(data_centers=["b1", "a1"]))
+        )
+        block = Block(4, 0x7F000000, 8, "s")
+        part = pack_part(4, [block])
+        fixture.lookup.update(Record(kind="client-blocks", name="p", version=2, body=part))
+        task = asyncio.create_task(fixture.lookup.run())
+        while fixture.lookup.table.find("127.0.0.9") is None:
+            await asyncio.sleep(0)
+        task.cancel()
+        assert fixture.lookup.table.find("127.0.0.9") == block
+        answer = fixture.lookup.rank("127.0.0.9")
+        assert isinstance(answer, LookupAnswer)
+        assert answer.hosts[0].name == "host-2"
+
+
 class TestFront:
     @pytest.mark.parametrize(
         ("target", "status"),
