Publish the counters of the mesh

Cause: the operators' page names counters that no metric showed. Result: the test of the operators' listener asks for one of them and passes. Conclusion: done.

--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -26,7 +27,7 @@
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.host.state import HostState
-from radishbridge.peers import DirectoryFeed, HostAddress, ZmqMesh
+from radishbridge.peers import DirectoryFeed, HostAddress, MeshCounters, ZmqMesh
 from radishbridge.records import Failure, Settings
 from radishbridge.routing import LocalRouter
 from radishbridge.shares import ShareAdmission
@@ -181,6 +182,9 @@
             "Seconds since the configuration was proved fresh, -1 for never.",
             lambda: state.fresh_age_s(time.monotonic()),
         )
+        for name in MeshCounters.__slots__:
+            text = f"Traffic between hosts since the start: {name.replace('_', ' ')}."
+            watch(f"mesh_{name}", text, functools.partial(getattr, self.mesh.counters, name))
 
 
 async def _end(task: asyncio.Task[None]) -> None:
--- a/tests/test_host_daemon.py
+++ b/tests/test_host_daemon.py
@@ -79,7 +79,13 @@
         metrics = (await _get(caller, f"{base}/metrics"))[1].decode()
         labels = 'code="OK",service="catalogue",workspace="school-17"'
         assert f"radishbridge_requests_total{{{labels}}} 2.0" in metrics
-        for name in ("request_seconds_bucket", "in_flight", "retries", "ejections"):
+        for name in (
+            "request_seconds_bucket",
+            "in_flight",
+            "retries",
+            "ejections",
+            "mesh_malformed",
+        ):
             assert f"radishbridge_{name}" in metrics
         assert f"radishbridge_config_revision {float(status.revision)}" in metrics
 
