--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,8 +34,15 @@
 RECORD_BYTES = 3_000
 DIRECTORY_READ_S = 2.0
 STORE_READS_S = 1.0
-SHARE_RENEWAL_S = 1.0
 SHARE_HOLDERS_MAX = 32
+SHARE_CALLS_PER_S = 2.0
+# bench.shares ways: one workspace at 90 % of its rate, evenly over ten holders.
+SHARE_MESSAGES_PER_S = 19.8
+BUSY_WORKSPACES = 8
+# bench.replica fleet 1100: most bytes that one host sent a second at rest, without headers.
+RELAY_PROOF_BYTES_PER_S = 2_296
+# bench.lookup: packed texts of the client blocks that the replica keeps.
+PACKED_BLOCK_BYTES = 9_200_000
 SECONDS_PER_DAY = 86_400
 START_CALLS = 4
 
@@ -93,10 +100,16 @@
     state = slopes.find("configuration", "resident bytes").slope * WORKSPACES
     peers = near_peers() + DATA_CENTERS - 1
     mesh = slopes.find("mesh", "resident bytes").slope * peers
-    total = base + blocks + state + mesh
+    total = base + blocks + PACKED_BLOCK_BYTES + state + mesh
     return [
         Row(what="the process at rest", value=base / 1e6, unit="MB", how="intercept of a host"),
         Row(what="client blocks", value=blocks / 1e6, unit="MB", how="packed columns, bisection"),
+        Row(
+            what="packed texts of the client blocks",
+            value=PACKED_BLOCK_BYTES / 1e6,
+            unit="MB",
+            how="kept by the replica to pass on",
+        ),
         Row(
             what=f"configuration of {WORKSPACES:,} workspaces (assumed)",
             value=state / 1e6,
@@ -123,6 +136,7 @@
     far = (DATA_CENTERS - 1) * pair / FAR_HEARTBEAT_S
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY * RECORD_BYTES
     relayed = changes * (near_peers() + 1)
+    shares = SHARE_MESSAGES_PER_S * pair / 2.0
     return [
         Row(
             what="heartbeats in the data centre", value=near, unit="B/s", how="every 2 s, both ways"
@@ -138,16 +152,29 @@
             value=near + RELAYS_PER_DATA_CENTER * changes,
             unit="B/s",
             limit=BYTES_PER_S_MAX,
-            how="sum; shares and digests not yet in it",
+            how="sum without shares",
         ),
         Row(what="a relay's far heartbeats", value=far, unit="B/s", how="every 5 s, both ways"),
         Row(what="a relay's passing on", value=relayed, unit="B/s", how="to each host of its own"),
+        Row(
+            what="a relay's proofs and digests",
+            value=RELAY_PROOF_BYTES_PER_S,
+            unit="B/s",
+            how="sent, without headers",
+        ),
         Row(
             what="all of a relay",
-            value=near + far + relayed,
+            value=near + far + relayed + RELAY_PROOF_BYTES_PER_S,
             unit="B/s",
             limit=BYTES_PER_S_MAX,
-            how="sum; shares and digests not yet in it",
+            how="sum without shares",
+        ),
+        Row(
+            what=f"shares of {BUSY_WORKSPACES} busy workspaces on a holder",
+            value=BUSY_WORKSPACES * shares,
+            unit="B/s",
+            limit=BYTES_PER_S_MAX,
+            how=f"{SHARE_MESSAGES_PER_S:g} messages a second for each",
         ),
     ]
 
@@ -192,7 +219,7 @@
     """Return the calls of the whole fleet for each second."""
     relays = RELAYS_PER_DATA_CENTER * DATA_CENTERS
     reads = relays * (1 / DIRECTORY_READ_S + 1 / STORE_READS_S) + relays
-    share_reads = SHARE_HOLDERS_MAX / SHARE_RENEWAL_S
+    share_calls = SHARE_HOLDERS_MAX * SHARE_CALLS_PER_S
     restarts = REPLACED_PER_DAY / SECONDS_PER_DAY * START_CALLS
     return [
         Row(
@@ -203,9 +230,9 @@
             how="two relays a data centre; a watch counts as a call a second",
         ),
         Row(
-            what="share table: renewals",
-            value=share_reads,
-            unit="writes/s",
+            what="share table: renewals and reads",
+            value=share_calls,
+            unit="calls/s",
             limit=STORE_WRITES_MAX,
             how=f"at most {SHARE_HOLDERS_MAX} holders, all on one object",
         ),
@@ -215,6 +242,12 @@
             unit="calls/s",
             how=f"{REPLACED_PER_DAY} a day",
         ),
+        *_recovery_rows(relays),
+    ]
+
+
+def _recovery_rows(relays: int) -> list[Row]:
+    return [
         Row(
             what="a data centre returns",
             value=HOSTS / DATA_CENTERS * START_CALLS,
