--- a/standin/src/radishbridge_standin/processes.py
+++ b/standin/src/radishbridge_standin/processes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import itertools
 import json
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -17,18 +18,30 @@
 from radishbridge.store import HostEntry, HostList
 
 LOOPBACK = "127.0.0.1"
+PORTS = range(15_000, 32_000)
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_PAUSE_S = 0.05
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different TCP ports of 127.0.0.1 that are free now."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((LOOPBACK, 0))
-        return [probe.getsockname()[1] for probe in probes]
+    """Return different TCP ports of 127.0.0.1 that are free now.
+
+    They lie below the range from which the kernel takes ports of outgoing connections, so that
+    none of those can take one before its process listens.
+    """
+    candidates = random.Random().sample(PORTS, len(PORTS))
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def free_port() -> int:
