Choose the interval of heartbeats in one place

Cause: the mesh chose between the near and the far interval once for sending and once for liveness. Change: one method gives the interval of a host, and both use it; behaviour is the same.

--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -154,7 +154,7 @@
             socket.curve_publickey = self.settings.public_key.encode()
             socket.curve_secretkey = self.settings.secret_key.encode()
         socket.connect(f"tcp://{entry.address}")
-        interval_s = self.timing.near_s if self._is_near(entry) else self.timing.far_s
+        interval_s = self._heartbeat_s(entry)
         link = Link(socket, self.host, self.incarnation, self.heartbeat, interval_s, self.counters)
         self.links[entry.name] = link
         self.tasks[entry.name] = asyncio.create_task(link.run(), name=f"link-{entry.name}")
@@ -207,14 +207,15 @@
         entry = self.directory.hosts.get(name)
         return "" if entry is None else entry.address
 
-    def _is_near(self, entry: HostAddress) -> bool:
+    def _heartbeat_s(self, place: HostAddress) -> float:
         own = self.directory.hosts.get(self.host)
-        return own is not None and own.data_center == entry.data_center
+        near = own is not None and own.data_center == place.data_center
+        return self.timing.near_s if near else self.timing.far_s
 
     def _bound(self, peer: Peer) -> float:
-        entry = self.directory.hosts.get(peer.name)
-        near = entry is not None and self._is_near(entry)
-        return LIVENESS_HEARTBEATS * (self.timing.near_s if near else self.timing.far_s)
+        place = self.directory.hosts.get(peer.name)
+        interval_s = self.timing.far_s if place is None else self._heartbeat_s(place)
+        return LIVENESS_HEARTBEATS * interval_s
 
 
 class _AcceptedKeys:
