--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := records store peers shares routing moves claims host client
-SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/standin/src
+PACKAGES := records store peers shares routing moves claims steering host entry client
+SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform/src $(CURDIR)/standin/src
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(strip $(SOURCES)))
-CODE := packages standin tests features bench
+CODE := packages platform standin tests features bench
 
 .PHONY: venv demo fleet test lint types unit features format
 
@@ -16,7 +16,7 @@
 $(VENV)/.ready: requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 demo: venv
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Puts the locked libraries and the packages into target/deps, which is on Python's path.
+set -euo pipefail
+if ! [ target/deps/.ready -nt requirements.lock ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --disable-pip-version-check --require-hashes \
+        --target target/deps -r requirements.lock
+    touch target/deps/.ready
+fi
+rm -rf target/deps/radishbridge
+mkdir -p target/deps/radishbridge
+cp -R packages/*/src/radishbridge/. platform/src/radishbridge/. target/deps/radishbridge/
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -0,0 +1,172 @@
+"""One attempt to get an answer from one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import time
+
+from radishbridge.entry.backends import (
+    BackendAnswer,
+    BackendConnection,
+    BackendPool,
+    request_head,
+)
+from radishbridge.entry.board import Board
+from radishbridge.entry.crashes import CrashWatch
+from radishbridge.entry.protocol import AnswerFacts, Dialect
+from radishbridge.entry.task import RequestTask
+from radishbridge.records import Failure, ResultCode
+from radishbridge.steering import ServerState
+from radishbridge.steering.servers import FAILURES_TO_EJECT
+
+SERVER_ERROR = 500
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+# A server that sheds although it reports at most this part of its slots in use is failing.
+SHEDS_WHILE_FREE = 0.9
+
+
+class AttemptEnd(enum.Enum):
+    """What is known of the request at the backend server."""
+
+    UNSENT = "unsent"
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    FAILED = "failed"
+    ANSWERED = "answered"
+
+
+class Attempt:
+    """One request sent to one backend server.
+
+    :param state: the server, whose load and health the outcome updates.
+    """
+
+    __slots__ = ("board", "crashes", "dialect", "end", "pool", "started_at", "state", "task")
+
+    def __init__(
+        self,
+        task: RequestTask,
+        state: ServerState,
+        dialect: Dialect,
+        pool: BackendPool,
+        board: Board,
+        crashes: CrashWatch,
+    ) -> None:
+        self.task = task
+        self.state = state
+        self.dialect = dialect
+        self.pool = pool
+        self.board = board
+        self.crashes = crashes
+        self.started_at = time.monotonic()
+        self.end = AttemptEnd.UNSENT
+
+    async def run(self) -> BackendAnswer | Failure:
+        """Send the request and return the answer, or why there is none."""
+        self.state.start(self.started_at)
+        try:
+            return await self._run()
+        except asyncio.CancelledError:
+            self._note_cancellation()
+            raise
+        finally:
+            self.state.finish()
+
+    async def _run(self) -> BackendAnswer | Failure:
+        server = self.state.server
+        connection = await self.pool.take(server.address, not self.task.route.repeatable)
+        if isinstance(connection, Failure):
+            self.state.note_failure(time.monotonic(), FAILURES_TO_EJECT)
+            return connection
+        self.end = AttemptEnd.MAY_HAVE_RUN
+        self.task.sends += 1
+        self.task.may_have_run = True
+        answer = await self._exchange(connection)
+        if isinstance(answer, Failure):
+            return self._note_break(answer)
+        return self._judge(answer, connection)
+
+    async def _exchange(self, connection: BackendConnection) -> BackendAnswer | Failure:
+        task = self.task
+        request = task.request
+        remaining_s = max(0.0, task.deadline - time.monotonic())
+        headers = self.dialect.server_headers(
+            request.raw_headers, self.state.server, task.workspace, remaining_s
+        )
+        sized = request.body_exists or bool(task.body)
+        head = request_head(
+            request.method, request.raw_path, headers, len(task.body) if sized else None
+        )
+        return await connection.exchange(head, task.body, request.method == "HEAD")
+
+    def _judge(
+        self, answer: BackendAnswer, connection: BackendConnection
+    ) -> BackendAnswer | Failure:
+        facts = self.dialect.read_answer(answer.status, answer.headers)
+        now = time.monotonic()
+        own = facts.request_id == self.task.facts.request_id
+        refused = facts.not_run or facts.misdirected
+        if not own and not (refused and not facts.request_id):
+            connection.close()
+            return self._note_break(
+                Failure(ResultCode.BACKEND_FAILED, "the answer belongs to another request")
+            )
+        if facts.load is not None:
+            self.state.note_load(facts.load, now)
+        self.pool.put(self.state.server.address, connection)
+        if refused:
+            return self._note_refusal(facts, now)
+        success = FIRST_SUCCESS <= answer.status < FIRST_REDIRECT
+        if success and (not facts.is_signed or facts.is_encoded):
+            return self._note_break(
+                Failure(ResultCode.BACKEND_FAILED, "the answer is not the server's own")
+            )
+        self._note_answer(answer.status >= SERVER_ERROR, now)
+        failed = answer.status >= SERVER_ERROR and self.task.route.repeatable
+        self.end = AttemptEnd.FAILED if failed else AttemptEnd.ANSWERED
+        return answer
+
+    def _note_refusal(self, facts: AnswerFacts, now: float) -> Failure:
+        self.end = AttemptEnd.NOT_RUN
+        self.task.may_have_run = self.task.earlier_runs
+        if facts.misdirected:
+            self.state.note_failure(now, FAILURES_TO_EJECT)
+            return Failure(ResultCode.BACKEND_REFUSED, "another server has the address")
+        load = facts.load
+        if load is None or load.running + load.waiting < SHEDS_WHILE_FREE * load.slots:
+            self.state.note_failure(now)
+        return Failure(ResultCode.BACKEND_REFUSED, "the backend server shed it")
+
+    def _note_answer(self, failed: bool, now: float) -> None:
+        latency_s = now - self.started_at
+        if failed:
+            self.state.note_failure(now)
+        else:
+            self.state.note_success(latency_s)
+        task = self.task
+        self.task.earlier_runs = True
+        server = self.state.server
+        self.board.note_answer(task.service, task.route, server, task.key, latency_s, failed)
+
+    def _note_break(self, failure: Failure) -> Failure:
+        now = time.monotonic()
+        self.state.note_failure(now)
+        self.task.earlier_runs = True
+        task, server = self.task, self.state.server
+        self.crashes.note_break(task.fingerprint, server)
+        self.board.note_answer(
+            task.service, task.route, server, task.key, now - self.started_at, True
+        )
+        return failure
+
+    def _note_cancellation(self) -> None:
+        now = time.monotonic()
+        if now < self.task.deadline or self.end is AttemptEnd.UNSENT:
+            return
+        task, server = self.task, self.state.server
+        self.state.note_failure(now)
+        self.board.note_answer(
+            task.service, task.route, server, task.key, now - self.started_at, True
+        )
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -0,0 +1,333 @@
+"""What this host believes: configuration, servers, moves and drains, built from its copy."""
+
+from __future__ import annotations
+
+import logging
+import time
+import typing as t
+
+from radishbridge.entry.copy import ObjectCopy
+from radishbridge.entry.fleet import Fleet
+from radishbridge.entry.messages import Crash, FleetReport, FleetSummary
+from radishbridge.entry.protocol import (
+    Decoded,
+    Decoder,
+    DrainOrder,
+    HostEntry,
+    Kind,
+    StoredObject,
+)
+from radishbridge.records import Failure
+from radishbridge.routing import PoisonList
+from radishbridge.steering import (
+    Configuration,
+    DemandMeter,
+    Evidence,
+    FleetPart,
+    Move,
+    MoveOrder,
+    MovePhase,
+    RateLimiter,
+    RetryBudget,
+    RouteRule,
+    Selector,
+    Server,
+    SlowStart,
+    outcome,
+    stable_versions,
+)
+
+# How long crashes are reported to the other hosts, in seconds: some reports may be lost.
+CRASH_REPORT_S = 3.0
+# Servers that a request has to crash before it is refused, and how long it then is, in seconds:
+# callers repeat such a request within their own time limits.
+CRASHES_MAX = 3
+SUSPICION_S = 30.0
+# Weight of the newest answer in the mean time that a service's requests take.
+NEW_SAMPLE = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class Bounds(t.NamedTuple):
+    """The operators' bounds on all hosts together.
+
+    :param retry_ratio: repeats for each request.
+    :param retry_allowance: repeats beyond that in each window.
+    :param retry_window_s: length of the window in seconds.
+    :param exposure: part of a service's requests that a bad version may get.
+    :param slow_start_overage: factor on a cold server's rate.
+    :param slow_start_slack: requests beyond that in each second.
+    """
+
+    retry_ratio: float = 0.2
+    retry_allowance: float = 50.0
+    retry_window_s: float = 10.0
+    exposure: float = 0.1
+    slow_start_overage: float = 1.5
+    slow_start_slack: float = 5.0
+
+
+class ReportedCrash(t.NamedTuple):
+    """A crash seen here and the monotonic time at which it was."""
+
+    crash: Crash
+    at: float
+
+
+class Board:
+    """State of this host; changed by the copy's objects, summaries and finished requests.
+
+    :param decoder: decodes stored objects.
+    """
+
+    __slots__ = (
+        "bounds",
+        "budgets",
+        "configuration",
+        "crashes",
+        "decoder",
+        "drains",
+        "entries",
+        "home_meters",
+        "is_leaving",
+        "is_ready",
+        "limiters",
+        "moves",
+        "orders",
+        "part",
+        "poison",
+        "proved",
+        "selector",
+        "service_s",
+        "slow_start",
+        "warm_pairs",
+    )
+
+    def __init__(self, host: str, decoder: Decoder, bounds: Bounds) -> None:
+        now = time.monotonic()
+        self.decoder = decoder
+        self.bounds = bounds
+        self.configuration: Configuration | None = None
+        self.slow_start = SlowStart(host, bounds.slow_start_overage, bounds.slow_start_slack)
+        self.selector = Selector(self.slow_start)
+        self.part = FleetPart(now)
+        self.limiters: dict[str, RateLimiter] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.drains: dict[str, DrainOrder] = {}
+        self.entries: dict[str, HostEntry] = {}
+        self.orders: dict[str, MoveOrder] = {}
+        self.moves: dict[str, Move] = {}
+        self.proved: dict[str, bool] = {}
+        self.warm_pairs: set[tuple[str, str]] = set()
+        self.home_meters: dict[tuple[str, str], DemandMeter] = {}
+        self.service_s: dict[str, float] = {}
+        self.poison = PoisonList(SUSPICION_S, CRASHES_MAX)
+        self.crashes: list[ReportedCrash] = []
+        self.is_ready = False
+        self.is_leaving = False
+
+    def take(self, stored: StoredObject) -> None:
+        """Take over an object that is new to the copy."""
+        if stored.value is None:
+            self._remove(stored)
+            return
+        decoded = self.decoder.decode(stored)
+        if isinstance(decoded, Failure):
+            logger.warning(
+                "object not understood",
+                extra={
+                    "kind": stored.kind.value,
+                    "object": stored.name,
+                    "version": stored.version,
+                    "reason": decoded.reason,
+                },
+            )
+            if stored.kind is Kind.SERVER:
+                self.selector.remove(stored.name)
+            return
+        self._put(stored.name, decoded)
+
+    def take_summary(self, summary: FleetSummary) -> None:
+        """Take over what all hosts together do."""
+        now = time.monotonic()
+        for name, limiter in self.limiters.items():
+            limiter.total = summary.demands.get(name, 0.0)
+        for service, by_region in summary.home_bound.items():
+            self.selector.update_weights(service, by_region)
+        self.selector.update_medians()
+        for crash in summary.crashes:
+            self.poison.note_crash(crash.fingerprint, crash.server, now)
+        for service, move in self.moves.items():
+            seen = summary.evidence.get(service, Evidence())
+            fault = seen.fault()
+            self.proved[service] = not fault
+            if fault and not move.fault:
+                move.fault = fault
+                logger.warning("new version is bad", extra={"service": service, "reason": fault})
+
+    def report(self, follows: bool) -> FleetReport:
+        """Return what the summing hosts are told."""
+        now = time.monotonic()
+        demands: dict[str, float] = {}
+        for name, limiter in self.limiters.items():
+            limiter.reported = limiter.demand.rate(now)
+            if limiter.reported > 0.01:
+                demands[name] = round(limiter.reported, 2)
+        home_bound: dict[str, dict[str, float]] = {}
+        for (service, region), meter in self.home_meters.items():
+            slots = meter.rate(now) * self.service_s.get(service, 0.0)
+            home_bound.setdefault(service, {})[region] = round(slots, 3)
+        self.crashes = [one for one in self.crashes if now - one.at < CRASH_REPORT_S]
+        return FleetReport(
+            is_ready=self.is_ready,
+            is_leaving=self.is_leaving,
+            follows=follows,
+            demands=demands,
+            home_bound=home_bound,
+            evidence={service: move.evidence for service, move in self.moves.items()},
+            crashes=[one.crash for one in self.crashes],
+        )
+
+    def limiter(self, workspace: str, now: float) -> RateLimiter:
+        """Return the rate limit of a workspace at this host."""
+        limiter = self.limiters.get(workspace)
+        if limiter is None:
+            rule = self.configuration.workspaces.get(workspace) if self.configuration else None
+            rate, burst = (rule.rate_per_s, rule.burst) if rule else (0.0, 0.0)
+            share = self.part.share(0.0, 0.0, now)
+            limiter = self.limiters[workspace] = RateLimiter(rate, burst, share, now)
+        return limiter
+
+    def budget(self, service: str, now: float) -> RetryBudget:
+        """Return the retry budget of a service at this host."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.bounds
+            budget = self.budgets[service] = RetryBudget(
+                bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s, now
+            )
+        budget.hosts = self.part.hosts
+        return budget
+
+    def note_home_bound(self, service: str, homes: frozenset[str] | None, now: float) -> None:
+        """Count a request that only one region may run."""
+        if homes is None or len(homes) != 1:
+            return
+        at = (service, next(iter(homes)))
+        self.home_meters.setdefault(at, DemandMeter(now)).add(now)
+
+    def versions(self, service: str, route: str, key: str) -> frozenset[str] | None:
+        """Return the versions that may serve an object now; ``None`` for all.
+
+        :param key: the object's name, or what stands for it.
+        """
+        counts = self.selector.versions(service)
+        move = self.moves.get(service)
+        if move is None:
+            return stable_versions(counts)
+        target = move.order.to_version
+        share = move.share(time.monotonic(), self.proved.get(service, False))
+        if share >= 1.0 and target in counts:
+            return frozenset({target})
+        old = stable_versions(counts, without=target)
+        if target in counts and (not old or move.takes(route, key, share)):
+            return frozenset({target}) if share > 0.0 else old
+        return old
+
+    def note_answer(
+        self, service: str, route: RouteRule, server: Server, key: str, latency_s: float, bad: bool
+    ) -> None:
+        """Take in how long a service's request took and what that says of a version move."""
+        if not bad:
+            held = self.service_s.get(service, latency_s)
+            self.service_s[service] = held + NEW_SAMPLE * (latency_s - held)
+        move = self.moves.get(service)
+        if move is None or move.order.phase in (MovePhase.COMPLETED, MovePhase.TAKEN_BACK):
+            return
+        state = self.selector.states.get(server.name)
+        cold = state is None or state.is_cold(time.monotonic())
+        warm = (server.name, key) in self.warm_pairs and not cold
+        self.warm_pairs.add((server.name, key))
+        is_new = server.version == move.order.to_version
+        move.evidence.add(route.name, is_new, latency_s, bad, warm)
+
+    def note_crash(self, fingerprint: bytes, server: str, now: float) -> None:
+        """Note that a server went away while it ran a request."""
+        if self.poison.note_crash(fingerprint, server, now):
+            self.crashes.append(ReportedCrash(Crash(fingerprint, server), now))
+
+    def move_phase(self, service: str, evidence: Evidence, now: float) -> MovePhase:
+        """Return how a service's move stands by all hosts' evidence."""
+        return outcome(self.moves[service], evidence, now)
+
+    def _put(self, name: str, decoded: Decoded) -> None:
+        now = time.monotonic()
+        if isinstance(decoded, Configuration):
+            self._put_configuration(decoded)
+        elif isinstance(decoded, Server):
+            if self.selector.put(decoded, now):
+                logger.info("server starts", extra={"server": name, "service": decoded.service})
+        elif isinstance(decoded, DrainOrder):
+            self.drains[name] = decoded
+            self._apply_drains()
+        elif isinstance(decoded, HostEntry):
+            self.entries[decoded.peer_address] = decoded
+            self.slow_start.update_hosts(self.entries)
+        else:
+            self._put_order(name, decoded, now)
+
+    def _put_configuration(self, configuration: Configuration) -> None:
+        held = self.configuration
+        if held is not None and held.version >= configuration.version:
+            return
+        self.configuration = configuration
+        self.selector.rules = configuration.services
+        for name, limiter in self.limiters.items():
+            rule = configuration.workspaces.get(name)
+            limiter.set_rate(rule.rate_per_s if rule else 0.0, rule.burst if rule else 0.0)
+        logger.info("configuration in force", extra={"version": configuration.version})
+
+    def _put_order(self, name: str, order: MoveOrder, now: float) -> None:
+        self.orders[name] = order
+        held = self.moves.get(order.service)
+        if held is not None and held.order.to_version == order.to_version:
+            held.order = order
+        else:
+            self.moves[order.service] = Move(order, self.bounds.exposure, now)
+        phase = order.phase.value if order.phase else "new"
+        logger.info(
+            "version move",
+            extra={"service": order.service, "to_version": order.to_version, "phase": phase},
+        )
+
+    def _remove(self, stored: StoredObject) -> None:
+        if stored.kind is Kind.SERVER:
+            self.selector.remove(stored.name)
+        elif stored.kind is Kind.DRAIN:
+            self.drains.pop(stored.name, None)
+            self._apply_drains()
+        elif stored.kind is Kind.HOST:
+            self.entries.pop(stored.name, None)
+            self.slow_start.update_hosts(self.entries)
+        elif stored.kind is Kind.MOVE:
+            order = self.orders.pop(stored.name, None)
+            if order is not None and order.phase is not MovePhase.TAKEN_BACK:
+                self.moves.pop(order.service, None)
+
+    def _apply_drains(self) -> None:
+        centers = {order.data_center for order in self.drains.values()}
+        logger.info("drained data centres", extra={"data_centers": sorted(centers)})
+        self.selector.set_drained(centers)
+
+
+def connect(board: Board, copy: ObjectCopy, fleet: Fleet) -> None:
+    """Let a board follow a copy and a fleet."""
+
+    def take(stored: StoredObject) -> None:
+        board.take(stored)
+        if stored.kind is Kind.HOST:
+            fleet.update_hosts(board.entries)
+
+    copy.listeners.append(take)
+    fleet.listeners.append(board.take_summary)
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/copy.py
@@ -0,0 +1,78 @@
+"""Each host's copy of the store's objects, which only moves forward."""
+
+from __future__ import annotations
+
+import typing as t
+import zlib
+
+from radishbridge.entry.protocol import Kind, Listing, StoredObject
+
+At = tuple[Kind, str]
+
+
+class ObjectCopy:
+    """The objects of all kinds, each at the highest version seen.
+
+    :param listeners: called with each object that is new to the copy.
+    """
+
+    __slots__ = ("digests", "held", "listeners", "loaded", "revisions")
+
+    def __init__(self) -> None:
+        self.held: dict[At, StoredObject] = {}
+        self.revisions: dict[Kind, int] = dict.fromkeys(Kind, 0)
+        self.digests: dict[Kind, int] = dict.fromkeys(Kind, 0)
+        self.loaded: set[Kind] = set()
+        self.listeners: list[t.Callable[[StoredObject], None]] = []
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a full listing of each kind was taken over."""
+        return len(self.loaded) == len(Kind)
+
+    def apply(self, stored: StoredObject) -> bool:
+        """Take an object over if its version is higher than any seen.
+
+        :return: whether it was.
+        """
+        at = (stored.kind, stored.name)
+        held = self.held.get(at)
+        if held is not None and held.version >= stored.version:
+            return False
+        self.held[at] = stored
+        self.digests[stored.kind] ^= _mark(held) ^ _mark(stored)
+        for listener in self.listeners:
+            listener(stored)
+        return True
+
+    def missing(self, kind: Kind, listing: Listing) -> list[StoredObject]:
+        """Return the deletions that a listing shows: objects held that it lacks."""
+        listed = {stored.name for stored in listing.objects}
+        return [
+            StoredObject(kind=kind, name=name, version=listing.revision, value=None)
+            for (its_kind, name), held in self.held.items()
+            if its_kind is kind
+            and name not in listed
+            and held.value is not None
+            and held.version <= listing.revision
+        ]
+
+    def advance(self, kind: Kind, revision: int) -> None:
+        """Note that the copy holds all changes of a kind up to a revision."""
+        self.revisions[kind] = max(self.revisions[kind], revision)
+        self.loaded.add(kind)
+
+    def listing(self, kind: Kind) -> Listing:
+        """Return all live objects of a kind, for another host."""
+        objects = [
+            stored
+            for (its_kind, _), stored in self.held.items()
+            if its_kind is kind and stored.value is not None
+        ]
+        return Listing(revision=self.revisions[kind], objects=objects)
+
+
+def _mark(stored: StoredObject | None) -> int:
+    if stored is None or stored.value is None:
+        return 0
+    return zlib.crc32(f"{stored.kind.value}/{stored.name}/{stored.version}".encode())
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -0,0 +1,335 @@
+"""How the entry hosts act as one: reports, sums, and changes of the store passed on.
+
+Each host reports to two summing hosts and gets their sums; three hosts read the store and pass
+changes on. Which hosts these are follows from the list of hosts by hash, so that messages, store
+calls and connections grow with the number of hosts alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import typing as t
+
+from radishbridge.entry.copy import ObjectCopy
+from radishbridge.entry.messages import (
+    CopyAnswer,
+    CopyRequest,
+    Crash,
+    FleetReport,
+    FleetSummary,
+    HostSight,
+    ObjectsChanged,
+)
+from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
+from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
+from radishbridge.steering import Evidence, FleetPart
+
+# Pause in seconds between two reports, and between two sums; fleets above the size below report
+# less often, since each host takes part in no more than a few decisions a second.
+REPORT_S = 0.2
+REPORT_LARGE_S = 0.5
+LARGE_FLEET = 30
+# Hosts that sum up, and hosts that read the store: each bears the loss of one or two.
+SUMMING_HOSTS = 2
+FOLLOWING_HOSTS = 3
+# Reports older than this are left out of a sum, in seconds: three of them were lost.
+HEARD_S = 1.1
+# A summary older than this, in seconds, leaves the host to its own judgement.
+SUMMARY_S = 1.2
+# Time in seconds after its start in which a host counts others as running before it heard them.
+START_S = 2.0
+# A host that was not heard for this long is taken for gone, in seconds; its part of the rates
+# goes to the others. Longer than ``rates.CUT_OFF_S``, after which it uses none itself.
+FORGET_SILENT_S = 30.0
+# Digests have to differ for this long before objects are asked for: changes are under way.
+DIFFERS_S = 0.5
+# Most hosts that a start without a store asks for their copy.
+SEEDS_ASKED = 3
+
+logger = logging.getLogger(__name__)
+
+
+class HeardReport(t.NamedTuple):
+    """A report and the monotonic time at which it came."""
+
+    report: FleetReport
+    at: float
+
+
+class Fleet:
+    """This host's part in the fleet.
+
+    :param own: this host's entry.
+    :param mesh: carries messages; hosts are named by their peer address.
+    :param part: what this host may use of fleet-wide rates.
+    :param make_report: builds the present report.
+    """
+
+    __slots__ = (
+        "copy",
+        "differs_since",
+        "entries",
+        "hearings",
+        "last_seen",
+        "listeners",
+        "make_report",
+        "mesh",
+        "own",
+        "part",
+        "reports",
+        "seeds",
+        "started_at",
+        "summary",
+        "summary_at",
+    )
+
+    def __init__(
+        self,
+        own: HostEntry,
+        mesh: ZmqMesh,
+        copy: ObjectCopy,
+        part: FleetPart,
+        seeds: t.Iterable[HostAddress],
+        make_report: t.Callable[[], FleetReport],
+    ) -> None:
+        self.own = own
+        self.mesh = mesh
+        self.copy = copy
+        self.part = part
+        self.make_report = make_report
+        self.seeds = {seed.name: seed for seed in seeds if seed.name != own.peer_address}
+        self.entries: dict[str, HostEntry] = {own.peer_address: own}
+        self.reports: dict[str, HeardReport] = {}
+        self.hearings: dict[str, float] = {}
+        self.last_seen: dict[str, float] = {}
+        self.listeners: list[t.Callable[[FleetSummary], None]] = []
+        self.summary: FleetSummary | None = None
+        self.summary_at = float("-inf")
+        self.started_at = time.monotonic()
+        self.differs_since: dict[Kind, float] = {}
+        mesh.subscribe(FleetReport, self._on_report)
+        mesh.subscribe(FleetSummary, self._on_summary)
+        mesh.subscribe(ObjectsChanged, self._on_changed)
+        mesh.subscribe(CopyRequest, self._on_copy_request)
+        mesh.subscribe(CopyAnswer, self._on_copy_answer)
+        self.update_hosts({})
+
+    def update_hosts(self, entries: t.Mapping[str, HostEntry]) -> None:
+        """Take over the registered hosts, by name."""
+        now = time.monotonic()
+        self.entries = {**entries, self.own.peer_address: self.own}
+        for name in self.entries:
+            self.last_seen.setdefault(name, now)
+        known = {name: _address(entry) for name, entry in self.entries.items()}
+        self.mesh.update_directory([*known.values(), *self._unknown_seeds()])
+        self.part.hosts = max(1, len(self.possible_hosts(now)))
+
+    def possible_hosts(self, now: float) -> list[str]:
+        """Return the hosts that may be running: all that are registered and not long silent."""
+        return [
+            name
+            for name in self.entries
+            if name == self.own.peer_address or now - self.last_seen[name] < FORGET_SILENT_S
+        ]
+
+    def live_hosts(self, now: float) -> dict[str, HostSight]:
+        """Return the hosts heard lately, this one among them."""
+        own = self.make_sight()
+        if self.summary is None or now - self.summary_at > SUMMARY_S:
+            return {own.name: own}
+        sights = {sight.name: sight for sight in self.summary.hosts}
+        return {**sights, own.name: own}
+
+    def make_sight(self) -> HostSight:
+        """Return what others are told of this host."""
+        report = self.make_report()
+        return HostSight(self.own.peer_address, report.is_ready, report.is_leaving, report.follows)
+
+    def must_follow(self, in_touch: bool) -> bool:
+        """Whether this host reads the store itself.
+
+        :param in_touch: the store has answered this host lately.
+        """
+        now = time.monotonic()
+        if self.summary is None or now - self.summary_at > SUMMARY_S:
+            return True
+        hosts = self.live_hosts(now).values()
+        others = [one.name for one in hosts if one.follows and not one.is_leaving]
+        if len(others) < FOLLOWING_HOSTS and not in_touch:
+            return True
+        able = [one.name for one in hosts if not one.is_leaving]
+        chosen = rank("follow", able)[:FOLLOWING_HOSTS]
+        return self.own.peer_address in chosen or len(others) < FOLLOWING_HOSTS - 1
+
+    def pass_on(self, objects: list[StoredObject]) -> None:
+        """Send changes read from the store to all other hosts."""
+        self._send_all(ObjectsChanged(objects=objects))
+
+    def ask_seeds(self) -> None:
+        """Ask other hosts for their copy, for a start without the store."""
+        kinds = [kind for kind in Kind if kind not in self.copy.loaded]
+        names = [*self.entries, *self.seeds]
+        others = [name for name in names if name != self.own.peer_address]
+        for name in others[:SEEDS_ASKED]:
+            self.mesh.send(name, CopyRequest(kinds=kinds))
+
+    async def run(self) -> None:
+        """Report and sum up until cancelled."""
+        while True:
+            self.step(time.monotonic())
+            large = len(self.entries) > LARGE_FLEET
+            await asyncio.sleep(REPORT_LARGE_S if large else REPORT_S)
+
+    def step(self, now: float) -> None:
+        """Send one report, and one sum if this host sums up."""
+        report = self.make_report()
+        self.reports[self.own.peer_address] = HeardReport(report, now)
+        targets = self._summing(now)
+        for name in targets:
+            if name != self.own.peer_address:
+                self.mesh.send(name, report)
+        heard = {
+            name: heard.report
+            for name, heard in self.reports.items()
+            if now - heard.at <= HEARD_S and name in self.entries
+        }
+        if self.own.peer_address in targets or len(heard) > 1:
+            summary = sum_up(heard, self.copy.digests)
+            self._take_summary(summary, now)
+            self._send_all(summary)
+        self.part.hosts = max(1, len(self.possible_hosts(now)))
+
+    def _summing(self, now: float) -> list[str]:
+        starting = now - self.started_at < START_S
+        names = [
+            name
+            for name in self.entries
+            if name == self.own.peer_address
+            or now - self.hearings.get(name, float("-inf")) < HEARD_S
+            or starting
+            or now - self.last_seen[name] < START_S
+        ]
+        return rank("sum", names)[:SUMMING_HOSTS]
+
+    def _send_all(self, message: FleetSummary | ObjectsChanged) -> None:
+        for name in self.entries:
+            if name != self.own.peer_address:
+                self.mesh.send(name, message)
+
+    def _on_report(self, peer: Peer, message: FleetReport) -> None:
+        now = time.monotonic()
+        self.reports[peer.name] = HeardReport(message, now)
+        self.hearings[peer.name] = self.last_seen[peer.name] = now
+
+    def _on_summary(self, peer: Peer, message: FleetSummary) -> None:
+        now = time.monotonic()
+        self.hearings[peer.name] = now
+        held = 0 if self.summary is None else len(self.summary.hosts)
+        stale = now - self.summary_at > REPORT_LARGE_S + REPORT_S
+        if stale or len(message.hosts) >= held or self._is_first(peer.name, now):
+            self._take_summary(message, now)
+        self._compare(peer.name, message, now)
+
+    def _is_first(self, name: str, now: float) -> bool:
+        return self._summing(now)[:1] == [name]
+
+    def _take_summary(self, summary: FleetSummary, now: float) -> None:
+        self.summary = summary
+        self.summary_at = now
+        for sight in summary.hosts:
+            if sight.name in self.entries:
+                self.last_seen[sight.name] = self.hearings[sight.name] = now
+        self.part.heard = sum(sight.name in self.entries for sight in summary.hosts)
+        self.part.heard_at = now
+        for listener in self.listeners:
+            listener(summary)
+
+    def _compare(self, peer: str, summary: FleetSummary, now: float) -> None:
+        late: list[Kind] = []
+        for kind, digest in summary.digests.items():
+            if digest == self.copy.digests[kind] and kind in self.copy.loaded:
+                self.differs_since.pop(kind, None)
+            elif now - self.differs_since.setdefault(kind, now) > DIFFERS_S:
+                late.append(kind)
+                self.differs_since[kind] = now
+        if late:
+            logger.info("copy differs", extra={"peer": peer, "kinds": [one.value for one in late]})
+            self.mesh.send(peer, CopyRequest(kinds=late))
+
+    def _on_changed(self, peer: Peer, message: ObjectsChanged) -> None:
+        fresh = [stored for stored in message.objects if self.copy.apply(stored)]
+        for stored in fresh:
+            _log_change(stored, peer.name)
+
+    def _on_copy_request(self, peer: Peer, message: CopyRequest) -> None:
+        for kind in message.kinds:
+            if kind in self.copy.loaded:
+                self.mesh.send(peer.name, CopyAnswer(kind=kind, listing=self.copy.listing(kind)))
+
+    def _on_copy_answer(self, peer: Peer, message: CopyAnswer) -> None:
+        for stored in message.listing.objects:
+            if self.copy.apply(stored):
+                _log_change(stored, peer.name)
+        for stored in self.copy.missing(message.kind, message.listing):
+            if self.copy.apply(stored):
+                _log_change(stored, peer.name)
+        self.copy.advance(message.kind, message.listing.revision)
+
+    def _unknown_seeds(self) -> t.Iterable[HostAddress]:
+        return (seed for name, seed in self.seeds.items() if name not in self.entries)
+
+
+def sum_up(reports: t.Mapping[str, FleetReport], digests: t.Mapping[Kind, int]) -> FleetSummary:
+    """Return the sum of reports, given by host."""
+    demands: dict[str, float] = {}
+    home_bound: dict[str, dict[str, float]] = {}
+    evidence: dict[str, Evidence] = {}
+    crashes: dict[Crash, None] = {}
+    for report in reports.values():
+        _add(demands, report.demands)
+        for service, by_region in report.home_bound.items():
+            _add(home_bound.setdefault(service, {}), by_region)
+        for service, seen in report.evidence.items():
+            evidence.setdefault(service, Evidence()).merge(seen)
+        crashes.update(dict.fromkeys(report.crashes))
+    return FleetSummary(
+        hosts=[
+            HostSight(name, report.is_ready, report.is_leaving, report.follows)
+            for name, report in reports.items()
+        ],
+        demands=demands,
+        home_bound=home_bound,
+        evidence=evidence,
+        crashes=list(crashes),
+        digests=dict(digests),
+    )
+
+
+def _add(total: dict[str, float], part: t.Mapping[str, float]) -> None:
+    for name, amount in part.items():
+        total[name] = total.get(name, 0.0) + amount
+
+
+def _address(entry: HostEntry) -> HostAddress:
+    return HostAddress(
+        name=entry.peer_address,
+        region=entry.region,
+        data_center=entry.data_center,
+        address=entry.peer_address,
+        listen=entry.listen,
+    )
+
+
+def _log_change(stored: StoredObject, source: str) -> None:
+    logger.info(
+        "object changed",
+        extra={
+            "kind": stored.kind.value,
+            "object": stored.name,
+            "version": stored.version,
+            "deleted": stored.value is None,
+            "source": source,
+        },
+    )
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -0,0 +1,158 @@
+"""Follows the store's objects: one task for each kind, a listing first, then a chain of watches."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import typing as t
+
+from radishbridge.entry.copy import ObjectCopy
+from radishbridge.entry.protocol import FleetStore, Kind, StoredObject
+from radishbridge.records import Failure, ResultCode
+
+# Longest wait of one watch in seconds: a connection that went silent is noticed that late.
+WATCH_S = 2.5
+# Pause in seconds after a failed call, doubled up to the second figure.
+RETRY_S = 0.1
+RETRY_MAX_S = 0.6
+# Pause in seconds between two looks at whether this host has to follow the store.
+IDLE_S = 0.1
+# Entries of servers lapse while the store is away, and are back within two seconds of its return.
+LAPSE_GRACE_S = 2.0
+# Silence of the store in seconds after which entries may have lapsed.
+LAPSE_AFTER_S = 1.5
+
+logger = logging.getLogger(__name__)
+
+
+class StoreFollower:
+    """Keeps the copy up to date while it is this host's turn to follow the store.
+
+    :param must_follow: whether this host reads the store, or gets changes from others.
+    :param taken: called with each object that was new to the copy.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "copy",
+        "deferred",
+        "failing_since",
+        "must_follow",
+        "returned_at",
+        "rng",
+        "store",
+        "taken",
+    )
+
+    def __init__(
+        self,
+        store: FleetStore,
+        copy: ObjectCopy,
+        must_follow: t.Callable[[], bool],
+        taken: t.Callable[[list[StoredObject]], None],
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.copy = copy
+        self.must_follow = must_follow
+        self.taken = taken
+        self.rng = rng
+        self.answered_at = float("-inf")
+        self.returned_at = float("-inf")
+        self.failing_since: float | None = None
+        self.deferred: dict[str, StoredObject] = {}
+
+    def is_in_touch(self, now: float) -> bool:
+        """Whether the store has answered this host lately."""
+        return now - self.answered_at < WATCH_S + 1.0
+
+    async def run(self) -> None:
+        """Follow all kinds until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for kind in Kind:
+                group.create_task(self._follow(kind))
+
+    async def load(self, kind: Kind) -> Failure | None:
+        """Take over a listing of a kind."""
+        listing = await self.store.list(kind)
+        if isinstance(listing, Failure):
+            self._note_failure(listing, kind)
+            return listing
+        self._note_answer()
+        self._take([*listing.objects, *self.copy.missing(kind, listing)])
+        self.copy.advance(kind, listing.revision)
+        return None
+
+    async def _follow(self, kind: Kind) -> None:
+        pause_s = RETRY_S
+        must_load = True
+        while True:
+            if kind in self.copy.loaded and not self.must_follow():
+                await asyncio.sleep(IDLE_S)
+                must_load = True
+                continue
+            failure = await self.load(kind) if must_load else await self._watch(kind)
+            must_load = failure is not None
+            if failure is None:
+                pause_s = RETRY_S
+                self._settle()
+                continue
+            await asyncio.sleep(pause_s * self.rng.uniform(0.7, 1.3))
+            pause_s = min(RETRY_MAX_S, 2.0 * pause_s)
+
+    async def _watch(self, kind: Kind) -> Failure | None:
+        changes = await self.store.watch(kind, self.copy.revisions[kind], WATCH_S)
+        if isinstance(changes, Failure):
+            self._note_failure(changes, kind)
+            return changes
+        self._note_answer()
+        self._take(changes.objects)
+        self.copy.advance(kind, changes.revision)
+        return None
+
+    def _take(self, objects: t.Iterable[StoredObject]) -> None:
+        now = time.monotonic()
+        fresh: list[StoredObject] = []
+        for stored in objects:
+            if stored.kind is Kind.SERVER and self._may_return(stored, now):
+                self.deferred[stored.name] = stored
+                continue
+            if stored.kind is Kind.SERVER:
+                self.deferred.pop(stored.name, None)
+            if self.copy.apply(stored):
+                fresh.append(stored)
+        if fresh:
+            self.taken(fresh)
+
+    def _may_return(self, stored: StoredObject, now: float) -> bool:
+        return stored.value is None and now - self.returned_at < LAPSE_GRACE_S
+
+    def _settle(self) -> None:
+        now = time.monotonic()
+        if not self.deferred or now - self.returned_at < LAPSE_GRACE_S:
+            return
+        gone = list(self.deferred.values())
+        self.deferred.clear()
+        logger.info("entries stay away", extra={"servers": [stored.name for stored in gone]})
+        self._take(gone)
+
+    def _note_answer(self) -> None:
+        now = time.monotonic()
+        if self.failing_since is not None:
+            away_s = now - self.failing_since
+            logger.info("store answers", extra={"away_s": round(away_s, 2)})
+            if away_s > LAPSE_AFTER_S:
+                self.returned_at = now
+        self.failing_since = None
+        self.answered_at = now
+
+    def _note_failure(self, failure: Failure, kind: Kind) -> None:
+        expired = failure.code is ResultCode.WATCH_EXPIRED
+        if self.failing_since is None and not expired:
+            self.failing_since = time.monotonic()
+        logger.info(
+            "store call failed",
+            extra={"kind": kind.value, "reason": failure.reason, "relist": expired},
+        )
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -0,0 +1,248 @@
+"""The way of one caller's request: checks, attempts at backend servers, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import typing as t
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from radishbridge.entry.attempt import Attempt, AttemptEnd
+from radishbridge.entry.backends import BackendAnswer, BackendPool
+from radishbridge.entry.board import Board
+from radishbridge.entry.crashes import CrashWatch
+from radishbridge.entry.journal import RequestJournal
+from radishbridge.entry.protocol import Dialect, RequestFacts
+from radishbridge.entry.task import RequestTask
+from radishbridge.host.bodies import RequestBody
+from radishbridge.host.headers import HOP_BY_HOP
+from radishbridge.records import Failure, LimitSettings, ResultCode
+from radishbridge.routing import request_fingerprint
+from radishbridge.steering import Need, RouteRule, unit_hash
+
+# A refused caller comes back after this many seconds, spread by the second figure, so that
+# those refused together do not return together: a queue at a backend server empties within it.
+RETURN_AFTER_S = 0.15
+RETURN_SPREAD_S = 0.25
+# Longest wait in seconds that a caller over its rate is told.
+RETURN_MAX_S = 5.0
+# Connections that may fail before a request is given up; nothing was sent on them.
+CONNECTS_MAX = 3
+SERVER_ERROR = 500
+
+_DROPPED = HOP_BY_HOP | {"content-length", "date", "server"}
+_STARTING = Failure(ResultCode.HOST_STARTING, "no configuration is known yet")
+_NO_ROUTE = Failure(ResultCode.SERVICE_UNKNOWN, "no route has this host and path")
+_KEY_UNKNOWN = Failure(ResultCode.KEY_UNKNOWN, "the key is not known")
+_KEY_MISSING = Failure(ResultCode.KEY_MISSING, "the request carries no key")
+_OVER_RATE = Failure(ResultCode.RATE_EXCEEDED, "the workspace is over its rate")
+_POISON = Failure(ResultCode.NO_BACKEND, "the request crashed backend servers before")
+_NO_ROOM = Failure(ResultCode.NO_BACKEND, "no backend server has room")
+_LATE = Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
+
+logger = logging.getLogger(__name__)
+
+
+class Front:
+    """Answers callers' requests from backend servers.
+
+    :param dialect: names of headers.
+    :param limits: bounds on bodies.
+    """
+
+    __slots__ = (
+        "board",
+        "crashes",
+        "dialect",
+        "in_flight",
+        "journal",
+        "leaving",
+        "limits",
+        "pool",
+        "rng",
+    )
+
+    def __init__(
+        self,
+        board: Board,
+        dialect: Dialect,
+        pool: BackendPool,
+        journal: RequestJournal,
+        limits: LimitSettings,
+        rng: random.Random,
+    ) -> None:
+        self.board = board
+        self.dialect = dialect
+        self.pool = pool
+        self.crashes = CrashWatch(board, pool)
+        self.journal = journal
+        self.limits = limits
+        self.rng = rng
+        self.in_flight = 0
+        self.leaving = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        task = RequestTask(request, time.monotonic())
+        self.in_flight += 1
+        try:
+            result = await self._answer(task)
+            response = self._response(task, result)
+            if self.leaving:
+                response.force_close()
+            return response
+        except asyncio.CancelledError:
+            task.code = ResultCode.CALLER_GONE
+            raise
+        finally:
+            self.in_flight -= 1
+            self.journal.note(task, time.monotonic())
+
+    async def _answer(self, task: RequestTask) -> BackendAnswer | Failure:
+        failure = self._admit(task)
+        if failure is not None:
+            return failure
+        try:
+            async with asyncio.timeout_at(task.deadline):
+                return await self._serve(task)
+        except TimeoutError:
+            return task.truthful(_LATE)
+
+    def _admit(self, task: RequestTask) -> Failure | None:
+        configuration = self.board.configuration
+        if configuration is None or not self.board.is_ready:
+            return _STARTING
+        request = task.request
+        facts = self.dialect.read_request(request.headers)
+        if isinstance(facts, Failure):
+            return facts
+        task.facts = facts
+        task.version = configuration.version
+        path = request.raw_path.partition("?")[0]
+        route = configuration.match(_host_name(request), path)
+        if route is None:
+            return _NO_ROUTE
+        task.route = route
+        task.deadline = _deadline(task, route, facts)
+        if configuration.requires_keys and not route.is_open:
+            workspace = configuration.keys.get(facts.key)
+            if workspace is None:
+                return _KEY_UNKNOWN if facts.key else _KEY_MISSING
+            task.workspace = workspace
+            limiter = self.board.limiter(workspace, task.arrived_at)
+            if not limiter.admit(self.board.part, task.arrived_at):
+                task.retry_after_s = min(RETURN_MAX_S, limiter.wait_s() + self._spread())
+                return _OVER_RATE
+        task.homes = configuration.homes(route, task.workspace)
+        return None
+
+    async def _serve(self, task: RequestTask) -> BackendAnswer | Failure:
+        body = RequestBody(task.request, self.limits)
+        failure = await body.open()
+        if failure is not None:
+            return failure
+        if body.buffered is None:
+            task.body = b"".join(
+                [part async for part in t.cast(t.AsyncIterator[bytes], body.data())]
+            )
+        else:
+            task.body = body.buffered
+        request = task.request
+        task.fingerprint = request_fingerprint(
+            task.workspace, request.method, request.raw_path, task.body
+        )
+        if self.board.poison.check(task.fingerprint, task.arrived_at) is not None:
+            return _POISON
+        point = unit_hash(task.facts.request_id, "split")
+        task.service = task.route.pick_service(point)
+        task.key = task.facts.affinity if task.route.has_affinity else task.facts.request_id
+        self.board.note_home_bound(task.service, task.homes, task.arrived_at)
+        return await self._attempts(task)
+
+    async def _attempts(self, task: RequestTask) -> BackendAnswer | Failure:
+        last: BackendAnswer | Failure = _NO_ROOM
+        connects = 0
+        while True:
+            now = time.monotonic()
+            state = self.board.selector.choose(self._need(task), task.tried, now)
+            if state is None:
+                return self._give_up(task, last)
+            if task.sends and not self.board.budget(task.service, now).take():
+                return self._give_up(task, last)
+            if not task.sends:
+                self.board.budget(task.service, now).note_request(now)
+            attempt = Attempt(task, state, self.dialect, self.pool, self.board, self.crashes)
+            last = await attempt.run()
+            task.tried.append(state.server.name)
+            if attempt.end is AttemptEnd.UNSENT:
+                connects += 1
+            if not self._may_repeat(task, attempt, connects):
+                return self._give_up(task, last)
+
+    def _need(self, task: RequestTask) -> Need:
+        versions = self.board.versions(task.service, task.route.name, task.key)
+        return Need(task.service, task.key, task.homes, versions)
+
+    def _may_repeat(self, task: RequestTask, attempt: Attempt, connects: int) -> bool:
+        if attempt.end is AttemptEnd.ANSWERED or connects >= CONNECTS_MAX:
+            return False
+        if attempt.end is AttemptEnd.UNSENT:
+            return True
+        if task.sends >= task.route.attempts:
+            return False
+        if self.board.poison.check(task.fingerprint, time.monotonic()) is not None:
+            return False
+        return attempt.end is AttemptEnd.NOT_RUN or task.route.repeatable
+
+    def _give_up(self, task: RequestTask, last: BackendAnswer | Failure) -> BackendAnswer | Failure:
+        if isinstance(last, BackendAnswer):
+            return last
+        task.retry_after_s = self._spread()
+        return task.truthful(last)
+
+    def _spread(self) -> float:
+        return RETURN_AFTER_S + RETURN_SPREAD_S * self.rng.random()
+
+    def _response(self, task: RequestTask, result: BackendAnswer | Failure) -> web.Response:
+        if isinstance(result, BackendAnswer):
+            task.status = result.status
+            return _answer_response(result)
+        task.code = result.code
+        task.reason = result.reason
+        response = _refusal(result, task.retry_after_s)
+        task.status = response.status
+        return response
+
+
+def _deadline(task: RequestTask, route: RouteRule, facts: RequestFacts) -> float:
+    allowed_s = route.timeout_s
+    if facts.deadline_s is not None:
+        allowed_s = min(allowed_s, facts.deadline_s)
+    return task.arrived_at + allowed_s
+
+
+def _host_name(request: web.BaseRequest) -> str:
+    return request.headers.get("Host", "").partition(":")[0].lower()
+
+
+def _answer_response(answer: BackendAnswer) -> web.Response:
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in answer.headers:
+        text = name.decode("latin-1")
+        if text.lower() not in _DROPPED:
+            headers.add(text, value.decode("utf-8", "surrogateescape"))
+    return web.Response(status=answer.status, headers=headers, body=answer.body or None)
+
+
+def _refusal(failure: Failure, retry_after_s: float) -> web.Response:
+    info = failure.info
+    status = info.http_status or SERVER_ERROR
+    headers = {"Content-Type": "text/plain"}
+    if retry_after_s > 0.0 and status in (429, 503):
+        headers["Retry-After"] = f"{retry_after_s:.2f}"
+    text = f"{int(failure.code)} {failure.reason}\n"
+    return web.Response(status=status, text=text, headers=headers)
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/lookup.py
@@ -0,0 +1,40 @@
+"""Which entry hosts a caller is told of."""
+
+from __future__ import annotations
+
+import typing as t
+
+from radishbridge.entry.messages import HostSight
+from radishbridge.entry.protocol import HostEntry
+
+# Hosts of the caller's data centre that are enough for it; with fewer it gets its whole region,
+# so that the loss of one host leaves it another.
+ENOUGH = 2
+# Most addresses in one answer.
+ADDRESSES_MAX = 64
+
+
+def nearby_hosts(
+    sights: t.Iterable[HostSight],
+    entries: t.Mapping[str, HostEntry],
+    region: str,
+    data_center: str,
+) -> list[str]:
+    """Return the addresses of the nearest hosts that take requests.
+
+    Requests with home regions may enter in the caller's own region, so that hosts of other
+    regions are named only where none of its own is left.
+
+    :param region: the caller's region.
+    :param data_center: the caller's data centre.
+    """
+    serving = [
+        entries[sight.name]
+        for sight in sights
+        if sight.is_ready and not sight.is_leaving and sight.name in entries
+    ]
+    near = [entry.listen for entry in serving if entry.data_center == data_center]
+    if len(near) < ENOUGH:
+        near = [entry.listen for entry in serving if entry.region == region]
+    near = near or [entry.listen for entry in serving]
+    return sorted(near)[:ADDRESSES_MAX]
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -0,0 +1,81 @@
+"""Messages between entry hosts."""
+
+from __future__ import annotations
+
+import msgspec
+
+from radishbridge.entry.protocol import Kind, Listing, StoredObject
+from radishbridge.peers import Heartbeat
+from radishbridge.steering import Evidence
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was running at a backend server when the server went away."""
+
+    fingerprint: bytes
+    server: str
+
+
+class FleetReport(msgspec.Struct, kw_only=True, tag="report"):
+    """What one host tells the hosts that sum up.
+
+    :param follows: it reads the store itself and the store answers it.
+    :param demands: requests a second by workspace.
+    :param home_bound: slots that requests with one home region take up, by service and region.
+    :param evidence: outcomes by service under a version move, counted since the order.
+    :param crashes: those of the last seconds.
+    """
+
+    is_ready: bool
+    is_leaving: bool
+    follows: bool
+    demands: dict[str, float]
+    home_bound: dict[str, dict[str, float]]
+    evidence: dict[str, Evidence]
+    crashes: list[Crash]
+
+
+class HostSight(msgspec.Struct, frozen=True, array_like=True):
+    """What a summing host heard of another one lately."""
+
+    name: str
+    is_ready: bool
+    is_leaving: bool
+    follows: bool
+
+
+class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
+    """What all hosts together do, from their reports of the last second.
+
+    :param hosts: those that were heard.
+    :param digests: digests of the sender's copy by kind, to find what the receiver misses.
+    """
+
+    hosts: list[HostSight]
+    demands: dict[str, float]
+    home_bound: dict[str, dict[str, float]]
+    evidence: dict[str, Evidence]
+    crashes: list[Crash]
+    digests: dict[Kind, int]
+
+
+class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
+    """Objects that a host has just read from the store, passed on."""
+
+    objects: list[StoredObject]
+
+
+class CopyRequest(msgspec.Struct, kw_only=True, tag="copy-request"):
+    """Asks for all objects of some kinds."""
+
+    kinds: list[Kind]
+
+
+class CopyAnswer(msgspec.Struct, kw_only=True, tag="copy-answer"):
+    """All objects of one kind that the sender holds."""
+
+    kind: Kind
+    listing: Listing
+
+
+FleetMessage = FleetReport | FleetSummary | ObjectsChanged | CopyRequest | CopyAnswer | Heartbeat
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/steward.py
@@ -0,0 +1,77 @@
+"""Records how version moves stand; the first host by hash does, the next one if it is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from radishbridge.entry.board import Board
+from radishbridge.entry.fleet import SUMMARY_S, Fleet
+from radishbridge.entry.protocol import FleetStore, Kind, MoveReport
+from radishbridge.peers import rank
+from radishbridge.records import Failure
+from radishbridge.steering import Evidence, MovePhase
+
+# Pause between two looks at the moves, in seconds.
+STEP_S = 0.25
+
+logger = logging.getLogger(__name__)
+
+
+class MoveSteward:
+    """Writes the status of version moves while it is this host's duty."""
+
+    __slots__ = ("board", "fleet", "store")
+
+    def __init__(self, board: Board, fleet: Fleet, store: FleetStore) -> None:
+        self.board = board
+        self.fleet = fleet
+        self.store = store
+
+    async def run(self) -> None:
+        """Look after the moves until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            await self.step(time.monotonic())
+
+    async def step(self, now: float) -> None:
+        """Record each move whose phase has changed."""
+        if not self._is_on_duty(now):
+            return
+        for name, order in list(self.board.orders.items()):
+            phase = self._phase(order.service, now)
+            if phase is order.phase or order.phase in (MovePhase.COMPLETED, MovePhase.TAKEN_BACK):
+                continue
+            stored = self.fleet.copy.held.get((Kind.MOVE, name))
+            report = MoveReport(
+                name=name,
+                version=0 if stored is None else stored.version,
+                to_version=order.to_version,
+                phase=phase,
+            )
+            failure = await self.store.report_move(report)
+            logger.info(
+                "move reported",
+                extra={
+                    "service": order.service,
+                    "to_version": order.to_version,
+                    "phase": phase.value,
+                    "outcome": failure.reason if isinstance(failure, Failure) else "recorded",
+                },
+            )
+
+    def _phase(self, service: str, now: float) -> MovePhase:
+        summary = self.fleet.summary
+        seen = summary.evidence.get(service) if summary is not None else None
+        return self.board.move_phase(service, seen or Evidence(), now)
+
+    def _is_on_duty(self, now: float) -> bool:
+        if not self.board.orders or now - self.fleet.summary_at > SUMMARY_S:
+            return False
+        able = [
+            sight.name
+            for sight in self.fleet.live_hosts(now).values()
+            if sight.follows and not sight.is_leaving
+        ]
+        return rank("moves", able)[:1] == [self.fleet.own.peer_address]
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/task.py
@@ -0,0 +1,86 @@
+"""The state of one caller's request while it is being answered."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from radishbridge.entry.protocol import RequestFacts
+from radishbridge.records import Execution, Failure, ResultCode
+from radishbridge.steering import RouteRule, SplitPart
+
+_NO_ROUTE = RouteRule(
+    name="",
+    host="",
+    prefix="",
+    parts=(SplitPart("", 1.0),),
+    repeatable=False,
+    attempts=1,
+    timeout_s=0.0,
+    target_s=0.0,
+)
+
+
+class RequestTask:
+    """One request and what has become of it.
+
+    :param arrived_at: monotonic time in seconds.
+    :param earlier_runs: an attempt that has ended ran, or may have.
+    :param may_have_run: an attempt ran, or may have; the present one counts once it is sent.
+    """
+
+    __slots__ = (
+        "arrived_at",
+        "body",
+        "code",
+        "deadline",
+        "earlier_runs",
+        "facts",
+        "fingerprint",
+        "homes",
+        "key",
+        "may_have_run",
+        "reason",
+        "request",
+        "retry_after_s",
+        "route",
+        "sends",
+        "service",
+        "status",
+        "tried",
+        "version",
+        "workspace",
+    )
+
+    def __init__(self, request: web.BaseRequest, arrived_at: float) -> None:
+        self.request = request
+        self.arrived_at = arrived_at
+        self.facts = RequestFacts("", None, "", "")
+        self.route = _NO_ROUTE
+        self.deadline = arrived_at
+        self.version = 0
+        self.workspace = ""
+        self.homes: frozenset[str] | None = None
+        self.service = ""
+        self.key = ""
+        self.body = b""
+        self.fingerprint = b""
+        self.tried: list[str] = []
+        self.sends = 0
+        self.earlier_runs = False
+        self.may_have_run = False
+        self.retry_after_s = 0.0
+        self.status = 0
+        self.code = ResultCode.OK
+        self.reason = ""
+
+    def truthful(self, failure: Failure) -> Failure:
+        """Return a failure that neither denies nor claims a run without ground."""
+        info = failure.info
+        if self.may_have_run:
+            if info.execution is Execution.NOT_RUN:
+                reason = f"an earlier attempt may have run; {failure.reason}"
+                return Failure(ResultCode.BACKEND_FAILED, reason)
+            return failure
+        if info.execution is Execution.NOT_RUN:
+            return failure
+        return Failure(ResultCode.NO_BACKEND, failure.reason)
--- a/packages/host/src/radishbridge/host/logs.py
+++ b/packages/host/src/radishbridge/host/logs.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import logging
+import os
 import typing as t
 
 import msgspec
 
 from radishbridge.records import LogSettings
 
+# Log lines that wait for a slow reader, in bytes: some seconds of a busy host.
+WAITING_BYTES_MAX = 1_048_576
+
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
 
 
@@ -55,9 +60,53 @@
         return f"{head}{record.getMessage()}{fields}{error}"
 
 
-def configure_logging(settings: LogSettings) -> None:
-    """Send all log records to the standard error stream in the format of the settings."""
-    handler = logging.StreamHandler()
+class BoundedStream:
+    """A stream that never blocks: what its descriptor does not take waits, up to a bound.
+
+    :param descriptor: file descriptor to write to, set to non-blocking.
+    """
+
+    __slots__ = ("descriptor", "dropped", "waiting", "waiting_bytes")
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.waiting: collections.deque[bytes] = collections.deque()
+        self.waiting_bytes = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        """Queue text; beyond the bound it is dropped and counted."""
+        data = text.encode("utf-8", "backslashreplace")
+        if self.waiting_bytes + len(data) > WAITING_BYTES_MAX:
+            self.dropped += 1
+            return
+        self.waiting.append(data)
+        self.waiting_bytes += len(data)
+
+    def flush(self) -> None:
+        """Do nothing: lines are written together by ``drain``."""
+
+    def drain(self) -> None:
+        """Write what the descriptor takes now."""
+        if self.dropped:
+            lost, self.dropped = self.dropped, 0
+            self.write(f'{{"message":"log lines dropped","count":{lost}}}\n')
+        data = b"".join(self.waiting)
+        try:
+            written = os.write(self.descriptor, data) if data else 0
+        except BlockingIOError:
+            written = 0
+        self.waiting = collections.deque([data[written:]] if written < len(data) else [])
+        self.waiting_bytes = len(data) - written
+
+
+def configure_logging(settings: LogSettings, stream: t.Any = None) -> None:
+    """Send all log records to a stream in the format of the settings.
+
+    :param stream: the standard error stream where it is ``None``.
+    """
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter() if settings.format == "json" else TextFormatter())
     root = logging.getLogger()
     root.handlers = [handler]
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -7,7 +7,6 @@
 import typing as t
 
 from radishbridge.host.connections import CallerServer
-from radishbridge.host.forward import Forwarder
 from radishbridge.host.listener import Listener
 from radishbridge.records import LimitSettings
 
@@ -16,6 +15,13 @@
 logger = logging.getLogger(__name__)
 
 
+class Serving(t.Protocol):
+    """What answers requests; it closes connections after their answers once it is leaving."""
+
+    in_flight: int
+    leaving: bool
+
+
 class Shutdown:
     """Takes a host out of use without cutting a request.
 
@@ -27,7 +33,7 @@
 
     def __init__(
         self,
-        forwarder: Forwarder,
+        forwarder: Serving,
         server: CallerServer,
         listener: Listener,
         limits: LimitSettings,
--- a/packages/peers/src/radishbridge/peers/link.py
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -9,7 +9,7 @@
 import zmq
 import zmq.asyncio
 
-from radishbridge.peers.messages import Envelope, Heartbeat, PeerMessage
+from radishbridge.peers.messages import Envelope, Heartbeat
 
 QUEUE_LENGTH = 1_024
 SEND_TIMEOUT_MS = 1_000
@@ -78,10 +78,10 @@
         self.heartbeat = heartbeat
         self.heartbeat_s = heartbeat_s
         self.counters = counters
-        self.queue: asyncio.Queue[PeerMessage] = asyncio.Queue(QUEUE_LENGTH)
+        self.queue: asyncio.Queue[msgspec.Struct] = asyncio.Queue(QUEUE_LENGTH)
         self.sequence = 0
 
-    def offer(self, message: PeerMessage) -> bool:
+    def offer(self, message: msgspec.Struct) -> bool:
         """Queue a message; ``False`` where the queue is full."""
         try:
             self.queue.put_nowait(message)
@@ -106,7 +106,7 @@
         finally:
             self.socket.close(linger=0)
 
-    async def _send(self, message: PeerMessage) -> None:
+    async def _send(self, message: msgspec.Struct) -> None:
         self.sequence += 1
         envelope = Envelope(
             sender=self.sender,
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -23,6 +23,10 @@
 FRAME_BYTES_MAX = 2 * 1024 * 1024
 SEND_QUEUE_FRAMES = 64
 RECEIVE_QUEUE_FRAMES = 4_096
+# Connections that went silent are given up after three probes, and opened anew after a pause.
+PROBE_INTERVAL_MS = 500
+PROBE_TIMEOUT_MS = 1_500
+RECONNECT_MS = 100
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +46,7 @@
     :param settings: keys; without keys nothing is encrypted or authenticated.
     :param heartbeat: builds the heartbeat of this host.
     :param clock: monotonic clock in seconds.
+    :param message_type: union of the messages that are understood.
     """
 
     __slots__ = (
@@ -55,6 +60,7 @@
         "host",
         "incarnation",
         "links",
+        "message_type",
         "settings",
         "tasks",
         "timing",
@@ -69,8 +75,10 @@
         heartbeat: t.Callable[[], Heartbeat],
         timing: MeshTiming | None = None,
         clock: t.Callable[[], float] = time.monotonic,
+        message_type: t.Any = PeerMessage,
     ) -> None:
         self.host = host
+        self.message_type = message_type
         self.address = address
         self.settings = settings
         self.heartbeat = heartbeat
@@ -81,12 +89,12 @@
         self.counters = MeshCounters()
         self.directory = Directory(host)
         self.view = PeerView(LIVENESS_HEARTBEATS * self.timing.far_s)
-        self.handlers: dict[type[PeerMessage], list[Handler]] = {}
+        self.handlers: dict[type[msgspec.Struct], list[Handler]] = {}
         self.links: dict[str, Link] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.subscribe(Heartbeat, _note_heartbeat)
 
-    def subscribe(self, message_type: type[PeerMessage], handler: Handler) -> None:
+    def subscribe(self, message_type: type[msgspec.Struct], handler: Handler) -> None:
         """Call a handler for each message of a type."""
         self.handlers.setdefault(message_type, []).append(handler)
 
@@ -95,7 +103,7 @@
         now = self.clock()
         return [peer for peer in self.view.live(now) if now - peer.heard_at <= self._bound(peer)]
 
-    def send(self, host: str, message: PeerMessage) -> bool:
+    def send(self, host: str, message: msgspec.Struct) -> bool:
         """Queue a message; connects to a host of the directory that has no connection yet."""
         link = self.links.get(host)
         if link is None:
@@ -149,6 +157,10 @@
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
         socket.setsockopt(zmq.SNDTIMEO, SEND_TIMEOUT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, PROBE_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PROBE_TIMEOUT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, PROBE_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         if self.settings.public_key:
             socket.curve_serverkey = self.settings.public_key.encode()
             socket.curve_publickey = self.settings.public_key.encode()
@@ -182,7 +194,7 @@
         self.counters.received_bytes += len(frame)
         try:
             envelope = msgspec.msgpack.decode(frame, type=Envelope)
-            message = msgspec.msgpack.decode(envelope.body, type=PeerMessage)
+            message = msgspec.msgpack.decode(envelope.body, type=self.message_type)
         except (msgspec.MsgspecError, UnicodeDecodeError):
             self.counters.malformed += 1
             return
@@ -195,7 +207,7 @@
             return
         self._dispatch(peer, message)
 
-    def _dispatch(self, peer: Peer, message: PeerMessage) -> None:
+    def _dispatch(self, peer: Peer, message: msgspec.Struct) -> None:
         for handler in self.handlers.get(type(message), ()):
             try:
                 handler(peer, message)
@@ -231,7 +243,7 @@
         return key.decode("ascii", "replace") in self.accepted
 
 
-def _note_heartbeat(peer: Peer, message: PeerMessage) -> None:
+def _note_heartbeat(peer: Peer, message: msgspec.Struct) -> None:
     if isinstance(message, Heartbeat):
         peer.revision = message.revision
         peer.leaving = message.leaving
--- a/packages/peers/src/radishbridge/peers/protocol.py
+++ b/packages/peers/src/radishbridge/peers/protocol.py
@@ -26,7 +26,8 @@
         self.leaving = False
 
 
-Handler = t.Callable[[Peer, PeerMessage], None]
+# Handlers take the message type they subscribe to.
+Handler = t.Callable[[Peer, t.Any], None]
 
 
 class PeerMesh(t.Protocol):
--- a/packages/routing/src/radishbridge/routing/poison.py
+++ b/packages/routing/src/radishbridge/routing/poison.py
@@ -29,19 +29,20 @@
     """Fingerprints of requests that were in flight when backend servers crashed.
 
     A request in flight at one crash is a suspect and may run once more; one that was in flight at
-    the crashes of two backend servers is refused until ``suspicion_s`` have passed.
+    the crashes of ``crashes_max`` backend servers is refused until ``suspicion_s`` have passed.
     """
 
-    __slots__ = ("crashes", "suspicion_s")
+    __slots__ = ("crashes", "crashes_max", "suspicion_s")
 
-    def __init__(self, suspicion_s: float = SUSPICION_S) -> None:
+    def __init__(self, suspicion_s: float = SUSPICION_S, crashes_max: int = CRASHES_MAX) -> None:
         self.suspicion_s = suspicion_s
+        self.crashes_max = crashes_max
         self.crashes: dict[bytes, list[Crash]] = {}
 
     def check(self, fingerprint: bytes, now: float) -> Failure | None:
         """Return ``POISON_REQUEST`` for a request that may not run."""
         crashes = self.crashes.get(fingerprint)
-        if crashes is None or len(self._recent(fingerprint, now)) < CRASHES_MAX:
+        if crashes is None or len(self._recent(fingerprint, now)) < self.crashes_max:
             return None
         return _POISON
 
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -0,0 +1,52 @@
+"""Decisions of an entry host, without input or output: time and state come as arguments."""
+
+from __future__ import annotations
+
+from radishbridge.steering.configuration import (
+    CallerLimits,
+    Configuration,
+    RouteRule,
+    ServiceRule,
+    SplitPart,
+    WorkspaceRule,
+)
+from radishbridge.steering.moves import (
+    Evidence,
+    Move,
+    MoveOrder,
+    MovePhase,
+    outcome,
+    stable_versions,
+)
+from radishbridge.steering.placement import unit_hash
+from radishbridge.steering.rates import DemandMeter, FleetPart, RateLimiter
+from radishbridge.steering.retries import RetryBudget
+from radishbridge.steering.selector import Need, Selector
+from radishbridge.steering.servers import LoadReport, Server, ServerState
+from radishbridge.steering.slowstart import SlowStart
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "DemandMeter",
+    "Evidence",
+    "FleetPart",
+    "LoadReport",
+    "Move",
+    "MoveOrder",
+    "MovePhase",
+    "Need",
+    "RateLimiter",
+    "RetryBudget",
+    "RouteRule",
+    "Selector",
+    "Server",
+    "ServerState",
+    "ServiceRule",
+    "SlowStart",
+    "SplitPart",
+    "WorkspaceRule",
+    "outcome",
+    "stable_versions",
+    "unit_hash",
+]
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -0,0 +1,137 @@
+"""Fleet-wide rates without a call for each request: every host uses a part of each rate.
+
+Load pattern: callers of one workspace move between hosts within seconds, and one workspace sends
+many times its rate. Parts follow the demand that hosts report; hosts that cannot be heard keep an
+even part, which the others leave to them, so that the parts never add up to more than the rate.
+"""
+
+from __future__ import annotations
+
+import math
+
+# Part of a host's allowance that its bucket holds when the host starts.
+START_FILL = 0.25
+# Time constant of the moving average of demand in seconds.
+DEMAND_S = 0.8
+# A report or summary older than this no longer tells where demand is, in seconds.
+SUMMARY_FRESH_S = 1.2
+# A host that has heard no summary for this long admits nothing that is metered, in seconds:
+# the others give its part away a little later (see ``FORGET_SILENT_S`` in fleet.py).
+CUT_OFF_S = 25.0
+# Demand added to each host's own, so that a first request finds a part to use.
+BASE_DEMAND_PER_S = 0.5
+
+
+class DemandMeter:
+    """A moving average of arrivals a second."""
+
+    __slots__ = ("updated_at", "value")
+
+    def __init__(self, now: float) -> None:
+        self.value = 0.0
+        self.updated_at = now
+
+    def add(self, now: float) -> None:
+        """Count one arrival."""
+        self.value = self.rate(now) + 1.0 / DEMAND_S
+        self.updated_at = now
+
+    def rate(self, now: float) -> float:
+        """Return arrivals a second."""
+        return self.value * math.exp(-max(0.0, now - self.updated_at) / DEMAND_S)
+
+
+class FleetPart:
+    """The part of every rate that this host may use.
+
+    :param hosts: hosts that may be running, heard or not.
+    :param heard: hosts that the last summary covers.
+    :param heard_at: monotonic time of the last summary.
+    """
+
+    __slots__ = ("heard", "heard_at", "hosts")
+
+    def __init__(self, now: float) -> None:
+        self.hosts = 1
+        self.heard = 1
+        self.heard_at = now
+
+    def share(self, own: float, total: float, now: float) -> float:
+        """Return the part of a rate, 0 to 1.
+
+        :param own: this host's demand when it last reported.
+        :param total: demand of all hosts in the last summary.
+        """
+        silent_s = now - self.heard_at
+        if silent_s > CUT_OFF_S:
+            return 0.0
+        even = 1.0 / max(1, self.hosts)
+        if silent_s > SUMMARY_FRESH_S:
+            return even
+        heard = min(self.heard, self.hosts)
+        own += BASE_DEMAND_PER_S
+        total = max(total + BASE_DEMAND_PER_S * heard, own)
+        return heard * even * own / total
+
+
+class RateLimiter:
+    """One workspace's requests at this host.
+
+    :param rate_per_s: requests a second of all hosts together.
+    :param burst: requests of all hosts together at once.
+    """
+
+    __slots__ = (
+        "burst",
+        "demand",
+        "rate_per_s",
+        "reported",
+        "share",
+        "tokens",
+        "total",
+        "updated_at",
+    )
+
+    def __init__(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.demand = DemandMeter(now)
+        self.reported = 0.0
+        self.total = 0.0
+        self.share = share
+        self.tokens = START_FILL * max(burst, rate_per_s) * share
+        self.updated_at = now
+
+    def set_rate(self, rate_per_s: float, burst: float) -> None:
+        """Put a changed rate in force."""
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens = min(self.tokens, self.most_tokens)
+
+    @property
+    def most_tokens(self) -> float:
+        """Tokens that may gather at this host."""
+        return max(1.0, self.burst * self.share)
+
+    def admit(self, part: FleetPart, now: float) -> bool:
+        """Spend one token if there is one."""
+        self.demand.add(now)
+        if not self.rate_per_s:
+            return True
+        self.refill(part, now)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def refill(self, part: FleetPart, now: float) -> None:
+        """Add the tokens of the time since the last refill."""
+        self.share = part.share(self.reported, self.total, now)
+        earned = self.rate_per_s * self.share * (now - self.updated_at)
+        self.updated_at = now
+        self.tokens = min(self.most_tokens, self.tokens + earned)
+
+    def wait_s(self) -> float:
+        """Return the seconds until a token will be there at the present share."""
+        earning = self.rate_per_s * self.share
+        return max(0.0, 1.0 - self.tokens) / earning if earning > 0.0 else math.inf
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -0,0 +1,206 @@
+"""Choice of the backend server for one attempt, or the refusal of the request.
+
+Load pattern: at the worst of the day more requests come than warm servers can run. What waits at
+a backend server beyond the time in which its answer is of use takes the place of requests that
+would still be in time, so that each host sends only what the servers' own reports show room for.
+"""
+
+from __future__ import annotations
+
+import statistics
+import typing as t
+
+from radishbridge.steering.configuration import ServiceRule
+from radishbridge.steering.placement import RegionWeights, order
+from radishbridge.steering.servers import Server, ServerState
+from radishbridge.steering.slowstart import SlowStart
+
+# Requests for each slot up to which an object stays at its first server. Above 1 some of them
+# wait, which costs less than a run on a server that does not know the object.
+FIRST_LIMIT = 1.6
+# The same for the next servers, to which an object spreads while its first one is full.
+NEXT_LIMIT = 1.0
+# Next servers that are tried in the object's order before the least loaded one is taken.
+NEXT_TRIED = 2
+# Requests for each slot above which a server gets no more: the last of them would wait for
+# about two services, and its answer be late.
+MOST_LIMIT = 2.6
+# Orders of objects kept; the least lately built ones go first.
+ORDERS_KEPT = 4_096
+
+
+class Need(t.NamedTuple):
+    """What an attempt needs of a backend server.
+
+    :param homes: the only regions that may run it; ``None`` for all.
+    :param versions: the only versions that may run it; ``None`` for all.
+    :param key: what tells objects of the service apart; empty where there is no affinity.
+    """
+
+    service: str
+    key: str
+    homes: frozenset[str] | None
+    versions: frozenset[str] | None
+
+
+class _PoolKey(t.NamedTuple):
+    service: str
+    homes: frozenset[str] | None
+    versions: frozenset[str] | None
+
+
+class Selector:
+    """Knows all backend servers and chooses among them.
+
+    :param slow_start: bounds on what cold servers get.
+    """
+
+    __slots__ = (
+        "drained",
+        "medians",
+        "orders",
+        "pools",
+        "rules",
+        "slow_start",
+        "states",
+        "weights",
+    )
+
+    def __init__(self, slow_start: SlowStart) -> None:
+        self.slow_start = slow_start
+        self.states: dict[str, ServerState] = {}
+        self.drained: frozenset[str] = frozenset()
+        self.rules: dict[str, ServiceRule] = {}
+        self.weights: dict[str, RegionWeights] = {}
+        self.medians: dict[str, float] = {}
+        self.pools: dict[_PoolKey, list[ServerState]] = {}
+        self.orders: dict[tuple[_PoolKey, str], list[ServerState]] = {}
+
+    def put(self, server: Server, now: float) -> bool:
+        """Take over a new or changed server.
+
+        :return: whether it is another start than the one known by this name.
+        """
+        state = self.states.get(server.name)
+        reborn = state is None or _is_reborn(state.server, server)
+        if reborn or state is None:
+            self.states[server.name] = ServerState(server, now)
+        else:
+            state.replace(server, now)
+        self.forget_orders()
+        return reborn
+
+    def remove(self, name: str) -> None:
+        """Forget a server whose entry is gone."""
+        if self.states.pop(name, None) is not None:
+            self.forget_orders()
+
+    def set_drained(self, data_centers: t.Iterable[str]) -> None:
+        """Take over which data centres get no requests."""
+        self.drained = frozenset(data_centers)
+        self.forget_orders()
+
+    def forget_orders(self) -> None:
+        """Build pools and orders anew when they are next needed."""
+        self.pools.clear()
+        self.orders.clear()
+
+    def usable(self, service: str) -> list[ServerState]:
+        """Return a service's servers that take requests, drains considered."""
+        return self._pool(_PoolKey(service, None, None))
+
+    def versions(self, service: str) -> dict[str, int]:
+        """Return the number of a service's servers by version."""
+        counts: dict[str, int] = {}
+        for state in self.states.values():
+            if state.server.service == service:
+                counts[state.server.version] = counts.get(state.server.version, 0) + 1
+        return counts
+
+    def update_weights(self, service: str, home_bound: t.Mapping[str, float]) -> None:
+        """Take over how many slots home-bound requests need in each region."""
+        slots: dict[str, int] = {}
+        for state in self.usable(service):
+            region = state.server.region
+            slots[region] = slots.get(region, 0) + state.server.slots
+        if self.weights.setdefault(service, RegionWeights()).update(slots, home_bound):
+            self.orders.clear()
+
+    def update_medians(self) -> None:
+        """Take the median speed of each service's servers anew."""
+        speeds: dict[str, list[float]] = {}
+        for state in self.states.values():
+            if state.samples:
+                speeds.setdefault(state.server.service, []).append(state.speed_s)
+        self.medians = {service: statistics.median(them) for service, them in speeds.items()}
+
+    def choose(self, need: Need, tried: t.Collection[str], now: float) -> ServerState | None:
+        """Return a server with room for one more request; ``None`` where there is none."""
+        candidates = [state for state in self._order(need) if state.server.name not in tried]
+        alive = [state for state in candidates if self._is_alive(state, now)]
+        return self._place(alive, now)
+
+    def _place(self, alive: list[ServerState], now: float) -> ServerState | None:
+        # The limit grows from server to server only as long as the object's order is followed.
+        for state, limit in zip(alive, self._limits(alive, now), strict=False):
+            if state.occupancy(now) < limit and self._admits(state, now):
+                return state
+        spread = sorted(alive, key=lambda state: state.occupancy(now))
+        for state in spread:
+            if state.occupancy(now) >= MOST_LIMIT:
+                return None
+            if self._admits(state, now):
+                return state
+        return None
+
+    def _limits(self, alive: list[ServerState], now: float) -> t.Iterator[float]:
+        first = alive[0] if alive else None
+        median_s = self.medians.get(first.server.service, 0.0) if first else 0.0
+        slow = first is not None and median_s > 0.0 and first.is_slower_than(median_s)
+        yield NEXT_LIMIT / 2.0 if slow else FIRST_LIMIT
+        for _ in range(NEXT_TRIED):
+            yield NEXT_LIMIT
+
+    def _admits(self, state: ServerState, now: float) -> bool:
+        if not state.is_cold(now):
+            return True
+        rule = self.rules.get(state.server.service)
+        rate_per_s = rule.slow_start_per_s if rule is not None else 0.0
+        return self.slow_start.may_send(state.server.name, rate_per_s, now)
+
+    def _is_alive(self, state: ServerState, now: float) -> bool:
+        return not state.is_out(now)
+
+    def _order(self, need: Need) -> list[ServerState]:
+        at = (_PoolKey(need.service, need.homes, need.versions), need.key)
+        held = self.orders.get(at)
+        if held is None:
+            if len(self.orders) >= ORDERS_KEPT:
+                del self.orders[next(iter(self.orders))]
+            held = self.orders[at] = self._build_order(*at)
+        return held
+
+    def _build_order(self, pool: _PoolKey, key: str) -> list[ServerState]:
+        weights = self.weights.get(pool.service) if pool.homes is None else None
+        return order(f"{pool.service}\0{key}", self._pool(pool), weights.weights if weights else {})
+
+    def _pool(self, key: _PoolKey) -> list[ServerState]:
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = [
+                state for state in self.states.values() if self._belongs(state.server, key)
+            ]
+        return pool
+
+    def _belongs(self, server: Server, key: _PoolKey) -> bool:
+        return (
+            server.service == key.service
+            and not server.draining
+            and server.data_center not in self.drained
+            and (key.homes is None or server.region in key.homes)
+            and (key.versions is None or server.version in key.versions)
+        )
+
+
+def _is_reborn(held: Server, seen: Server) -> bool:
+    return held.incarnation != seen.incarnation or held.address != seen.address
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -0,0 +1,163 @@
+"""Backend servers as the store lists them, and what this host knows of each from its requests."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+# Failures in a row before a server is left out; single failures happen at healthy servers.
+FAILURES_TO_EJECT = 3
+# First and longest ejection in seconds: short, since a crashed server is back within seconds.
+EJECTION_S = 1.0
+EJECTION_MAX_S = 8.0
+# Weight of the newest sample in moving averages.
+NEW_SAMPLE = 0.2
+# Age in seconds at which half of a load report no longer counts.
+LOAD_HALF_LIFE_S = 0.3
+# A server this many times slower than the median of its service is left out for a while.
+SLOW_FACTOR = 3.0
+# Answers after which a server's speed is known well enough to compare it.
+SPEED_SAMPLES = 6
+
+
+class Server(msgspec.Struct, frozen=True, kw_only=True):
+    """One backend server as its entry in the store describes it.
+
+    :param name: unique id of this start of the server, mostly.
+    :param incarnation: start of the process, milliseconds since the Unix epoch; 0 if unknown.
+    :param address: ``IP:port``; may belong to another server later.
+    :param slots: requests it runs at once.
+    :param draining: it is leaving and takes no new requests.
+    :param cold_for_s: how long it stays cold, counted from the arrival of the entry.
+    """
+
+    name: str
+    incarnation: int
+    service: str
+    address: str
+    region: str
+    data_center: str
+    version: str
+    slots: int
+    draining: bool = False
+    cold_for_s: float = 0.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What a backend server said of its own load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class ServerState:
+    """Requests in flight, load, speed and health of one backend server, as seen from here.
+
+    :param cold_until: monotonic time in seconds at which its slow start ends.
+    """
+
+    __slots__ = (
+        "cold_until",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "in_flight",
+        "others",
+        "probing",
+        "reported_at",
+        "samples",
+        "server",
+        "speed_s",
+    )
+
+    def __init__(self, server: Server, now: float) -> None:
+        self.server = server
+        self.cold_until = now + server.cold_for_s
+        self.in_flight = 0
+        self.others = 0.0
+        self.reported_at = now
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.probing = False
+        self.samples = 0
+        self.speed_s = 0.0
+
+    def replace(self, server: Server, now: float) -> None:
+        """Take over a changed entry of the same incarnation."""
+        if server.cold_for_s != self.server.cold_for_s:
+            self.cold_until = now + server.cold_for_s
+        self.server = server
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the server is in its slow start."""
+        return now < self.cold_until
+
+    def is_out(self, now: float) -> bool:
+        """Whether requests should go elsewhere because the server failed lately.
+
+        One request at a time tries a server whose ejection has run out.
+        """
+        if not self.ejected_until:
+            return False
+        return now < self.ejected_until or self.probing
+
+    def occupancy(self, now: float) -> float:
+        """Return the requests that the server runs or queues, for each of its slots.
+
+        What other hosts keep there is known from its last answer, and counts less as that ages.
+        """
+        age_s = max(0.0, now - self.reported_at)
+        others = self.others * math.exp2(-age_s / LOAD_HALF_LIFE_S)
+        return (self.in_flight + others) / max(1, self.server.slots)
+
+    def start(self, now: float) -> None:
+        """Note that a request goes to the server."""
+        self.in_flight += 1
+        if self.ejected_until and now >= self.ejected_until:
+            self.probing = True
+
+    def finish(self) -> None:
+        """Note that a request at the server has ended, however it did."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.probing = False
+
+    def note_load(self, report: LoadReport, now: float) -> None:
+        """Take in a load report; it counts the request whose answer carried it or not."""
+        self.others = max(0.0, float(report.running + report.waiting - self.in_flight))
+        self.reported_at = now
+
+    def note_success(self, latency_s: float) -> None:
+        """Take in an answer that was no failure of the server."""
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.ejections = max(0, self.ejections - 1)
+        self.samples += 1
+        gain = max(NEW_SAMPLE, 1.0 / self.samples)
+        self.speed_s += gain * (latency_s - self.speed_s)
+
+    def note_failure(self, now: float, weight: int = 1) -> bool:
+        """Take in a failure of the server.
+
+        :param weight: failures it counts as; one that shows the server to be gone counts as all.
+        :return: whether the server was ejected for it.
+        """
+        self.failures += weight
+        if self.failures < FAILURES_TO_EJECT and not self.ejected_until:
+            return False
+        self.eject(now)
+        return True
+
+    def eject(self, now: float) -> None:
+        """Leave the server out for a while that doubles each time."""
+        pause_s = min(EJECTION_MAX_S, EJECTION_S * 2.0**self.ejections)
+        self.ejections += 1
+        self.ejected_until = now + pause_s
+        self.failures = 0
+        self.samples = 0
+
+    def is_slower_than(self, median_s: float) -> bool:
+        """Whether the server is known to be far slower than the median of its service."""
+        return self.samples >= SPEED_SAMPLES and self.speed_s > SLOW_FACTOR * median_s
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -68,7 +68,7 @@
                 data=value,
                 headers=headers,
                 timeout=self._read_timeout,
-                middlewares=(_send_once,),
+                middlewares=(send_once,),
             ) as answer:
                 return _written(answer.status, await answer.read())
         except aiohttp.ClientConnectorError as error:
@@ -114,11 +114,14 @@
     return "/v1/objects/" + "/".join(urllib.parse.quote(part, safe="") for part in (kind, name))
 
 
-async def _send_once(
+async def send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
-    # aiohttp sends a PUT a second time where a kept connection ends without an answer. The first
-    # may have taken effect, and the second would then be answered by 412 as if neither had.
+    """Client middleware that keeps aiohttp from sending a write a second time.
+
+    It does so where a kept connection ends without an answer. The first write may have taken
+    effect, and the second would then be answered by a conflict as if neither had.
+    """
     try:
         return await handler(request)
     except aiohttp.ClientConnectorError:
