Share an object between two servers and refuse what would spread over cold ones

Retry tokens of a host in a fleet of 77 never reached a whole one.

Ruled out: bad versions (taken back within 5 s), rates, dead servers.

--- a/packages/steering/src/radishbridge/steering/retries.py
+++ b/packages/steering/src/radishbridge/steering/retries.py
@@ -46,8 +46,8 @@
 
     @property
     def most_tokens(self) -> float:
-        """Tokens that may gather; spent at once they stay within the window's allowance."""
-        return max(0.5, self.allowance / 2.0 / self.hosts)
+        """Tokens that may gather: a host's part of the allowance, and enough for one repeat."""
+        return max(1.0, self.allowance / 2.0 / self.hosts)
 
     def note_request(self, now: float) -> None:
         """Earn by a request that was sent for the first time."""
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,16 +15,18 @@
 from radishbridge.steering.servers import Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
-# Requests for each slot up to which an object stays at its first server. Above 1 some of them
-# wait, which costs less than a run on a server that does not know the object.
-FIRST_LIMIT = 1.6
-# The same for the next servers, to which an object spreads while its first one is full.
-NEXT_LIMIT = 1.0
-# Next servers that are tried in the object's order before the least loaded one is taken.
-NEXT_TRIED = 2
+# Servers that share an object. Two servers that both know it balance its load; each further one
+# costs a run on a server that does not.
+SHARING = 2
+# How much fuller, in requests for each slot, the first server may be than the next ones before
+# the object goes to those.
+FIRST_BIAS = 0.4
 # Requests for each slot above which a server gets no more: the last of them would wait for
 # about two services, and its answer be late.
 MOST_LIMIT = 2.6
+# Requests for each slot up to which a server that does not share the object helps out. Above,
+# its slots are worth more for its own objects: a run there takes several times as long.
+HELP_LIMIT = 0.4
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -137,29 +139,19 @@
     def choose(self, need: Need, tried: t.Collection[str], now: float) -> ServerState | None:
         """Return a server with room for one more request; ``None`` where there is none."""
         candidates = [state for state in self._order(need) if state.server.name not in tried]
-        alive = [state for state in candidates if self._is_alive(state, now)]
+        alive = [state for state in candidates if not state.is_out(now)] or candidates
         return self._place(alive, now)
 
     def _place(self, alive: list[ServerState], now: float) -> ServerState | None:
-        # The limit grows from server to server only as long as the object's order is followed.
-        for state, limit in zip(alive, self._limits(alive, now), strict=False):
-            if state.occupancy(now) < limit and self._admits(state, now):
-                return state
-        spread = sorted(alive, key=lambda state: state.occupancy(now))
-        for state in spread:
-            if state.occupancy(now) >= MOST_LIMIT:
-                return None
-            if self._admits(state, now):
+        sharing = sorted(
+            enumerate(alive[:SHARING]),
+            key=lambda placed: placed[1].occupancy(now) + FIRST_BIAS * placed[0],
+        )
+        for _, state in sharing:
+            if state.occupancy(now) < MOST_LIMIT and self._admits(state, now):
                 return state
-        return None
-
-    def _limits(self, alive: list[ServerState], now: float) -> t.Iterator[float]:
-        first = alive[0] if alive else None
-        median_s = self.medians.get(first.server.service, 0.0) if first else 0.0
-        slow = first is not None and median_s > 0.0 and first.is_slower_than(median_s)
-        yield NEXT_LIMIT / 2.0 if slow else FIRST_LIMIT
-        for _ in range(NEXT_TRIED):
-            yield NEXT_LIMIT
+        helping = (state for state in alive[SHARING:] if state.occupancy(now) < HELP_LIMIT)
+        return next((state for state in helping if self._admits(state, now)), None)
 
     def _admits(self, state: ServerState, now: float) -> bool:
         if not state.is_cold(now):
@@ -168,9 +160,6 @@
         rate_per_s = rule.slow_start_per_s if rule is not None else 0.0
         return self.slow_start.may_send(state.server.name, rate_per_s, now)
 
-    def _is_alive(self, state: ServerState, now: float) -> bool:
-        return not state.is_out(now)
-
     def _order(self, need: Need) -> list[ServerState]:
         at = (_PoolKey(need.service, need.homes, need.versions), need.key)
         held = self.orders.get(at)
--- /dev/null
+++ b/tests/steering_world.py
@@ -0,0 +1,54 @@
+"""Small values for the tests of decisions."""
+
+from __future__ import annotations
+
+import itertools
+import typing as t
+
+from radishbridge.steering import RouteRule, Selector, Server, SlowStart, SplitPart
+
+T0 = 100.0
+
+
+def make_server(number: int, **changes: t.Any) -> Server:
+    """Return a backend server of the service ``catalogue``, by number."""
+    fields: dict[str, t.Any] = {
+        "name": f"server-{number}",
+        "incarnation": 1,
+        "service": "catalogue",
+        "address": f"10.0.0.{number}:80",
+        "region": ("east", "west")[number % 2],
+        "data_center": f"dc-{number % 4}",
+        "version": "v1",
+        "slots": 4,
+    }
+    return Server(**{**fields, **changes})
+
+
+def make_selector(count: int, **changes: t.Any) -> Selector:
+    """Return a selector that knows a number of warm servers."""
+    selector = Selector(SlowStart("host", 1.5, 5.0))
+    for number in range(count):
+        selector.put(make_server(number, **changes), T0)
+    return selector
+
+
+def make_route(**changes: t.Any) -> RouteRule:
+    """Return a repeatable route to ``catalogue``."""
+    fields: dict[str, t.Any] = {
+        "name": "devices",
+        "host": "one.example",
+        "prefix": "/devices/",
+        "parts": (SplitPart("catalogue", 1.0),),
+        "repeatable": True,
+        "attempts": 2,
+        "timeout_s": 1.2,
+        "target_s": 0.2,
+    }
+    return RouteRule(**{**fields, **changes})
+
+
+def split_evenly(total: int, parts: int) -> list[int]:
+    """Return whole numbers that differ by one at most and add up to a total."""
+    ends = itertools.pairwise(total * part // parts for part in range(parts + 1))
+    return [end - start for start, end in ends]
--- /dev/null
+++ b/tests/test_steering_configuration.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import pytest
+from steering_world import make_route
+
+from radishbridge.steering import Configuration, SplitPart, WorkspaceRule
+
+
+class TestConfiguration:
+    @pytest.fixture
+    def configuration(self) -> Configuration:
+        return Configuration(
+            7,
+            [make_route(name="short", prefix="/a/"), make_route(name="long", prefix="/a/b/")],
+            [],
+        )
+
+    @pytest.mark.parametrize(
+        ("host", "path", "name"),
+        [
+            ("one.example", "/a/x", "short"),
+            ("one.example", "/a/b/x", "long"),
+            ("one.example", "/a/b", "short"),
+            ("one.example", "/b/", None),
+            ("two.example", "/a/x", None),
+        ],
+    )
+    def test_longest_prefix_of_the_host_applies(self, configuration, host, path, name):
+        route = configuration.match(host, path)
+        assert (route.name if route else None) == name
+
+    @pytest.mark.parametrize(
+        ("of_route", "of_workspace", "homes"),
+        [
+            ((), (), None),
+            (("east",), (), {"east"}),
+            ((), ("west",), {"west"}),
+            (("east", "west"), ("west",), {"west"}),
+            (("east",), ("west",), set()),
+        ],
+    )
+    def test_homes_of_route_and_workspace_both_bind(self, of_route, of_workspace, homes):
+        workspace = WorkspaceRule(name="school", home_regions=frozenset(of_workspace))
+        route = make_route(home_regions=frozenset(of_route))
+        configuration = Configuration(1, [route], [], [workspace])
+        assert configuration.homes(route, "school") == homes
+
+
+class TestSplit:
+    @pytest.mark.parametrize(
+        ("point", "service"), [(0.0, "a"), (0.29, "a"), (0.31, "b"), (0.9999, "b")]
+    )
+    def test_weights_divide_the_points(self, point, service):
+        route = make_route(parts=(SplitPart("a", 30.0), SplitPart("b", 70.0)))
+        assert route.pick_service(point) == service
--- /dev/null
+++ b/tests/test_steering_limits.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import pytest
+from steering_world import T0, split_evenly
+
+from radishbridge.steering import FleetPart, RateLimiter, RetryBudget
+
+STEP_S = 0.01
+
+
+class Fleet:
+    """Hosts that admit requests of one workspace, with the sums of the last exchange."""
+
+    def __init__(self, hosts: int, rate: float, burst: float) -> None:
+        self.parts = [FleetPart(T0) for _ in range(hosts)]
+        for part in self.parts:
+            part.hosts = part.heard = hosts
+        self.limiters = [
+            RateLimiter(rate, burst, part.share(0.0, 0.0, T0), T0) for part in self.parts
+        ]
+
+    def exchange(self, now: float, heard: list[int]) -> None:
+        for host in heard:
+            self.limiters[host].reported = self.limiters[host].demand.rate(now)
+        total = sum(self.limiters[host].reported for host in heard)
+        for host in heard:
+            self.limiters[host].total = total
+            self.parts[host].heard = len(heard)
+            self.parts[host].heard_at = now
+
+    def play(self, seconds, arrivals, heard) -> list[float]:
+        """Return the times at which requests were admitted.
+
+        :param arrivals: returns each host's requests a second at a time.
+        :param heard: returns the hosts that are heard at a time.
+        """
+        admitted: list[float] = []
+        waiting = [0.0 for _ in self.limiters]
+        for step in range(int(seconds / STEP_S)):
+            now = T0 + step * STEP_S
+            if step % 20 == 0:
+                self.exchange(now, heard(now - T0))
+            for host, rate in enumerate(arrivals(now - T0)):
+                waiting[host] += rate * STEP_S
+                while waiting[host] >= 1.0:
+                    waiting[host] -= 1.0
+                    if self.limiters[host].admit(self.parts[host], now):
+                        admitted.append(now)
+        return admitted
+
+
+def most_in(times: list[float], window_s: float) -> int:
+    return max(sum(start <= at < start + window_s for at in times) for start in times[::7])
+
+
+class TestRates:
+    """Load pattern: a workspace sends many times its rate, and moves between hosts."""
+
+    @pytest.mark.parametrize("hosts", [1, 5, 11])
+    def test_all_hosts_together_admit_the_rate_and_not_more(self, hosts):
+        fleet = Fleet(hosts, rate=100.0, burst=100.0)
+        arrivals = [float(part) for part in split_evenly(700, hosts)]
+        times = fleet.play(10.0, lambda _: arrivals, lambda _: list(range(hosts)))
+        assert most_in(times, 5.0) <= 600
+        assert len([at for at in times if at >= T0 + 2.0]) >= 0.9 * 8.0 * 100.0
+
+    def test_a_part_follows_the_callers_from_host_to_host(self):
+        fleet = Fleet(4, rate=100.0, burst=100.0)
+
+        def arrivals(at):
+            return [90.0, 0.0, 0.0, 0.0] if at < 5.0 else [0.0, 0.0, 0.0, 90.0]
+
+        times = fleet.play(12.0, arrivals, lambda _: [0, 1, 2, 3])
+        assert len([at for at in times if at >= T0 + 8.0]) >= 0.95 * 4.0 * 90.0
+        assert most_in(times, 5.0) <= 600
+
+    @pytest.mark.parametrize("lost", [1, 2, 5])
+    def test_hosts_that_are_cut_off_do_not_raise_the_sum(self, lost):
+        fleet = Fleet(8, rate=100.0, burst=50.0)
+
+        def heard(at):
+            return list(range(8)) if at < 4.0 else list(range(8 - lost))
+
+        times = fleet.play(14.0, lambda _: [100.0] * 8, heard)
+        assert most_in(times, 5.0) <= 100.0 * 5.0 * 1.1 + 50.0
+
+    def test_a_host_that_hears_nobody_for_long_admits_nothing(self):
+        part = FleetPart(T0)
+        part.hosts = 4
+        assert part.share(5.0, 5.0, T0 + 10.0) == pytest.approx(0.25)
+        assert part.share(5.0, 5.0, T0 + 26.0) == 0.0
+
+
+class TestRetryBudget:
+    """Load pattern: an overloaded service sheds, and repeats overload the next server."""
+
+    @pytest.mark.parametrize("hosts", [1, 11, 77])
+    def test_all_hosts_together_repeat_within_the_bound(self, hosts):
+        ratio, allowance, window_s = 0.2, 62.0, 10.0
+        requests = repeats = 0
+        for _ in range(hosts):
+            budget = RetryBudget(ratio, allowance, window_s, T0)
+            budget.hosts = hosts
+            budget.tokens = budget.most_tokens
+            for step in range(500):
+                budget.note_request(T0 + step * window_s / 500)
+                requests += 1
+                repeats += budget.take()
+        assert repeats <= ratio * requests + allowance
+        assert repeats >= 0.5 * ratio * requests
+
+    def test_a_quiet_host_still_repeats_now_and_then(self):
+        budget = RetryBudget(0.2, 62.0, 10.0, T0)
+        for step in range(12):
+            budget.note_request(T0 + step)
+        assert budget.take()
--- /dev/null
+++ b/tests/test_steering_moves.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import pytest
+from steering_world import T0
+
+from radishbridge.steering import Evidence, Move, MoveOrder, MovePhase, outcome, stable_versions
+
+
+def make_move(**changes) -> Move:
+    fields = {"service": "catalogue", "to_version": "v2", "duration_s": 10.0}
+    return Move(MoveOrder(**{**fields, **changes}), exposure=0.1, now=T0)
+
+
+def evidence(new_s: float = 0.1, new_failures: int = 0, warm: bool = True, count: int = 30):
+    seen = Evidence()
+    for number in range(count):
+        seen.add("devices", True, new_s, number < new_failures, warm)
+        seen.add("devices", False, 0.1, False, warm)
+    return seen
+
+
+class TestVerdict:
+    def test_a_version_like_the_old_one_has_no_fault(self):
+        assert evidence().fault() == ""
+
+    @pytest.mark.parametrize(
+        "bad", [evidence(new_failures=10), evidence(new_s=0.8), evidence(new_failures=30)]
+    )
+    def test_errors_and_slowness_are_faults(self, bad):
+        assert bad.fault()
+
+    def test_slow_runs_on_objects_that_were_not_warm_say_nothing(self):
+        assert evidence(new_s=0.8, warm=False).fault() == ""
+
+    def test_a_fault_on_one_route_is_not_hidden_by_the_others(self):
+        seen = evidence(count=500)
+        for _ in range(10):
+            seen.add("images", True, 0.1, True, True)
+            seen.add("images", False, 0.1, False, True)
+        assert "images" in seen.fault()
+
+    def test_counts_of_hosts_add_up(self):
+        total = Evidence()
+        for _ in range(4):
+            total.merge(evidence(new_failures=1, count=2))
+        assert total.new["devices"].failures == 4
+        assert total.fault()
+
+
+class TestShare:
+    def test_an_unproved_version_gets_less_than_the_operators_bound(self):
+        move = make_move()
+        assert all(move.share(T0 + step, proved=False) < 0.1 for step in range(20))
+
+    def test_a_proved_version_gets_everything_before_its_end_is_reported(self):
+        move = make_move()
+        assert move.share(T0 + 8.0, proved=True) == 1.0
+        assert outcome(move, evidence(), T0 + 8.0) is MovePhase.RUNNING
+        assert outcome(move, evidence(), T0 + 9.0) is MovePhase.COMPLETED
+
+    def test_a_bad_version_gets_nothing(self):
+        move = make_move()
+        move.fault = "errors"
+        assert move.share(T0 + 8.0, proved=True) == 0.0
+        assert outcome(move, Evidence(), T0 + 1.0) is MovePhase.TAKEN_BACK
+
+    def test_a_version_without_answers_is_never_completed(self):
+        move = make_move()
+        assert outcome(move, Evidence(), T0 + 9.5) is MovePhase.RUNNING
+        assert outcome(move, Evidence(), T0 + 10.5) is MovePhase.TAKEN_BACK
+
+    @pytest.mark.parametrize(
+        ("phase", "share"), [(MovePhase.COMPLETED, 1.0), (MovePhase.TAKEN_BACK, 0.0)]
+    )
+    def test_a_recorded_end_binds_a_host_that_starts_later(self, phase, share):
+        assert make_move(phase=phase).share(T0, proved=False) == share
+
+    def test_an_object_stays_at_its_version_while_the_share_grows(self):
+        move = make_move()
+        keys = [str(number) for number in range(400)]
+        few = {key for key in keys if move.takes("devices", key, 0.1)}
+        many = {key for key in keys if move.takes("devices", key, 0.5)}
+        assert few < many
+        assert len(few) < 80
+
+
+class TestStableVersions:
+    @pytest.mark.parametrize(
+        ("counts", "without", "versions"),
+        [
+            ({"v1": 5}, "", None),
+            ({"v1": 5, "v2": 2}, "", {"v1"}),
+            ({"v1": 2, "v2": 5}, "v2", {"v1"}),
+            ({"v2": 5}, "v2", set()),
+        ],
+    )
+    def test_the_version_of_the_most_servers_serves(self, counts, without, versions):
+        assert stable_versions(counts, without) == versions
--- /dev/null
+++ b/tests/test_steering_selector.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import collections
+
+import pytest
+from steering_world import T0, make_selector, make_server
+
+from radishbridge.steering import LoadReport, Need, ServiceRule
+
+
+def need(key: str = "7", **changes) -> Need:
+    return Need("catalogue", key, None, None)._replace(**changes)
+
+
+def fill(state, per_slot: float) -> None:
+    state.in_flight = round(per_slot * state.server.slots)
+
+
+class TestPlacement:
+    def test_an_object_keeps_its_server(self):
+        selector = make_selector(8)
+        chosen = {selector.choose(need(), (), T0).server.name for _ in range(20)}
+        assert len(chosen) == 1
+
+    def test_few_objects_move_when_a_server_is_lost(self):
+        selector = make_selector(10)
+        keys = [str(number) for number in range(300)]
+        before = {key: selector.choose(need(key), (), T0).server.name for key in keys}
+        selector.remove("server-3")
+        after = {key: selector.choose(need(key), (), T0).server.name for key in keys}
+        moved = [key for key in keys if before[key] != after[key]]
+        assert all(before[key] == "server-3" for key in moved)
+
+    def test_objects_spread_over_servers(self):
+        selector = make_selector(10)
+        chosen = (selector.choose(need(str(number)), (), T0) for number in range(1000))
+        counts = collections.Counter(state.server.name for state in chosen)
+        assert len(counts) == 10
+        assert max(counts.values()) < 160
+
+    def test_requests_without_homes_leave_a_region_that_home_bound_ones_fill(self):
+        selector = make_selector(8)
+        selector.update_weights("catalogue", {"east": 15.0})
+        regions = {
+            selector.choose(need(str(number)), (), T0).server.region for number in range(200)
+        }
+        assert regions == {"west"}
+
+    def test_weights_rest_while_the_load_swings_a_little(self):
+        selector = make_selector(8)
+        selector.update_weights("catalogue", {"east": 7.0})
+        held = dict(selector.weights["catalogue"].weights)
+        selector.update_weights("catalogue", {"east": 8.0})
+        assert selector.weights["catalogue"].weights == held
+
+
+class TestBounds:
+    def test_homes_bind_even_when_they_are_full(self):
+        selector = make_selector(8)
+        for state in selector.states.values():
+            fill(state, 0.0 if state.server.region == "west" else 9.0)
+        assert selector.choose(need(homes=frozenset({"east"})), (), T0) is None
+
+    @pytest.mark.parametrize(
+        "changes", [{"draining": True}, {"version": "v2"}, {"service": "other"}]
+    )
+    def test_servers_that_must_not_serve_are_left_out(self, changes):
+        selector = make_selector(1, **changes)
+        assert selector.choose(need(versions=frozenset({"v1"})), (), T0) is None
+
+    def test_a_drained_data_centre_gets_nothing_until_it_is_taken_back(self):
+        selector = make_selector(1)
+        selector.set_drained({"dc-0"})
+        assert selector.choose(need(), (), T0) is None
+        selector.set_drained(())
+        assert selector.choose(need(), (), T0) is not None
+
+    def test_a_server_that_starts_again_under_its_name_is_another_one(self):
+        selector = make_selector(1)
+        fill(selector.states["server-0"], 9.0)
+        assert selector.put(make_server(0, incarnation=2), T0)
+        assert selector.choose(need(), (), T0) is not None
+
+
+class TestOverload:
+    """Load pattern: requests beyond what warm servers bear must not spread over cold ones."""
+
+    def test_an_object_goes_to_the_emptier_of_the_servers_that_share_it(self):
+        selector = make_selector(8)
+        first = selector.choose(need(), (), T0)
+        fill(first, 2.0)
+        second = selector.choose(need(), (), T0)
+        assert second is not first
+        fill(second, 2.0)
+        assert selector.choose(need(), (), T0) is first
+
+    def test_it_is_refused_at_once_when_these_are_full_and_the_others_busy(self):
+        selector = make_selector(8)
+        for state in selector.states.values():
+            fill(state, 1.0)
+        for _ in range(2):
+            fill(selector.choose(need(), (), T0), 9.0)
+        assert selector.choose(need(), (), T0) is None
+
+    def test_idle_servers_help_out(self):
+        selector = make_selector(8)
+        for _ in range(2):
+            fill(selector.choose(need(), (), T0), 9.0)
+        assert selector.choose(need(), (), T0) is not None
+
+    def test_load_that_other_hosts_bring_counts_and_ages(self):
+        selector = make_selector(1)
+        state = selector.states["server-0"]
+        state.note_load(LoadReport(running=4, waiting=12, slots=4), T0)
+        assert selector.choose(need(), (), T0) is None
+        assert selector.choose(need(), (), T0 + 2.0) is state
+
+
+class TestHealth:
+    def test_failures_in_a_row_leave_a_server_out_for_a_while(self):
+        selector = make_selector(2)
+        first = selector.choose(need(), (), T0)
+        for _ in range(3):
+            first.note_failure(T0)
+        assert selector.choose(need(), (), T0) is not first
+        assert selector.choose(need(), (), T0 + 1.1) is first
+
+    def test_one_request_at_a_time_tries_a_server_that_was_left_out(self):
+        selector = make_selector(2)
+        first = selector.choose(need(), (), T0)
+        first.note_failure(T0, weight=3)
+        first.start(T0 + 1.1)
+        assert selector.choose(need(), (), T0 + 1.1) is not first
+
+    def test_servers_are_tried_nevertheless_when_all_failed(self):
+        selector = make_selector(2)
+        for state in selector.states.values():
+            state.note_failure(T0, weight=3)
+        assert selector.choose(need(), (), T0) is not None
+
+
+class TestSlowStart:
+    """Load pattern: each host alone sends little to a cold server, all together too much."""
+
+    @pytest.mark.parametrize("hosts", [1, 3, 11, 77])
+    def test_all_hosts_together_stay_within_the_bound_in_any_second(self, hosts):
+        names = [f"host-{number}" for number in range(hosts)]
+        rate_per_s, sent = 17.0, []
+        for name in names:
+            selector = make_selector(1, cold_for_s=10.0)
+            selector.slow_start.host = name
+            selector.slow_start.update_hosts(names)
+            selector.rules = {"catalogue": ServiceRule(name="catalogue", slow_start_per_s=17.0)}
+            times = [T0 + step / 200.0 for step in range(800)]
+            sent += [at for at in times if selector.choose(need(), (), at) is not None]
+        most = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
+        assert rate_per_s / 3.0 < most <= rate_per_s * 1.5 + 5.0
