Deliver a whole answer that garbage follows; tests of the copy, the follower and the adapter

Cause: a parse error of bytes after a whole answer failed the answer itself (found by tests/test_entry_backends.py, red before). Now such bytes only spoil the connection.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -105,8 +105,11 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"not an answer: {type(error).__name__}")
-            return
+            # What follows a whole answer belongs to no request, and spoils the connection only.
+            self.spoiled = True
+            if not self.complete:
+                self._fail(f"not an answer: {type(error).__name__}")
+                return
         if self.complete and self.status >= FIRST_FINAL_STATUS:
             self._deliver()
 
--- /dev/null
+++ b/tests/test_entry_copy.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from radishbridge.entry import Kind, Listing, ObjectCopy, StoredObject, StoreFollower
+from radishbridge.records import Failure, ResultCode
+
+AWAY = Failure(ResultCode.STORE_UNAVAILABLE, "no answer")
+
+
+def server(name: str, version: int, value: bytes | None = b"x") -> StoredObject:
+    return StoredObject(kind=Kind.SERVER, name=name, version=version, value=value)
+
+
+def listing(revision: int, *objects: StoredObject) -> Listing:
+    return Listing(revision=revision, objects=list(objects))
+
+
+class TestCopy:
+    def test_it_never_goes_back(self):
+        copy = ObjectCopy()
+        assert copy.apply(server("a", 5))
+        assert not copy.apply(server("a", 4))
+        assert not copy.apply(server("a", 5, None))
+        assert copy.apply(server("a", 6, None))
+        assert not copy.apply(server("a", 5))
+        assert copy.listing(Kind.SERVER).objects == []
+
+    def test_copies_with_the_same_objects_have_the_same_digest(self):
+        one, other = ObjectCopy(), ObjectCopy()
+        for stored in (server("a", 1), server("b", 2), server("b", 3, None)):
+            one.apply(stored)
+        other.apply(server("a", 1))
+        assert one.digests == other.digests
+        other.apply(server("a", 4))
+        assert one.digests != other.digests
+
+    def test_a_listing_shows_what_is_gone(self):
+        copy = ObjectCopy()
+        for stored in (server("a", 1), server("b", 2), server("c", 9)):
+            copy.apply(stored)
+        gone = copy.missing(Kind.SERVER, listing(5, server("a", 1)))
+        assert [(stored.name, stored.version, stored.value) for stored in gone] == [("b", 5, None)]
+
+
+class ScriptedStore:
+    """Answers listings and watches of servers from scripts, then waits."""
+
+    def __init__(self, listings, watches) -> None:
+        self.listings = list(listings)
+        self.watches = list(watches)
+
+    async def list(self, kind):
+        if kind is not Kind.SERVER:
+            return listing(1)
+        return await self._next(self.listings)
+
+    async def watch(self, kind, after, wait_s):
+        return await (self._next(self.watches) if kind is Kind.SERVER else asyncio.sleep(3600))
+
+    async def _next(self, script):
+        if not script:
+            await asyncio.sleep(3600)
+        return script.pop(0)
+
+
+async def follow(store, until, must_follow=lambda: True) -> ObjectCopy:
+    copy = ObjectCopy()
+    follower = StoreFollower(store, copy, must_follow, lambda _: None, random.Random(1))
+    task = asyncio.create_task(follower.run())
+    async with asyncio.timeout(20.0):
+        while not until(copy):
+            await asyncio.sleep(0.005)
+    task.cancel()
+    return copy
+
+
+def names(copy: ObjectCopy) -> set[str]:
+    return {stored.name for stored in copy.listing(Kind.SERVER).objects}
+
+
+class TestFollower:
+    async def test_changes_follow_the_listing(self):
+        store = ScriptedStore(
+            [listing(3, server("a", 1))],
+            [listing(4, server("b", 4)), listing(6, server("a", 6, None))],
+        )
+        copy = await follow(store, lambda copy: copy.revisions[Kind.SERVER] == 6)
+        assert names(copy) == {"b"}
+
+    @pytest.mark.parametrize("reason", [ResultCode.WATCH_EXPIRED, ResultCode.STORE_UNAVAILABLE])
+    async def test_a_lost_watch_is_followed_by_a_listing(self, reason):
+        store = ScriptedStore(
+            [listing(3, server("a", 1)), listing(9, server("b", 8))], [Failure(reason, "gone")]
+        )
+        copy = await follow(store, lambda copy: copy.revisions[Kind.SERVER] == 9)
+        assert names(copy) == {"b"}
+
+    async def test_a_store_that_is_away_at_first_is_asked_again(self):
+        store = ScriptedStore([AWAY, AWAY, listing(3, server("a", 1))], [])
+        assert names(await follow(store, lambda copy: Kind.SERVER in copy.loaded)) == {"a"}
+
+    async def test_entries_that_lapsed_with_the_store_get_time_to_return(self):
+        # Load pattern: the store was away for longer than entries live, all servers are well.
+        copy = ObjectCopy()
+        follower = StoreFollower(None, copy, lambda: True, lambda _: None, random.Random(1))
+        follower._take([server("a", 1), server("b", 2)])
+        follower.failing_since = 0.0
+        follower._note_answer()
+        follower._take([server("a", 7, None), server("b", 8, None)])
+        follower._take([server("b", 9)])
+        assert names(copy) == {"a", "b"}
+        follower.returned_at -= 2.1
+        follower._settle()
+        assert names(copy) == {"b"}
