--- a/packages/steering/src/radishbridge/steering/retries.py
+++ b/packages/steering/src/radishbridge/steering/retries.py
@@ -39,7 +39,7 @@
         self.allowance = allowance * ALLOWANCE_USED
         self.window_s = window_s
         self.hosts = 1
-        self.tokens = 0.0
+        self.tokens = 1.0
         self.updated_at = now
         self.granted = 0
         self.denied = 0
--- /dev/null
+++ b/tests/entry_world.py
@@ -0,0 +1,128 @@
+"""One entry host's front with scripted backend servers, without a platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import typing as t
+
+import aiohttp
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+from steering_world import make_route, make_server
+
+from radishbridge.entry import BackendPool, Board, Bounds, Front, RequestJournal
+from radishbridge.host.connections import CallerServer
+from radishbridge.platform.headers import PlatformDialect
+from radishbridge.records import LimitSettings
+from radishbridge.steering import Configuration, RouteRule, ServiceRule, WorkspaceRule
+
+Answer = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
+GENEROUS = Bounds(retry_ratio=2.0, retry_allowance=1000.0)
+
+
+class ScriptedBackend:
+    """A backend server that notes what reaches it and answers by a function."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.seen: list[web.BaseRequest] = []
+        self.cancelled = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.seen.append(request)
+        try:
+            return await self.answer(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def reply(status: int = 200, body: bytes = b"good", **headers: str) -> Answer:
+    """Return a signed answer with the request's id; underscores in names stand for hyphens."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        given = {
+            "Request-Id": request.headers.get("Request-Id", ""),
+            "Response-Signature": "signed",
+            **named,
+        }
+        return web.Response(status=status, body=body, headers=given)
+
+    return answer
+
+
+def shed() -> Answer:
+    """Return an answer that says that the request has not run."""
+    return reply(503, b"", Not_Executed="1", Server_Load="4,12,4")
+
+
+async def hang_up(request: web.BaseRequest) -> web.Response:
+    """Close the connection in place of an answer."""
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+async def stall(request: web.BaseRequest) -> web.Response:
+    """Never answer."""
+    await asyncio.sleep(60.0)
+    return web.Response()
+
+
+class World:
+    """A front and its backend servers."""
+
+    def __init__(self, front: Front, board: Board, session: aiohttp.ClientSession, url: str):
+        self.front = front
+        self.board = board
+        self.session = session
+        self.url = url
+
+    async def ask(self, path: str = "/devices/7", method: str = "GET", **headers: str):
+        """Send a request and return status, body and headers."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        given = {"Host": "one.example", "Request-Id": "r1", "Affinity-Key": "7", **named}
+        async with self.session.request(method, self.url + path, headers=given) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *answers: Answer,
+    route: RouteRule | None = None,
+    workspaces: t.Iterable[WorkspaceRule] = (),
+    keys: t.Mapping[str, str] | None = None,
+) -> t.AsyncIterator[tuple[World, list[ScriptedBackend]]]:
+    """Run a front before one backend server for each answer."""
+    async with contextlib.AsyncExitStack() as stack:
+        board = Board("host", None, GENEROUS)
+        board.configuration = Configuration(
+            1, [route or make_route()], [ServiceRule(name="catalogue")], workspaces, keys
+        )
+        board.is_ready = True
+        backends = [ScriptedBackend(answer) for answer in answers]
+        for number, backend in enumerate(backends):
+            address = await _listen(stack, web.Server(backend.handle, handler_cancellation=True))
+            board.selector.put(make_server(number, address=address), time.monotonic())
+        pool = BackendPool()
+        stack.callback(pool.close)
+        limits = LimitSettings()
+        journal = RequestJournal(CollectorRegistry())
+        front = Front(board, PlatformDialect(), pool, journal, limits, random.Random(1))
+        address = await _listen(stack, CallerServer(front.handle, limits))
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield World(front, board, session, f"http://{address}"), backends
+
+
+async def _listen(stack: contextlib.AsyncExitStack, server: web.Server) -> str:
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
--- /dev/null
+++ b/tests/test_entry_front.py
@@ -0,0 +1,169 @@
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import pytest
+from entry_world import hang_up, reply, running, shed, stall
+from steering_world import make_route
+
+from radishbridge.steering import WorkspaceRule
+
+
+class TestAnswers:
+    async def test_the_servers_answer_is_passed_on_whole(self):
+        async with running(reply(200, b"x" * 300_000)) as (world, _):
+            status, body, headers = await world.ask()
+            assert (status, len(body)) == (200, 300_000)
+            assert headers["Response-Signature"] == "signed"
+
+    async def test_a_failure_of_the_server_is_passed_on_unchanged(self):
+        async with running(reply(500, b"broken"), route=make_route(repeatable=False)) as (world, _):
+            status, body, headers = await world.ask()
+            assert (status, body, headers["Response-Signature"]) == (500, b"broken", "signed")
+
+    @pytest.mark.parametrize(
+        "foreign",
+        [
+            reply(200, b"evil", Request_Id="another"),
+            reply(200, b"evil", Content_Encoding="gzip"),
+            hang_up,
+        ],
+    )
+    async def test_what_is_not_the_servers_answer_never_reaches_the_caller(self, foreign):
+        async with running(foreign, route=make_route(repeatable=False)) as (world, _):
+            status, body, _ = await world.ask()
+            assert status == 502
+            assert b"evil" not in body
+
+
+class TestRepeats:
+    async def test_a_repeatable_request_is_sent_again_elsewhere(self):
+        async with running(hang_up, reply()) as (world, backends):
+            for number in range(6):
+                assert (await world.ask(Affinity_Key=str(number)))[0] == 200
+            assert backends[0].seen
+
+    async def test_one_that_may_run_once_is_sent_once(self):
+        route = make_route(repeatable=False)
+        async with running(hang_up, hang_up, route=route) as (world, backends):
+            assert (await world.ask())[0] == 502
+            assert sum(len(backend.seen) for backend in backends) == 1
+
+    async def test_it_is_sent_again_where_the_server_says_that_it_did_not_run(self):
+        route = make_route(repeatable=False)
+        async with running(shed(), reply(), route=route) as (world, _):
+            statuses = {(await world.ask(Affinity_Key=str(number)))[0] for number in range(6)}
+            assert statuses == {200}
+
+    async def test_no_more_servers_than_the_route_allows(self):
+        async with running(*[shed()] * 5, route=make_route(attempts=2)) as (world, backends):
+            status, _, headers = await world.ask()
+            assert status == 503
+            assert 0.0 < float(headers["Retry-After"]) < 1.0
+            assert sum(len(backend.seen) for backend in backends) == 2
+
+    async def test_a_refusal_never_denies_a_run(self):
+        async with running(hang_up, shed()) as (world, backends):
+            for number in range(8):
+                before = len(backends[0].seen)
+                status, _, _ = await world.ask(Affinity_Key=str(number))
+                assert (status == 502) is (len(backends[0].seen) > before)
+
+
+class TestChecks:
+    @pytest.mark.parametrize(
+        ("headers", "status"),
+        [
+            ({"Authorization": "Bearer good"}, 200),
+            ({"Authorization": "Bearer bad"}, 401),
+            ({}, 401),
+        ],
+    )
+    async def test_keys(self, headers, status):
+        world_of = {"workspaces": [WorkspaceRule(name="school")], "keys": {"good": "school"}}
+        async with running(reply(), **world_of) as (world, backends):
+            assert (await world.ask(**headers))[0] == status
+            for request in backends[0].seen:
+                assert request.headers["Tenant"] == "school"
+                assert "Authorization" not in request.headers
+
+    async def test_before_a_configuration_is_known_nothing_is_denied(self):
+        async with running(reply()) as (world, _):
+            world.board.configuration = None
+            assert (await world.ask())[0] == 503
+
+    async def test_an_unknown_route(self):
+        async with running(reply()) as (world, _):
+            assert (await world.ask("/nothing/"))[0] == 404
+
+    async def test_a_workspace_over_its_rate_is_told_when_to_return(self):
+        rule = WorkspaceRule(name="school", rate_per_s=0.5, burst=1.0)
+        world_of = {"workspaces": [rule], "keys": {"good": "school"}}
+        async with running(reply(), **world_of) as (world, backends):
+            answers = [await world.ask(Authorization="Bearer good") for _ in range(3)]
+            assert answers[-1][0] == 429
+            assert float(answers[-1][2]["Retry-After"]) > 0.0
+            assert len(backends[0].seen) <= 1
+
+
+class TestTime:
+    async def test_the_server_gets_the_time_that_is_left(self):
+        async with running(reply()) as (world, backends):
+            await world.ask(Request_Deadline_Ms="700")
+            assert 600 < int(backends[0].seen[0].headers["Request-Deadline-Ms"]) <= 700
+
+    async def test_a_request_ends_at_its_routes_timeout(self):
+        async with running(stall, route=make_route(timeout_s=0.2)) as (world, backends):
+            assert (await world.ask())[0] == 504
+            await asyncio.sleep(0.05)
+            assert backends[0].cancelled == 1
+
+    async def test_a_caller_that_leaves_takes_its_request_along(self):
+        async with running(stall) as (world, backends):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await world.ask()
+            async with asyncio.timeout(5.0):
+                while not backends[0].cancelled:
+                    await asyncio.sleep(0.01)
+
+
+class TestExplanations:
+    """Replays docs/OPERATIONS.md: from a failed request's id to its cause, by the log alone."""
+
+    def lines(self, caplog, request_id: str) -> list[dict]:
+        found = [record for record in caplog.records if getattr(record, "id", "") == request_id]
+        return [vars(record) for record in found]
+
+    async def test_refused_for_want_of_room(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with running(shed(), shed()) as (world, _):
+            await world.ask(Request_Id="full")
+        (line,) = self.lines(caplog, "full")
+        assert (line["status"], line["code"], len(line["tried"])) == (503, 108, 2)
+        assert "shed" in line["reason"]
+
+    async def test_failed_since_the_connection_broke(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with running(hang_up, route=make_route(repeatable=False)) as (world, _):
+            await world.ask(Request_Id="broke")
+        (line,) = self.lines(caplog, "broke")
+        assert (line["status"], line["code"], line["tried"]) == (502, 109, ["server-0"])
+
+    async def test_denied_by_an_unknown_key(self, caplog):
+        caplog.set_level(logging.INFO)
+        world_of = {"workspaces": [WorkspaceRule(name="school")], "keys": {"good": "school"}}
+        async with running(reply(), **world_of) as (world, _):
+            await world.ask(Request_Id="denied", Authorization="Bearer bad")
+        (line,) = self.lines(caplog, "denied")
+        assert (line["status"], line["code"], line["configuration"]) == (401, 102, 1)
+        assert "bad" not in str(line["reason"])
+
+
+class TestLeaving:
+    async def test_answers_close_their_connections(self):
+        async with running(reply()) as (world, _):
+            world.front.leaving = True
+            _, _, headers = await world.ask()
+            assert headers["Connection"] == "close"
