Count slow servers as fuller, leave failing ones out, log each change of the copy once

At a start each host logged every server three times. Tests first: test_a_server_that_fails_a_good_part..., test_an_object_leaves_a_slow_server...

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -144,7 +144,7 @@
         if failed:
             self.state.note_failure(now)
         else:
-            self.state.note_success(latency_s)
+            self.state.note_success(latency_s, now)
             if self.task.route.has_affinity:
                 self.state.note_object(self.task.key, now)
         task = self.task
--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -127,8 +127,12 @@
         self.is_ready = False
         self.is_leaving = False
 
-    def take(self, stored: StoredObject) -> None:
-        """Take over an object that is new to the copy."""
+    def take(self, stored: StoredObject, source: str) -> None:
+        """Take over an object that is new to the copy.
+
+        :param source: ``store``, or the host that passed it on.
+        """
+        self._log_change(stored, source)
         if stored.value is None:
             self._remove(stored)
             return
@@ -261,13 +265,27 @@
         """Return how a service's move stands by all hosts' evidence."""
         return outcome(self.moves[service], evidence, now)
 
+    def _log_change(self, stored: StoredObject, source: str) -> None:
+        # What a host reads as it starts is no change; one line tells when it is done.
+        if not self.is_ready:
+            return
+        logger.info(
+            "object changed",
+            extra={
+                "kind": stored.kind.value,
+                "object": stored.name,
+                "version": stored.version,
+                "deleted": stored.value is None,
+                "source": source,
+            },
+        )
+
     def _put(self, name: str, decoded: Decoded) -> None:
         now = time.monotonic()
         if isinstance(decoded, Configuration):
             self._put_configuration(decoded)
         elif isinstance(decoded, Server):
-            if self.selector.put(decoded, now):
-                logger.info("server starts", extra={"server": name, "service": decoded.service})
+            self.selector.put(decoded, now)
         elif isinstance(decoded, DrainOrder):
             self.drains[name] = decoded
             self._apply_drains()
@@ -324,8 +342,8 @@
 def connect(board: Board, copy: ObjectCopy, fleet: Fleet) -> None:
     """Let a board follow a copy and a fleet."""
 
-    def take(stored: StoredObject) -> None:
-        board.take(stored)
+    def take(stored: StoredObject, source: str) -> None:
+        board.take(stored, source)
         if stored.kind is Kind.HOST:
             fleet.update_hosts(board.entries)
 
--- a/packages/entry/src/radishbridge/entry/copy.py
+++ b/packages/entry/src/radishbridge/entry/copy.py
@@ -13,7 +13,7 @@
 class ObjectCopy:
     """The objects of all kinds, each at the highest version seen.
 
-    :param listeners: called with each object that is new to the copy.
+    :param listeners: called with each object that is new to the copy, and where it came from.
     """
 
     __slots__ = ("digests", "held", "listeners", "loaded", "revisions")
@@ -23,16 +23,17 @@
         self.revisions: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.digests: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.loaded: set[Kind] = set()
-        self.listeners: list[t.Callable[[StoredObject], None]] = []
+        self.listeners: list[t.Callable[[StoredObject, str], None]] = []
 
     @property
     def is_complete(self) -> bool:
         """Whether a full listing of each kind was taken over."""
         return len(self.loaded) == len(Kind)
 
-    def apply(self, stored: StoredObject) -> bool:
+    def apply(self, stored: StoredObject, source: str) -> bool:
         """Take an object over if its version is higher than any seen.
 
+        :param source: ``store``, or the host that passed it on.
         :return: whether it was.
         """
         at = (stored.kind, stored.name)
@@ -42,7 +43,7 @@
         self.held[at] = stored
         self.digests[stored.kind] ^= _mark(held) ^ _mark(stored)
         for listener in self.listeners:
-            listener(stored)
+            listener(stored, source)
         return True
 
     def missing(self, kind: Kind, listing: Listing) -> list[StoredObject]:
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -259,9 +259,8 @@
             self.mesh.send(peer, CopyRequest(kinds=late))
 
     def _on_changed(self, peer: Peer, message: ObjectsChanged) -> None:
-        fresh = [stored for stored in message.objects if self.copy.apply(stored)]
-        for stored in fresh:
-            _log_change(stored, peer.name)
+        for stored in message.objects:
+            self.copy.apply(stored, peer.name)
 
     def _on_copy_request(self, peer: Peer, message: CopyRequest) -> None:
         for kind in message.kinds:
@@ -269,12 +268,9 @@
                 self.mesh.send(peer.name, CopyAnswer(kind=kind, listing=self.copy.listing(kind)))
 
     def _on_copy_answer(self, peer: Peer, message: CopyAnswer) -> None:
-        for stored in message.listing.objects:
-            if self.copy.apply(stored):
-                _log_change(stored, peer.name)
-        for stored in self.copy.missing(message.kind, message.listing):
-            if self.copy.apply(stored):
-                _log_change(stored, peer.name)
+        gone = self.copy.missing(message.kind, message.listing)
+        for stored in (*message.listing.objects, *gone):
+            self.copy.apply(stored, peer.name)
         self.copy.advance(message.kind, message.listing.revision)
 
     def _unknown_seeds(self) -> t.Iterable[HostAddress]:
@@ -320,16 +316,3 @@
         address=entry.peer_address,
         listen=entry.listen,
     )
-
-
-def _log_change(stored: StoredObject, source: str) -> None:
-    logger.info(
-        "object changed",
-        extra={
-            "kind": stored.kind.value,
-            "object": stored.name,
-            "version": stored.version,
-            "deleted": stored.value is None,
-            "source": source,
-        },
-    )
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -12,6 +12,8 @@
 from radishbridge.entry.protocol import FleetStore, Kind, StoredObject
 from radishbridge.records import Failure, ResultCode
 
+# What the copy is told of where an object came from.
+STORE = "store"
 # Longest wait of one watch in seconds: a connection that went silent is noticed that late.
 WATCH_S = 4.0
 # Pause in seconds after a failed call, doubled up to the second figure.
@@ -126,7 +128,7 @@
                 continue
             if stored.kind is Kind.SERVER:
                 self.deferred.pop(stored.name, None)
-            if self.copy.apply(stored):
+            if self.copy.apply(stored, STORE):
                 fresh.append(stored)
         if fresh:
             self.taken(fresh)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -147,9 +147,12 @@
         return self._place(alive, need, now)
 
     def _place(self, alive: list[ServerState], need: Need, now: float) -> ServerState | None:
+        median_s = self.medians.get(need.service, 0.0)
         sharing = sorted(
             enumerate(alive[:SHARING]),
-            key=lambda placed: placed[1].occupancy(now) + _bias(placed[0], placed[1], need, now),
+            key=lambda placed: placed[1].occupancy(now)
+            + placed[1].slowness(median_s, now)
+            + _bias(placed[0], placed[1], need, now),
         )
         for _, state in sharing:
             if state.occupancy(now) < MOST_LIMIT and self._admits(state, now):
--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -15,8 +15,17 @@
 NEW_SAMPLE = 0.2
 # Age in seconds at which half of a load report no longer counts.
 LOAD_HALF_LIFE_S = 0.3
-# A server this many times slower than the median of its service is left out for a while.
-SLOW_FACTOR = 3.0
+# Part of the last answers that failed above which a server is left out, and the weight of the
+# newest one: some half of the last six. Single lost answers stay far below.
+FAILING = 0.5
+NEW_FAILURE = 0.2
+# A server this many times slower than the median of its service counts as fuller than it is, by
+# the second figure for each further time, up to the third.
+SLOW_FACTOR = 2.0
+SLOW_WEIGHT = 0.5
+SLOW_MOST = 2.0
+# Age in seconds after which a slow answer is no longer held against a server, so that it is tried.
+SLOW_S = 2.0
 # Time in seconds for which a server counts as knowing an object that it has served for this host.
 # Servers forget the least lately served objects first, at a pace that is not known.
 KNOWN_S = 8.0
@@ -67,6 +76,7 @@
         "cold_until",
         "ejected_until",
         "ejections",
+        "failing",
         "failures",
         "in_flight",
         "known",
@@ -75,6 +85,7 @@
         "reported_at",
         "samples",
         "server",
+        "speed_at",
         "speed_s",
     )
 
@@ -85,11 +96,13 @@
         self.others = 0.0
         self.reported_at = now
         self.failures = 0
+        self.failing = 0.0
         self.ejections = 0
         self.ejected_until = 0.0
         self.probing = False
         self.samples = 0
         self.speed_s = 0.0
+        self.speed_at = now
         self.known: dict[str, float] = {}
 
     def replace(self, server: Server, now: float) -> None:
@@ -146,9 +159,11 @@
             self.known.clear()
         self.known[key] = now
 
-    def note_success(self, latency_s: float) -> None:
+    def note_success(self, latency_s: float, now: float) -> None:
         """Take in an answer that was no failure of the server."""
         self.failures = 0
+        self.failing -= NEW_FAILURE * self.failing
+        self.speed_at = now
         self.ejected_until = 0.0
         self.ejections = max(0, self.ejections - 1)
         self.samples += 1
@@ -162,7 +177,9 @@
         :return: whether the server was ejected for it.
         """
         self.failures += weight
-        if self.failures < FAILURES_TO_EJECT and not self.ejected_until:
+        self.failing += NEW_FAILURE * (1.0 - self.failing)
+        healthy = self.failures < FAILURES_TO_EJECT and self.failing < FAILING
+        if healthy and not self.ejected_until:
             return False
         self.eject(now)
         return True
@@ -173,8 +190,15 @@
         self.ejections += 1
         self.ejected_until = now + pause_s
         self.failures = 0
+        self.failing = 0.0
         self.samples = 0
 
-    def is_slower_than(self, median_s: float) -> bool:
-        """Whether the server is known to be far slower than the median of its service."""
-        return self.samples >= SPEED_SAMPLES and self.speed_s > SLOW_FACTOR * median_s
+    def slowness(self, median_s: float, now: float) -> float:
+        """Return by how much the server counts as fuller, in requests for each slot.
+
+        :param median_s: median time that the service's servers take.
+        """
+        if self.samples < SPEED_SAMPLES or median_s <= 0.0 or now - self.speed_at > SLOW_S:
+            return 0.0
+        excess = self.speed_s / median_s - SLOW_FACTOR
+        return min(SLOW_MOST, max(0.0, SLOW_WEIGHT * excess))
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -22,26 +22,26 @@
 class TestCopy:
     def test_it_never_goes_back(self):
         copy = ObjectCopy()
-        assert copy.apply(server("a", 5))
-        assert not copy.apply(server("a", 4))
-        assert not copy.apply(server("a", 5, None))
-        assert copy.apply(server("a", 6, None))
-        assert not copy.apply(server("a", 5))
+        assert copy.apply(server("a", 5), "store")
+        assert not copy.apply(server("a", 4), "store")
+        assert not copy.apply(server("a", 5, None), "store")
+        assert copy.apply(server("a", 6, None), "store")
+        assert not copy.apply(server("a", 5), "store")
         assert copy.listing(Kind.SERVER).objects == []
 
     def test_copies_with_the_same_objects_have_the_same_digest(self):
         one, other = ObjectCopy(), ObjectCopy()
         for stored in (server("a", 1), server("b", 2), server("b", 3, None)):
-            one.apply(stored)
-        other.apply(server("a", 1))
+            one.apply(stored, "store")
+        other.apply(server("a", 1), "store")
         assert one.digests == other.digests
-        other.apply(server("a", 4))
+        other.apply(server("a", 4), "store")
         assert one.digests != other.digests
 
     def test_a_listing_shows_what_is_gone(self):
         copy = ObjectCopy()
         for stored in (server("a", 1), server("b", 2), server("c", 9)):
-            copy.apply(stored)
+            copy.apply(stored, "store")
         gone = copy.missing(Kind.SERVER, listing(5, server("a", 1)))
         assert [(stored.name, stored.version, stored.value) for stored in gone] == [("b", 5, None)]
 
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -154,6 +154,31 @@
             state.note_failure(T0, weight=3)
         assert selector.choose(need(), (), T0) is not None
 
+    @pytest.mark.parametrize(("every", "is_out"), [(2, True), (10, False)])
+    def test_a_server_that_fails_a_good_part_of_its_requests_is_left_out(self, every, is_out):
+        state = make_selector(1).states["server-0"]
+        ejected = False
+        for number in range(40):
+            if number % every == 0:
+                ejected = state.note_failure(T0) or ejected
+            else:
+                state.note_success(0.1, T0)
+        assert ejected is is_out
+
+    def test_an_object_leaves_a_slow_server_and_tries_it_again(self):
+        # Load pattern: a server turns ten times slower, while its queue is short.
+        selector = make_selector(8)
+        for state in selector.states.values():
+            state.note_object("7", T0)
+            for _ in range(8):
+                state.note_success(0.1, T0)
+        first = selector.choose(need(), (), T0)
+        for _ in range(20):
+            first.note_success(1.0, T0)
+        selector.update_medians()
+        assert selector.choose(need(), (), T0) is not first
+        assert selector.choose(need(), (), T0 + 3.0) is first
+
 
 class TestSlowStart:
     """Load pattern: each host alone sends little to a cold server, all together too much."""
