--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -65,9 +65,11 @@
     :param mesh: carries messages; hosts are named by their peer address.
     :param part: what this host may use of fleet-wide rates.
     :param make_report: builds the present report.
+    :param clock: monotonic clock in seconds.
     """
 
     __slots__ = (
+        "clock",
         "copy",
         "differs_since",
         "entries",
@@ -93,7 +95,9 @@
         part: FleetPart,
         seeds: t.Iterable[HostAddress],
         make_report: t.Callable[[], FleetReport],
+        clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
+        self.clock = clock
         self.own = own
         self.mesh = mesh
         self.copy = copy
@@ -107,7 +111,7 @@
         self.listeners: list[t.Callable[[FleetSummary], None]] = []
         self.summary: FleetSummary | None = None
         self.summary_at = float("-inf")
-        self.started_at = time.monotonic()
+        self.started_at = self.clock()
         self.differs_since: dict[Kind, float] = {}
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
@@ -118,7 +122,7 @@
 
     def update_hosts(self, entries: t.Mapping[str, HostEntry]) -> None:
         """Take over the registered hosts, by name."""
-        now = time.monotonic()
+        now = self.clock()
         self.entries = {**entries, self.own.peer_address: self.own}
         for name in self.entries:
             self.last_seen.setdefault(name, now)
@@ -152,7 +156,7 @@
 
         :param in_touch: the store has answered this host lately.
         """
-        now = time.monotonic()
+        now = self.clock()
         if self.summary is None or now - self.summary_at > SUMMARY_S:
             return True
         hosts = self.live_hosts(now).values()
@@ -178,7 +182,7 @@
     async def run(self) -> None:
         """Report and sum up until cancelled."""
         while True:
-            self.step(time.monotonic())
+            self.step(self.clock())
             large = len(self.entries) > LARGE_FLEET
             await asyncio.sleep(REPORT_LARGE_S if large else REPORT_S)
 
@@ -219,12 +223,12 @@
                 self.mesh.send(name, message)
 
     def _on_report(self, peer: Peer, message: FleetReport) -> None:
-        now = time.monotonic()
+        now = self.clock()
         self.reports[peer.name] = HeardReport(message, now)
         self.hearings[peer.name] = self.last_seen[peer.name] = now
 
     def _on_summary(self, peer: Peer, message: FleetSummary) -> None:
-        now = time.monotonic()
+        now = self.clock()
         self.hearings[peer.name] = now
         held = 0 if self.summary is None else len(self.summary.hosts)
         stale = now - self.summary_at > REPORT_LARGE_S + REPORT_S
--- /dev/null
+++ b/tests/test_entry_fleet.py
@@ -0,0 +1,254 @@
+from __future__ import annotations
+
+import collections
+
+import msgspec
+import pytest
+
+from radishbridge.entry import Fleet, HostEntry, Kind, ObjectCopy, StoredObject, nearby_hosts
+from radishbridge.entry.fleet import FOLLOWING_HOSTS, SUMMING_HOSTS, sum_up
+from radishbridge.entry.messages import (
+    Crash,
+    FleetMessage,
+    FleetReport,
+    HostSight,
+    ObjectsChanged,
+)
+from radishbridge.peers import Peer
+from radishbridge.steering import Evidence, FleetPart
+
+
+def entry(number: int) -> HostEntry:
+    return HostEntry(
+        peer_address=f"10.0.0.{number}:7000",
+        listen=f"10.0.0.{number}:80",
+        region=("east", "west")[number % 2],
+        data_center=f"dc-{number % 4}",
+    )
+
+
+def report(**changes) -> FleetReport:
+    fields = {
+        "is_ready": True,
+        "is_leaving": False,
+        "follows": True,
+        "demands": {},
+        "home_bound": {},
+        "evidence": {},
+        "crashes": [],
+    }
+    return FleetReport(**{**fields, **changes})
+
+
+class Network:
+    """Meshes in memory; messages arrive when ``deliver`` is called."""
+
+    def __init__(self) -> None:
+        self.meshes: dict[str, Mesh] = {}
+        self.sent: list[tuple[str, str, msgspec.Struct]] = []
+        self.cut: set[str] = set()
+
+    def deliver(self) -> None:
+        sent, self.sent = self.sent, []
+        for sender, target, message in sent:
+            if target in self.meshes and not {sender, target} & self.cut:
+                self.meshes[target].take(sender, message)
+
+
+class Mesh:
+    """One host's end of a ``Network``."""
+
+    def __init__(self, name: str, network: Network) -> None:
+        self.name = name
+        self.network = network
+        self.handlers = collections.defaultdict(list)
+        network.meshes[name] = self
+
+    def subscribe(self, message_type, handler) -> None:
+        self.handlers[message_type].append(handler)
+
+    def update_directory(self, hosts) -> None:
+        self.hosts = list(hosts)
+
+    def send(self, host: str, message: msgspec.Struct) -> bool:
+        coded = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=FleetMessage)
+        self.network.sent.append((self.name, host, coded))
+        return True
+
+    def take(self, sender: str, message: msgspec.Struct) -> None:
+        for handler in self.handlers[type(message)]:
+            handler(Peer(sender, "", ""), message)
+
+
+class Hosts:
+    """A fleet whose hosts all know each other."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 0.0
+        self.network = Network()
+        self.entries = {entry(number).peer_address: entry(number) for number in range(count)}
+        self.fleets = [self.start(number) for number in range(count)]
+
+    def start(self, number: int) -> Fleet:
+        own = entry(number)
+        mesh = Mesh(own.peer_address, self.network)
+        part = FleetPart(0.0)
+        fleet = Fleet(
+            own,
+            mesh,
+            ObjectCopy(),
+            part,
+            [],
+            lambda: report(demands={"school": 2.0}),
+            lambda: self.now,
+        )
+        fleet.update_hosts(self.entries)
+        return fleet
+
+    def step(self) -> int:
+        """Let all hosts report and sum up once; return the number of messages."""
+        self.now += 0.2
+        for fleet in self.fleets:
+            if fleet.own.peer_address not in self.network.cut:
+                fleet.step(self.now)
+        count = len(self.network.sent)
+        self.network.deliver()
+        return count
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.2)):
+            self.step()
+
+
+class TestSums:
+    def test_reports_add_up(self):
+        one = report(
+            demands={"a": 1.0}, home_bound={"s": {"east": 2.0}}, crashes=[Crash(b"x", "1")]
+        )
+        other = report(demands={"a": 2.0, "b": 1.0}, home_bound={"s": {"east": 1.0}})
+        total = sum_up({"h1": one, "h2": other}, dict.fromkeys(Kind, 0))
+        assert total.demands == {"a": 3.0, "b": 1.0}
+        assert total.home_bound == {"s": {"east": 3.0}}
+        assert total.crashes == [Crash(b"x", "1")]
+        assert {sight.name for sight in total.hosts} == {"h1", "h2"}
+
+    def test_evidence_of_two_hosts_is_kept_apart_from_theirs(self):
+        seen = Evidence()
+        seen.add("r", True, 0.1, True, False)
+        reports = {name: report(evidence={"s": seen}) for name in ("h1", "h2")}
+        assert sum_up(reports, {}).evidence["s"].new["r"].failures == 2
+        assert seen.new["r"].failures == 1
+
+
+class TestFleet:
+    def test_every_host_learns_what_all_do(self):
+        hosts = Hosts(8)
+        hosts.run(1.0)
+        for fleet in hosts.fleets:
+            assert fleet.summary is not None
+            assert fleet.summary.demands == {"school": 16.0}
+            assert fleet.part.heard == fleet.part.hosts == 8
+
+    def test_messages_grow_with_the_number_of_hosts_alone(self):
+        counts = []
+        for count in (10, 40):
+            hosts = Hosts(count)
+            hosts.run(1.0)
+            counts.append(hosts.step() / count)
+        assert counts[1] <= counts[0] + 1.0
+        assert counts[1] <= 2 * SUMMING_HOSTS
+
+    def test_another_host_sums_up_when_one_is_lost(self):
+        hosts = Hosts(6)
+        hosts.run(3.0)
+        first = hosts.fleets[0]._summing(hosts.now)[0]
+        hosts.network.cut.add(first)
+        hosts.run(4.0)
+        rest = [fleet for fleet in hosts.fleets if fleet.own.peer_address != first]
+        assert {fleet.part.heard for fleet in rest} == {5}
+        assert {fleet.part.hosts for fleet in rest} == {6}
+
+    def test_few_hosts_follow_the_store(self):
+        hosts = Hosts(12)
+        hosts.run(1.0)
+        follow = [fleet for fleet in hosts.fleets if fleet.must_follow(in_touch=True)]
+        assert len(follow) == FOLLOWING_HOSTS
+
+    def test_a_host_that_hears_nobody_follows_it_itself(self):
+        assert Hosts(3).fleets[0].must_follow(in_touch=True)
+
+
+class TestPassingOn:
+    def change(self, version: int = 5) -> StoredObject:
+        return StoredObject(kind=Kind.SERVER, name="a", version=version, value=b"x")
+
+    def test_a_change_reaches_all_other_hosts(self):
+        hosts = Hosts(4)
+        hosts.fleets[0].pass_on([self.change()])
+        hosts.network.deliver()
+        others = hosts.fleets[1:]
+        assert all(fleet.copy.listing(Kind.SERVER).objects for fleet in others)
+
+    def test_a_host_that_missed_a_change_asks_for_it(self):
+        hosts = Hosts(2)
+        for fleet in hosts.fleets:
+            for kind in Kind:
+                fleet.copy.advance(kind, 1)
+        hosts.fleets[0].copy.apply(self.change(), "store")
+        hosts.fleets[0].copy.advance(Kind.SERVER, 5)
+        late = hosts.fleets[1]
+        assert late.copy.digests != hosts.fleets[0].copy.digests
+        hosts.run(2.0)
+        assert late.copy.digests == hosts.fleets[0].copy.digests
+
+    def test_a_repeated_change_is_taken_once(self):
+        hosts = Hosts(2)
+        taken = []
+        hosts.fleets[1].copy.listeners.append(lambda stored, source: taken.append(source))
+        message = ObjectsChanged(objects=[self.change()])
+        for _ in range(3):
+            hosts.fleets[0].mesh.send(hosts.fleets[1].own.peer_address, message)
+        hosts.network.deliver()
+        assert taken == [hosts.fleets[0].own.peer_address]
+
+
+class TestLookup:
+    def sights(self, *numbers: int, **changes) -> list[HostSight]:
+        sight = HostSight("", True, False, True)
+        named = (entry(number).peer_address for number in numbers)
+        return [msgspec.structs.replace(sight, name=name, **changes) for name in named]
+
+    @pytest.mark.parametrize(
+        ("alive", "expected"),
+        [
+            ([0, 4, 2, 1], [0, 4]),
+            ([0, 2, 1], [0, 2]),
+            ([2, 6, 1], [2, 6]),
+            ([1, 3], [1, 3]),
+            ([], []),
+        ],
+    )
+    def test_the_nearest_hosts_that_serve_are_named(self, alive, expected):
+        entries = {entry(number).peer_address: entry(number) for number in range(8)}
+        found = nearby_hosts(self.sights(*alive), entries, "east", "dc-0")
+        assert found == sorted(entry(number).listen for number in expected)
+
+    @pytest.mark.parametrize("changes", [{"is_leaving": True}, {"is_ready": False}])
+    def test_hosts_that_do_not_serve_are_not_named(self, changes):
+        entries = {entry(number).peer_address: entry(number) for number in range(8)}
+        sights = [*self.sights(0, **changes), *self.sights(4)]
+        assert nearby_hosts(sights, entries, "east", "dc-0") == [entry(4).listen]
+
+
+class TestMessages:
+    @pytest.mark.parametrize(
+        "message",
+        [
+            report(evidence={"s": Evidence()}, crashes=[Crash(b"\xff", "a")]),
+            ObjectsChanged(objects=[StoredObject(kind=Kind.MOVE, name="m", version=2, value=None)]),
+            sum_up({"h": report()}, dict.fromkeys(Kind, 7)),
+        ],
+    )
+    def test_they_survive_the_wire(self, message):
+        coded = msgspec.msgpack.encode(message)
+        assert msgspec.msgpack.decode(coded, type=FleetMessage) == message
