Prefer servers of the own region for services of large answers

Ruled out: region-bound placement of all services (each object would be cold once a region, in the window that counts most).

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -124,6 +124,8 @@
                 Failure(ResultCode.BACKEND_FAILED, "the answer is not the server's own")
             )
         self._note_answer(answer.status >= SERVER_ERROR, now)
+        if success:
+            self.board.note_size(self.task.service, len(answer.body))
         failed = answer.status >= SERVER_ERROR and self.task.route.repeatable
         self.end = AttemptEnd.FAILED if failed else AttemptEnd.ANSWERED
         return answer
--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -43,8 +43,12 @@
 # callers repeat such a request within their own time limits.
 CRASHES_MAX = 3
 SUSPICION_S = 30.0
-# Weight of the newest answer in the mean time that a service's requests take.
+# Weight of the newest answer in the means of a service's times and sizes.
 NEW_SAMPLE = 0.05
+# Mean size in bytes above which a service's answers count as large, and the answers needed to
+# tell: at this size the bytes of an answer between regions outweigh its processor time.
+BULKY_BYTES = 20_000.0
+BULKY_ANSWERS = 5
 
 logger = logging.getLogger(__name__)
 
@@ -75,13 +79,36 @@
     at: float
 
 
+class AnswerSizes:
+    """Number and mean size in bytes of a service's answers."""
+
+    __slots__ = ("count", "mean_bytes")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean_bytes = 0.0
+
+    def add(self, size: int) -> None:
+        """Count one answer."""
+        self.count += 1
+        self.mean_bytes += max(NEW_SAMPLE, 1.0 / self.count) * (size - self.mean_bytes)
+
+    @property
+    def are_large(self) -> bool:
+        """Whether the answers are known to be large."""
+        return self.count >= BULKY_ANSWERS and self.mean_bytes > BULKY_BYTES
+
+
 class Board:
     """State of this host; changed by the copy's objects, summaries and finished requests.
 
+    :param host: name of this host.
     :param decoder: decodes stored objects.
+    :param region: this host's region.
     """
 
     __slots__ = (
+        "answers",
         "bounds",
         "budgets",
         "configuration",
@@ -104,13 +131,13 @@
         "warm_pairs",
     )
 
-    def __init__(self, host: str, decoder: Decoder, bounds: Bounds) -> None:
+    def __init__(self, host: str, decoder: Decoder, bounds: Bounds, region: str = "") -> None:
         now = time.monotonic()
         self.decoder = decoder
         self.bounds = bounds
         self.configuration: Configuration | None = None
         self.slow_start = SlowStart(host, bounds.slow_start_overage, bounds.slow_start_slack)
-        self.selector = Selector(self.slow_start)
+        self.selector = Selector(self.slow_start, region)
         self.part = FleetPart(now)
         self.limiters: dict[str, RateLimiter] = {}
         self.budgets: dict[str, RetryBudget] = {}
@@ -122,6 +149,7 @@
         self.warm_pairs: set[tuple[str, str]] = set()
         self.home_meters: dict[tuple[str, str], DemandMeter] = {}
         self.service_s: dict[str, float] = {}
+        self.answers: dict[str, AnswerSizes] = {}
         self.poison = PoisonList(SUSPICION_S, CRASHES_MAX)
         self.crashes: list[ReportedCrash] = []
         self.is_ready = False
@@ -256,6 +284,13 @@
         is_new = server.version == move.order.to_version
         move.evidence.add(route.name, is_new, latency_s, bad, warm)
 
+    def note_size(self, service: str, size: int) -> None:
+        """Take in the size of an answer in bytes."""
+        sizes = self.answers.setdefault(service, AnswerSizes())
+        sizes.add(size)
+        if sizes.are_large:
+            self.selector.set_bulky(service)
+
     def note_crash(self, fingerprint: bytes, server: str, now: float) -> None:
         """Note that a server went away while it ran a request."""
         if self.poison.note_crash(fingerprint, server, now):
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -29,6 +29,9 @@
 # Requests for each slot up to which a server that does not share the object helps out. Above,
 # its slots are worth more for its own objects: a run there takes several times as long.
 HELP_LIMIT = 0.4
+# How much more a server of this host's own region weighs for a service of large answers: their
+# bytes between regions cost more than a few more runs on servers that do not know an object.
+NEAR_WEIGHT = 6.0
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -59,21 +62,26 @@
     """Knows all backend servers and chooses among them.
 
     :param slow_start: bounds on what cold servers get.
+    :param region: this host's region.
     """
 
     __slots__ = (
+        "bulky",
         "drained",
         "medians",
         "orders",
         "pools",
+        "region",
         "rules",
         "slow_start",
         "states",
         "weights",
     )
 
-    def __init__(self, slow_start: SlowStart) -> None:
+    def __init__(self, slow_start: SlowStart, region: str = "") -> None:
         self.slow_start = slow_start
+        self.region = region
+        self.bulky: set[str] = set()
         self.states: dict[str, ServerState] = {}
         self.drained: frozenset[str] = frozenset()
         self.rules: dict[str, ServiceRule] = {}
@@ -106,6 +114,12 @@
         self.drained = frozenset(data_centers)
         self.forget_orders()
 
+    def set_bulky(self, service: str) -> None:
+        """Note that a service's answers are large, so that near servers are preferred."""
+        if service not in self.bulky:
+            self.bulky.add(service)
+            self.orders.clear()
+
     def forget_orders(self) -> None:
         """Build pools and orders anew when they are next needed."""
         self.pools.clear()
@@ -177,8 +191,12 @@
         return held
 
     def _build_order(self, pool: _PoolKey, key: str) -> list[ServerState]:
-        weights = self.weights.get(pool.service) if pool.homes is None else None
-        return order(f"{pool.service}\0{key}", self._pool(pool), weights.weights if weights else {})
+        weights: dict[str, float] = {}
+        if pool.homes is None and pool.service in self.weights:
+            weights.update(self.weights[pool.service].weights)
+        if pool.service in self.bulky:
+            weights[self.region] = weights.get(self.region, 1.0) * NEAR_WEIGHT
+        return order(f"{pool.service}\0{key}", self._pool(pool), weights)
 
     def _pool(self, key: _PoolKey) -> list[ServerState]:
         pool = self.pools.get(key)
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -53,6 +53,20 @@
         selector.update_weights("catalogue", {"east": 8.0})
         assert selector.weights["catalogue"].weights == held
 
+    def test_objects_of_large_answers_mostly_stay_in_the_region(self):
+        selector = make_selector(8)
+        selector.region = "east"
+        keys = [str(number) for number in range(300)]
+
+        def near() -> int:
+            chosen = [selector.choose(need(key), (), T0).server.region for key in keys]
+            return chosen.count("east")
+
+        before = near()
+        selector.set_bulky("catalogue")
+        assert before < 180
+        assert near() > 240
+
 
 class TestBounds:
     def test_homes_bind_even_when_they_are_full(self):
