--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -26,15 +26,22 @@
     """One connection of a caller.
 
     :param workspace: workspace of the last keyed request, empty before the first one.
+    :param handling: requests that are being answered.
     """
 
-    __slots__ = ("on_lost", "workspace")
+    __slots__ = ("handling", "on_lost", "workspace")
 
     def __init__(self, server: CallerServer, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(server, loop=loop, **server.options)
         self.workspace = ""
+        self.handling = 0
         self.on_lost = server.lost
 
+    def close_idle(self) -> None:
+        """Close the connection unless a request is being answered; what was written still goes."""
+        if not self.handling and self.transport is not None:
+            self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give the connection's place back."""
         super().connection_lost(exc)
@@ -71,7 +78,8 @@
     """
 
     def __init__(self, handler: Handler, limits: LimitSettings) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(self._handle, handler_cancellation=True)
+        self.handler = handler
         self.options: dict[str, t.Any] = {
             "access_log": None,
             "auto_decompress": False,
@@ -89,6 +97,16 @@
         self.open += 1
         return CallerConnection(self, asyncio.get_running_loop())
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        if not isinstance(connection, CallerConnection):
+            return await self.handler(request)
+        connection.handling += 1
+        try:
+            return await self.handler(request)
+        finally:
+            connection.handling -= 1
+
     def claim(self, request: web.BaseRequest, workspace: str, limit: int) -> Failure | None:
         """Count a request's connection for a workspace.
 
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -6,11 +6,13 @@
 import logging
 import typing as t
 
-from radishbridge.host.connections import CallerServer
+from radishbridge.host.connections import CallerConnection, CallerServer
 from radishbridge.host.listener import Listener
 from radishbridge.records import LimitSettings
 
 POLL_S = 0.02
+# Time in seconds in which the first request of a connection accepted last is read.
+FIRST_REQUEST_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -50,13 +52,23 @@
         await asyncio.sleep(self.limits.shutdown_lookup_s)
         await self.listener.stop()
         logger.info("stopped accepting", extra={"in_flight": self.forwarder.in_flight})
-        finished = await self._wait(lambda: not self.forwarder.in_flight)
-        # Connections still open have been idle for the whole time of leaving, since each answer
-        # during it closed its connection.
+        await asyncio.sleep(min(FIRST_REQUEST_S, self.limits.shutdown_s))
+        await self._close_idle()
+        finished = await self._wait(lambda: not self.server.open)
+        logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
         for connection in self.server.connections:
             connection.force_close()
-        await self._wait(lambda: not self.server.open)
-        logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
+
+    async def _close_idle(self) -> None:
+        # A connection that is being answered stays open for the rest of its request's body, and
+        # closes after the answer. One whose request was read just now is answered first.
+        connections = [one for one in self.server.connections if isinstance(one, CallerConnection)]
+        for connection in connections:
+            if not connection.handling:
+                connection.close()
+        await asyncio.sleep(POLL_S)
+        for connection in connections:
+            connection.close_idle()
 
     async def _wait(self, done: t.Callable[[], bool]) -> bool:
         try:
