Hand out small rates by one host where a fleet is too large to divide them

Ruled out: a token for each host at its start (a workspace that sends many times its rate would find them all: over the bound by a quarter). Now a rate whose burst is below two requests a host has one holder, chosen by hash among the hosts heard, which hands out tokens; a host that gets no answer in 0.25 s uses its even part. Tests: TestSmallRates.

--- a/packages/entry/src/radishbridge/entry/__init__.py
+++ b/packages/entry/src/radishbridge/entry/__init__.py
@@ -25,6 +25,7 @@
     RequestFacts,
     StoredObject,
 )
+from radishbridge.entry.ratedesk import RateDesk
 from radishbridge.entry.steward import MoveSteward
 
 __all__ = [
@@ -46,6 +47,7 @@
     "MoveReport",
     "MoveSteward",
     "ObjectCopy",
+    "RateDesk",
     "RequestFacts",
     "RequestJournal",
     "StoreFollower",
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -47,10 +47,18 @@
 logger = logging.getLogger(__name__)
 
 
+class Rates(t.Protocol):
+    """Decides whether a workspace is within its rate."""
+
+    async def admit(self, workspace: str) -> float | None:
+        """Return ``None`` where a request may run, otherwise the seconds until one may."""
+
+
 class Front:
     """Answers callers' requests from backend servers.
 
     :param dialect: names of headers.
+    :param rates: rates of workspaces over all hosts.
     :param limits: bounds on bodies.
     """
 
@@ -63,6 +71,7 @@
         "leaving",
         "limits",
         "pool",
+        "rates",
         "rng",
     )
 
@@ -71,6 +80,7 @@
         board: Board,
         dialect: Dialect,
         pool: BackendPool,
+        rates: Rates,
         journal: RequestJournal,
         limits: LimitSettings,
         rng: random.Random,
@@ -79,6 +89,7 @@
         self.dialect = dialect
         self.pool = pool
         self.crashes = CrashWatch(board, pool)
+        self.rates = rates
         self.journal = journal
         self.limits = limits
         self.rng = rng
@@ -104,6 +115,8 @@
 
     async def _answer(self, task: RequestTask) -> BackendAnswer | Failure:
         failure = self._admit(task)
+        if failure is None:
+            failure = await self._meter(task)
         if failure is not None:
             return failure
         try:
@@ -133,13 +146,18 @@
             if workspace is None:
                 return _KEY_UNKNOWN if facts.key else _KEY_MISSING
             task.workspace = workspace
-            limiter = self.board.limiter(workspace, task.arrived_at)
-            if not limiter.admit(self.board.part, task.arrived_at):
-                task.retry_after_s = min(RETURN_MAX_S, limiter.wait_s() + self._spread())
-                return _OVER_RATE
         task.homes = configuration.homes(route, task.workspace)
         return None
 
+    async def _meter(self, task: RequestTask) -> Failure | None:
+        if not task.workspace:
+            return None
+        wait_s = await self.rates.admit(task.workspace)
+        if wait_s is None:
+            return None
+        task.retry_after_s = min(RETURN_MAX_S, wait_s + self._spread())
+        return _OVER_RATE
+
     async def _serve(self, task: RequestTask) -> BackendAnswer | Failure:
         body = RequestBody(task.request, self.limits)
         failure = await body.open()
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -78,4 +78,31 @@
     listing: Listing
 
 
-FleetMessage = FleetReport | FleetSummary | ObjectsChanged | CopyRequest | CopyAnswer | Heartbeat
+class TokenAsk(msgspec.Struct, kw_only=True, tag="token-ask"):
+    """Asks the host that hands out a workspace's rate for one request.
+
+    :param number: tells the asker's questions apart.
+    """
+
+    workspace: str
+    number: int
+
+
+class TokenAnswer(msgspec.Struct, kw_only=True, tag="token-answer"):
+    """Whether the request may run; ``wait_s`` is how long until another one may."""
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
+FleetMessage = (
+    FleetReport
+    | FleetSummary
+    | ObjectsChanged
+    | CopyRequest
+    | CopyAnswer
+    | TokenAsk
+    | TokenAnswer
+    | Heartbeat
+)
--- /dev/null
+++ b/packages/entry/src/radishbridge/entry/ratedesk.py
@@ -0,0 +1,123 @@
+"""Admission of requests within the rates of workspaces, over all hosts together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+import typing as t
+
+from radishbridge.entry.board import Board
+from radishbridge.entry.fleet import Fleet
+from radishbridge.entry.messages import TokenAnswer, TokenAsk
+from radishbridge.peers import Peer, rank
+from radishbridge.steering import WholeRate, is_divided
+
+# Longest wait for another host's token in seconds: a round trip between regions takes some 45 ms.
+ASK_S = 0.25
+# Most questions under way; beyond, the host's own part decides.
+ASKS_MAX = 2_000
+
+logger = logging.getLogger(__name__)
+
+
+class RateDesk:
+    """Decides on each request with a workspace's rate.
+
+    A rate that is large enough for each host to have a part of it is divided, and decided
+    on here at once. For a smaller one, one host hands out the tokens.
+
+    :param clock: monotonic clock in seconds.
+    """
+
+    __slots__ = ("board", "clock", "fleet", "holders", "names", "next_number", "pending", "whole")
+
+    def __init__(
+        self, board: Board, fleet: Fleet, clock: t.Callable[[], float] = time.monotonic
+    ) -> None:
+        self.board = board
+        self.fleet = fleet
+        self.clock = clock
+        self.whole: dict[str, WholeRate] = {}
+        self.pending: dict[int, asyncio.Future[TokenAnswer]] = {}
+        self.holders: dict[str, str] = {}
+        self.names: tuple[str, ...] = ()
+        self.next_number = 0
+        fleet.mesh.subscribe(TokenAsk, self._on_ask)
+        fleet.mesh.subscribe(TokenAnswer, self._on_answer)
+
+    async def admit(self, workspace: str) -> float | None:
+        """Spend one request of a workspace's rate.
+
+        :return: ``None`` where it may run, otherwise the seconds until one may.
+        """
+        configuration = self.board.configuration
+        rule = configuration.workspaces.get(workspace) if configuration else None
+        if rule is None or not rule.rate_per_s:
+            return None
+        if is_divided(rule.burst, self.board.part.hosts):
+            return self._admit_here(workspace)
+        holder = self._holder(workspace)
+        if holder == self.fleet.own.peer_address:
+            return self._hand_out(workspace)
+        return await self._ask(workspace, holder)
+
+    def _admit_here(self, workspace: str) -> float | None:
+        now = self.clock()
+        limiter = self.board.limiter(workspace, now)
+        return None if limiter.admit(self.board.part, now) else limiter.wait_s()
+
+    def _hand_out(self, workspace: str) -> float | None:
+        now = self.clock()
+        configuration = self.board.configuration
+        rule = configuration.workspaces.get(workspace) if configuration else None
+        if rule is None:
+            return 1.0
+        whole = self.whole.get(workspace)
+        if whole is None:
+            whole = self.whole[workspace] = WholeRate(rule.rate_per_s, rule.burst, now)
+        elif (whole.rate_per_s, whole.burst) != (rule.rate_per_s, rule.burst):
+            whole.set_rate(rule.rate_per_s, rule.burst)
+        return None if whole.take(self.board.part, now) else whole.wait_s()
+
+    async def _ask(self, workspace: str, holder: str) -> float | None:
+        if len(self.pending) >= ASKS_MAX:
+            return self._admit_here(workspace)
+        self.next_number += 1
+        number = self.next_number
+        future: asyncio.Future[TokenAnswer] = asyncio.get_running_loop().create_future()
+        self.pending[number] = future
+        try:
+            self.fleet.mesh.send(holder, TokenAsk(workspace=workspace, number=number))
+            async with asyncio.timeout(ASK_S):
+                answer = await future
+        except TimeoutError:
+            logger.info("no token", extra={"workspace": workspace, "holder": holder})
+            return self._admit_here(workspace)
+        finally:
+            self.pending.pop(number, None)
+        return None if answer.granted else answer.wait_s
+
+    def _holder(self, workspace: str) -> str:
+        sights = self.fleet.live_hosts(self.clock()).values()
+        names = tuple(sorted(sight.name for sight in sights if not sight.is_leaving))
+        if names != self.names:
+            self.names = names
+            self.holders.clear()
+        holder = self.holders.get(workspace)
+        if holder is None:
+            own = self.fleet.own.peer_address
+            holder = self.holders[workspace] = next(iter(rank(workspace, names)), own)
+        return holder
+
+    def _on_ask(self, peer: Peer, message: TokenAsk) -> None:
+        wait_s = self._hand_out(message.workspace)
+        answer = TokenAnswer(
+            number=message.number, granted=wait_s is None, wait_s=min(60.0, wait_s or 0.0)
+        )
+        self.fleet.mesh.send(peer.name, answer)
+
+    def _on_answer(self, peer: Peer, message: TokenAnswer) -> None:
+        future = self.pending.get(message.number)
+        if future is not None and not future.done():
+            future.set_result(message)
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -19,7 +19,13 @@
     stable_versions,
 )
 from radishbridge.steering.placement import unit_hash
-from radishbridge.steering.rates import DemandMeter, FleetPart, RateLimiter
+from radishbridge.steering.rates import (
+    DemandMeter,
+    FleetPart,
+    RateLimiter,
+    WholeRate,
+    is_divided,
+)
 from radishbridge.steering.retries import RetryBudget
 from radishbridge.steering.selector import Need, Selector
 from radishbridge.steering.servers import LoadReport, Server, ServerState
@@ -45,7 +51,9 @@
     "ServiceRule",
     "SlowStart",
     "SplitPart",
+    "WholeRate",
     "WorkspaceRule",
+    "is_divided",
     "outcome",
     "stable_versions",
     "unit_hash",
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -22,6 +22,19 @@
 BASE_DEMAND_PER_S = 0.5
 
 
+# Requests at once that a host's even part has to allow for the rate to be divided: below, first
+# requests at most hosts would find no token, and one host keeps the whole rate instead.
+DIVISIBLE = 2.0
+
+
+def is_divided(burst: float, hosts: int) -> bool:
+    """Whether hosts use parts of a rate; otherwise one of them hands out its tokens.
+
+    :param burst: requests of all hosts together at once.
+    """
+    return burst >= DIVISIBLE * hosts
+
+
 class DemandMeter:
     """A moving average of arrivals a second."""
 
@@ -74,6 +87,43 @@
         return heard * even * own / total
 
 
+class WholeRate:
+    """The tokens of a rate that this host hands out for all hosts.
+
+    A host that hears only some of the others hands out their part alone, so that two hosts that
+    do not hear each other never hand out more than the rate.
+    """
+
+    __slots__ = ("burst", "rate_per_s", "tokens", "updated_at")
+
+    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens = START_FILL * burst
+        self.updated_at = now
+
+    def set_rate(self, rate_per_s: float, burst: float) -> None:
+        """Put a changed rate in force."""
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+    def take(self, part: FleetPart, now: float) -> bool:
+        """Hand out one token if there is one."""
+        heard = min(1.0, part.heard / max(1, part.hosts))
+        earned = self.rate_per_s * heard * (now - self.updated_at)
+        self.updated_at = now
+        self.tokens = min(max(1.0, self.burst * heard), self.tokens + earned)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def wait_s(self) -> float:
+        """Return the seconds until the next token."""
+        return max(0.0, 1.0 - self.tokens) / self.rate_per_s if self.rate_per_s else math.inf
+
+
 class RateLimiter:
     """One workspace's requests at this host.
 
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -73,6 +73,18 @@
     return web.Response()
 
 
+class OwnRates:
+    """Rates of a fleet of one host."""
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    async def admit(self, workspace: str) -> float | None:
+        now = time.monotonic()
+        limiter = self.board.limiter(workspace, now)
+        return None if limiter.admit(self.board.part, now) else limiter.wait_s()
+
+
 class World:
     """A front and its backend servers."""
 
@@ -112,7 +124,8 @@
         stack.callback(pool.close)
         limits = LimitSettings()
         journal = RequestJournal(CollectorRegistry())
-        front = Front(board, PlatformDialect(), pool, journal, limits, random.Random(1))
+        rates = OwnRates(board)
+        front = Front(board, PlatformDialect(), pool, rates, journal, limits, random.Random(1))
         address = await _listen(stack, CallerServer(front.handle, limits))
         session = await stack.enter_async_context(aiohttp.ClientSession())
         yield World(front, board, session, f"http://{address}"), backends
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -1,11 +1,23 @@
 from __future__ import annotations
 
+import asyncio
 import collections
+import itertools
 
 import msgspec
 import pytest
 
-from radishbridge.entry import Fleet, HostEntry, Kind, ObjectCopy, StoredObject, nearby_hosts
+from radishbridge.entry import (
+    Board,
+    Bounds,
+    Fleet,
+    HostEntry,
+    Kind,
+    ObjectCopy,
+    RateDesk,
+    StoredObject,
+    nearby_hosts,
+)
 from radishbridge.entry.fleet import FOLLOWING_HOSTS, SUMMING_HOSTS, sum_up
 from radishbridge.entry.messages import (
     Crash,
@@ -15,7 +27,7 @@
     ObjectsChanged,
 )
 from radishbridge.peers import Peer
-from radishbridge.steering import Evidence, FleetPart
+from radishbridge.steering import Configuration, Evidence, FleetPart, WorkspaceRule
 
 
 def entry(number: int) -> HostEntry:
@@ -212,6 +224,66 @@
         assert taken == [hosts.fleets[0].own.peer_address]
 
 
+class TestSmallRates:
+    """Load pattern: many hosts, each of which sees a small workspace now and then."""
+
+    def desks(self, hosts: Hosts, rate: float, burst: float) -> list[RateDesk]:
+        rule = WorkspaceRule(name="school", rate_per_s=rate, burst=burst)
+        desks = []
+        for fleet in hosts.fleets:
+            board = Board(fleet.own.peer_address, None, Bounds())
+            board.part = fleet.part
+            board.configuration = Configuration(1, [], [], [rule])
+            desks.append(RateDesk(board, fleet, lambda: hosts.now))
+        return desks
+
+    async def play(self, hosts, desks, seconds, per_s) -> list[float]:
+        admitted: list[float] = []
+
+        async def ask(desk):
+            if await desk.admit("school") is None:
+                admitted.append(hosts.now)
+
+        turns = itertools.cycle(desks)
+        for step in range(int(seconds / 0.1)):
+            hosts.now += 0.1
+            if step % 2 == 0:
+                for fleet in hosts.fleets:
+                    fleet.step(hosts.now)
+            asks = [asyncio.create_task(ask(next(turns))) for _ in range(int(per_s * 0.1))]
+            for _ in range(4):
+                await asyncio.sleep(0)
+                hosts.network.deliver()
+            await asyncio.gather(*asks)
+        return admitted
+
+    async def test_requests_within_the_rate_are_admitted_wherever_they_come(self):
+        hosts = Hosts(40)
+        hosts.run(1.0)
+        desks = self.desks(hosts, rate=25.0, burst=25.0)
+        admitted = await self.play(hosts, desks, 6.0, per_s=20.0)
+        assert len(admitted) == 120
+
+    async def test_what_is_beyond_the_rate_is_not(self):
+        hosts = Hosts(40)
+        hosts.run(1.0)
+        desks = self.desks(hosts, rate=25.0, burst=25.0)
+        admitted = await self.play(hosts, desks, 6.0, per_s=200.0)
+        assert 0.9 * 150 <= len(admitted) <= 175
+
+    async def test_a_lost_holder_is_replaced(self):
+        hosts = Hosts(12)
+        hosts.run(1.0)
+        desks = self.desks(hosts, rate=20.0, burst=20.0)
+        holder = desks[0]._holder("school")
+        hosts.network.cut.add(holder)
+        hosts.run(2.0)
+        rest = [desk for desk in desks if desk.fleet.own.peer_address != holder]
+        assert {desk._holder("school") for desk in rest} != {holder}
+        admitted = await self.play(hosts, rest, 4.0, per_s=15.0)
+        assert len(admitted) >= 0.8 * 40
+
+
 class TestLookup:
     def sights(self, *numbers: int, **changes) -> list[HostSight]:
         sight = HostSight("", True, False, True)
