--- a/packages/entry/src/radishbridge/entry/__init__.py
+++ b/packages/entry/src/radishbridge/entry/__init__.py
@@ -26,7 +26,7 @@
     StoredObject,
 )
 from radishbridge.entry.ratedesk import RateDesk
-from radishbridge.entry.steward import MoveSteward
+from radishbridge.entry.steward import Steward
 
 __all__ = [
     "AnswerFacts",
@@ -45,11 +45,11 @@
     "Kind",
     "Listing",
     "MoveReport",
-    "MoveSteward",
     "ObjectCopy",
     "RateDesk",
     "RequestFacts",
     "RequestJournal",
+    "Steward",
     "StoreFollower",
     "StoredObject",
     "connect",
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -43,6 +43,9 @@
 # A host that was not heard for this long is taken for gone, in seconds; its part of the rates
 # goes to the others. Longer than ``rates.CUT_OFF_S``, after which it uses none itself.
 FORGET_SILENT_S = 30.0
+# Silence in seconds after which a host's entry is removed from the store: it may still be cut
+# off before, and registers again if it comes back after.
+REMOVE_SILENT_S = 120.0
 # Digests have to differ for this long before objects are asked for: changes are under way.
 DIFFERS_S = 0.5
 # Most hosts that a start without a store asks for their copy.
@@ -138,6 +141,12 @@
             if name == self.own.peer_address or now - self.last_seen[name] < FORGET_SILENT_S
         ]
 
+    def lost_hosts(self, now: float) -> list[str]:
+        """Return the registered hosts that have been silent for so long that they are gone."""
+        own = self.own.peer_address
+        silent = (name for name in self.entries if now - self.last_seen[name] > REMOVE_SILENT_S)
+        return [name for name in silent if name != own]
+
     def live_hosts(self, now: float) -> dict[str, HostSight]:
         """Return the hosts heard lately, this one among them."""
         own = self.make_sight()
--- a/packages/entry/src/radishbridge/entry/steward.py
+++ b/packages/entry/src/radishbridge/entry/steward.py
@@ -1,4 +1,5 @@
-"""Records how version moves stand; the first host by hash does, the next one if it is lost."""
+"""Writes what the fleet as a whole records in the store; the first host by hash does, the next
+one if it is lost."""
 
 from __future__ import annotations
 
@@ -19,8 +20,8 @@
 logger = logging.getLogger(__name__)
 
 
-class MoveSteward:
-    """Writes the status of version moves while it is this host's duty."""
+class Steward:
+    """Writes the status of version moves, and removes lost hosts, while it is this host's duty."""
 
     __slots__ = ("board", "fleet", "store")
 
@@ -30,15 +31,19 @@
         self.store = store
 
     async def run(self) -> None:
-        """Look after the moves until cancelled."""
+        """Look after moves and hosts until cancelled."""
         while True:
             await asyncio.sleep(STEP_S)
             await self.step(time.monotonic())
 
     async def step(self, now: float) -> None:
-        """Record each move whose phase has changed."""
+        """Record each move whose phase has changed, and remove hosts that are gone."""
         if not self._is_on_duty(now):
             return
+        for name in self.fleet.lost_hosts(now):
+            removal = await self.store.unregister(name)
+            told = removal.reason if isinstance(removal, Failure) else "removed"
+            logger.info("host is gone", extra={"host": name, "outcome": told})
         for name, order in list(self.board.orders.items()):
             phase = self._phase(order.service, now)
             if phase is order.phase or order.phase in (MovePhase.COMPLETED, MovePhase.TAKEN_BACK):
@@ -67,11 +72,11 @@
         return self.board.move_phase(service, seen or Evidence(), now)
 
     def _is_on_duty(self, now: float) -> bool:
-        if not self.board.orders or now - self.fleet.summary_at > SUMMARY_S:
+        if now - self.fleet.summary_at > SUMMARY_S:
             return False
         able = [
             sight.name
             for sight in self.fleet.live_hosts(now).values()
             if sight.follows and not sight.is_leaving
         ]
-        return rank("moves", able)[:1] == [self.fleet.own.peer_address]
+        return rank("steward", able)[:1] == [self.fleet.own.peer_address]
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -180,6 +180,17 @@
         assert {fleet.part.heard for fleet in rest} == {5}
         assert {fleet.part.hosts for fleet in rest} == {6}
 
+    def test_a_host_that_is_silent_for_long_is_given_up(self):
+        hosts = Hosts(4)
+        hosts.run(1.0)
+        lost = hosts.fleets[3].own.peer_address
+        hosts.network.cut.add(lost)
+        hosts.run(2.0)
+        assert hosts.fleets[0].lost_hosts(hosts.now) == []
+        hosts.now += 119.0
+        hosts.run(1.0)
+        assert hosts.fleets[0].lost_hosts(hosts.now) == [lost]
+
     def test_few_hosts_follow_the_store(self):
         hosts = Hosts(12)
         hosts.run(1.0)
