--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -79,9 +79,9 @@
             for kind in Kind:
                 group.create_task(self._follow(kind))
 
-    async def load(self, kind: Kind) -> Failure | None:
-        """Take over a listing of a kind."""
-        listing = await self.store.list(kind)
+    async def load(self, kind: Kind, may_be_stale: bool = False) -> Failure | None:
+        """Take over a listing of a kind; the watch after a stale one brings what it lacks."""
+        listing = await self.store.list(kind, may_be_stale)
         if isinstance(listing, Failure):
             self._note_failure(listing, kind)
             return listing
@@ -92,14 +92,18 @@
 
     async def _follow(self, kind: Kind) -> None:
         pause_s = RETRY_S
-        must_load = True
+        must_load = may_be_stale = True
         while True:
             if kind in self.copy.loaded and not self.must_follow():
                 await asyncio.sleep(IDLE_S)
-                must_load = True
+                must_load = may_be_stale = True
                 continue
-            failure = await self.load(kind) if must_load else await self._watch(kind)
+            if must_load:
+                failure = await self.load(kind, may_be_stale)
+            else:
+                failure = await self._watch(kind)
             must_load = failure is not None
+            may_be_stale = False
             if failure is None:
                 pause_s = RETRY_S
                 self._settle()
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -90,8 +90,12 @@
     ``VERSION_CONFLICT`` or ``NOT_FOUND``.
     """
 
-    async def list(self, kind: Kind) -> Listing | Failure:
-        """Read all objects of a kind."""
+    async def list(self, kind: Kind, may_be_stale: bool = False) -> Listing | Failure:
+        """Read all objects of a kind.
+
+        :param may_be_stale: a listing of some seconds ago is good enough; its revision tells
+            where a watch has to begin.
+        """
 
     async def watch(self, kind: Kind, after: int, wait_s: float) -> Listing | Failure:
         """Wait for changes after a revision; without any, the listing is empty.
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -52,8 +52,10 @@
     def __init__(self, listings, watches) -> None:
         self.listings = list(listings)
         self.watches = list(watches)
+        self.stale = []
 
-    async def list(self, kind):
+    async def list(self, kind, may_be_stale=False):
+        self.stale.append(may_be_stale)
         if kind is not Kind.SERVER:
             return listing(1)
         return await self._next(self.listings)
@@ -98,6 +100,7 @@
         )
         copy = await follow(store, lambda copy: copy.revisions[Kind.SERVER] == 9)
         assert names(copy) == {"b"}
+        assert store.stale[-1] is False
 
     async def test_a_store_that_is_away_at_first_is_asked_again(self):
         store = ScriptedStore([AWAY, AWAY, listing(3, server("a", 1))], [])
