--- a/packages/entry/src/radishbridge/entry/ratedesk.py
+++ b/packages/entry/src/radishbridge/entry/ratedesk.py
@@ -9,12 +9,15 @@
 
 from radishbridge.entry.board import Board
 from radishbridge.entry.fleet import Fleet
-from radishbridge.entry.messages import TokenAnswer, TokenAsk
+from radishbridge.entry.messages import FleetSummary, TokenAnswer, TokenAsk
 from radishbridge.peers import Peer, rank
 from radishbridge.steering import WholeRate, is_divided
 
-# Longest wait for another host's token in seconds: a round trip between regions takes some 45 ms.
-ASK_S = 0.25
+# Longest wait for another host's token in seconds: a round trip between regions takes some 45 ms,
+# and a lost packet is sent again after 0.2 s.
+ASK_S = 0.3
+# Hosts that hand out small rates: few, so that connections grow with the number of hosts alone.
+HOLDERS = 8
 # Most questions under way; beyond, the host's own part decides.
 ASKS_MAX = 2_000
 
@@ -43,6 +46,7 @@
         self.holders: dict[str, str] = {}
         self.names: tuple[str, ...] = ()
         self.next_number = 0
+        fleet.listeners.append(self._greet_holders)
         fleet.mesh.subscribe(TokenAsk, self._on_ask)
         fleet.mesh.subscribe(TokenAnswer, self._on_answer)
 
@@ -99,17 +103,30 @@
         return None if answer.granted else answer.wait_s
 
     def _holder(self, workspace: str) -> str:
-        sights = self.fleet.live_hosts(self.clock()).values()
-        names = tuple(sorted(sight.name for sight in sights if not sight.is_leaving))
-        if names != self.names:
-            self.names = names
-            self.holders.clear()
         holder = self.holders.get(workspace)
         if holder is None:
+            names = rank("rates", self.names)[:HOLDERS]
             own = self.fleet.own.peer_address
             holder = self.holders[workspace] = next(iter(rank(workspace, names)), own)
         return holder
 
+    def _greet_holders(self, summary: FleetSummary) -> None:
+        # A first question opens a connection, which takes longer than callers should wait.
+        names = tuple(sorted(sight.name for sight in summary.hosts if not sight.is_leaving))
+        if names == self.names:
+            return
+        self.names = names
+        self.holders.clear()
+        for name in rank("rates", names)[:HOLDERS] if self._has_small_rates() else ():
+            if name != self.fleet.own.peer_address:
+                self.fleet.mesh.send(name, TokenAsk(workspace="", number=0))
+
+    def _has_small_rates(self) -> bool:
+        configuration = self.board.configuration
+        rules = configuration.workspaces.values() if configuration else ()
+        hosts = self.board.part.hosts
+        return any(rule.rate_per_s and not is_divided(rule.burst, hosts) for rule in rules)
+
     def _on_ask(self, peer: Peer, message: TokenAsk) -> None:
         wait_s = self._hand_out(message.workspace)
         answer = TokenAnswer(
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -246,6 +246,7 @@
             board.part = fleet.part
             board.configuration = Configuration(1, [], [], [rule])
             desks.append(RateDesk(board, fleet, lambda: hosts.now))
+        hosts.run(0.4)
         return desks
 
     async def play(self, hosts, desks, seconds, per_s) -> list[float]:
