--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 import typing as t
@@ -118,13 +119,13 @@
         "entries",
         "home_meters",
         "is_leaving",
-        "is_ready",
         "limiters",
         "moves",
         "orders",
         "part",
         "poison",
         "proved",
+        "ready",
         "selector",
         "service_s",
         "slow_start",
@@ -152,9 +153,14 @@
         self.answers: dict[str, AnswerSizes] = {}
         self.poison = PoisonList(SUSPICION_S, CRASHES_MAX)
         self.crashes: list[ReportedCrash] = []
-        self.is_ready = False
+        self.ready = asyncio.Event()
         self.is_leaving = False
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host knows enough to serve requests."""
+        return self.ready.is_set()
+
     def take(self, stored: StoredObject, source: str) -> None:
         """Take over an object that is new to the copy.
 
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -30,6 +31,9 @@
 RETURN_SPREAD_S = 0.25
 # Longest wait in seconds that a caller over its rate is told.
 RETURN_MAX_S = 5.0
+# Longest wait in seconds of a request that comes while the host starts. Reading the configuration
+# takes some 0.2 s once the listener is open, less than a caller needs to find another host.
+START_WAIT_S = 0.5
 # Connections that may fail before a request is given up; nothing was sent on them.
 CONNECTS_MAX = 3
 SERVER_ERROR = 500
@@ -114,6 +118,8 @@
             self.journal.note(task, time.monotonic())
 
     async def _answer(self, task: RequestTask) -> BackendAnswer | Failure:
+        if not self.board.is_ready:
+            await self._await_start()
         failure = self._admit(task)
         if failure is None:
             failure = await self._meter(task)
@@ -125,6 +131,11 @@
         except TimeoutError:
             return task.truthful(_LATE)
 
+    async def _await_start(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                await self.board.ready.wait()
+
     def _admit(self, task: RequestTask) -> Failure | None:
         configuration = self.board.configuration
         if configuration is None or not self.board.is_ready:
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -115,7 +115,7 @@
         board.configuration = Configuration(
             1, [route or make_route()], [ServiceRule(name="catalogue")], workspaces, keys
         )
-        board.is_ready = True
+        board.ready.set()
         backends = [ScriptedBackend(answer) for answer in answers]
         for number, backend in enumerate(backends):
             address = await _listen(stack, web.Server(backend.handle, handler_cancellation=True))
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -93,6 +93,15 @@
             world.board.configuration = None
             assert (await world.ask())[0] == 503
 
+    async def test_a_request_that_comes_during_the_start_waits_for_its_end(self):
+        async with running(reply()) as (world, _):
+            world.board.ready.clear()
+            asking = asyncio.create_task(world.ask())
+            await asyncio.sleep(0.05)
+            assert not asking.done()
+            world.board.ready.set()
+            assert (await asking)[0] == 200
+
     async def test_an_unknown_route(self):
         async with running(reply()) as (world, _):
             assert (await world.ask("/nothing/"))[0] == 404
