--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -8,7 +8,6 @@
 import logging
 import random
 import time
-import typing as t
 
 import aiohttp
 from aiohttp import web
@@ -22,11 +21,12 @@
 from radishbridge.host.forward import Forwarder
 from radishbridge.host.gate import Gate
 from radishbridge.host.keys import KeyRing
-from radishbridge.host.listener import Listener
+from radishbridge.host.listener import open_listener
 from radishbridge.host.lookup import Front, LookupApi
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.host.state import HostState
+from radishbridge.host.tasks import end_task, start_task
 from radishbridge.peers import DirectoryFeed, HostAddress, MeshCounters, ZmqMesh
 from radishbridge.records import Failure, Settings
 from radishbridge.routing import LocalRouter
@@ -110,17 +110,17 @@
         )
         self.state.has_share = self.admission.may_admit
         self.state.live_peers = lambda: sorted(peer.name for peer in self.mesh.live())
-        self._run(self.mesh.run())
-        self._run(DirectoryFeed(self.mesh, self._read_hosts).run())
-        self._run(relay.run())
-        self._run(self.lookup.run())
-        self._run(self.state.follow_start())
-        self.shares_task = self._run(self.admission.run())
+        start_task(self.stack, self.mesh.run())
+        start_task(self.stack, DirectoryFeed(self.mesh, self._read_hosts).run())
+        start_task(self.stack, relay.run())
+        start_task(self.stack, self.lookup.run())
+        start_task(self.stack, self.state.follow_start())
+        self.shares_task = start_task(self.stack, self.admission.run())
 
     async def give_back(self) -> None:
         """Record the last outcomes and give this host's units of the shares back."""
         await self.claims.settled()
-        await _end(self.shares_task)
+        await end_task(self.shares_task)
         failure = await self.admission.leave(GIVE_BACK_S)
         if failure is not None:
             logger.warning("shares not given back: %s", failure.reason)
@@ -130,22 +130,18 @@
         self._watch_parts()
         explainer = Explainer(self.state, self.router, self.freshness)
         application = AdminApi(self.state, explainer, self.metrics).application()
-        await self._listen(web.AppRunner(application, access_log=None), self.settings.admin_listen)
+        await open_listener(
+            self.stack, web.AppRunner(application, access_log=None), self.settings.admin_listen
+        )
 
     async def start_front(self) -> Shutdown:
         """Start the callers' listener."""
         limits = self.settings.limits
         server = CallerServer(Front(self.lookup, self.forwarder.handle).handle, limits)
         self.gate.server = server
-        listener = await self._listen(web.ServerRunner(server), self.settings.listen)
+        listener = await open_listener(self.stack, web.ServerRunner(server), self.settings.listen)
         return Shutdown(self.forwarder, server, listener, limits)
 
-    def _run(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(_report_end)
-        self.stack.push_async_callback(_end, task)
-        return task
-
     async def _read_hosts(self) -> list[HostAddress] | Failure:
         listed = await self.store.hosts()
         if isinstance(listed, Failure):
@@ -162,13 +158,6 @@
             for host in listed.hosts
         ]
 
-    async def _listen(self, runner: web.AppRunner | web.ServerRunner, address: str) -> Listener:
-        await runner.setup()
-        self.stack.push_async_callback(runner.cleanup)
-        listener = Listener(runner, address)
-        await listener.start()
-        return listener
-
     def _watch_parts(self) -> None:
         watch = self.metrics.watch
         forwarder, router, state = self.forwarder, self.router, self.state
@@ -185,13 +174,3 @@
         for name in MeshCounters.__slots__:
             text = f"Traffic between hosts since the start: {name.replace('_', ' ')}."
             watch(f"mesh_{name}", text, functools.partial(getattr, self.mesh.counters, name))
-
-
-async def _end(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    await asyncio.wait([task])
-
-
-def _report_end(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        logger.error("a task of the host failed", exc_info=task.exception())
--- a/packages/host/src/radishbridge/host/listener.py
+++ b/packages/host/src/radishbridge/host/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ipaddress
 import socket
 import typing as t
@@ -46,6 +47,20 @@
             await loop.connect_accepted_socket(server, connection)
 
 
+async def open_listener(
+    stack: contextlib.AsyncExitStack, runner: web.AppRunner | web.ServerRunner, address: str
+) -> Listener:
+    """Set a runner up and accept connections.
+
+    :param stack: cleans the runner up when it closes.
+    """
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    listener = Listener(runner, address)
+    await listener.start()
+    return listener
+
+
 def _bind(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
