--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -124,6 +124,8 @@
                 Failure(ResultCode.BACKEND_FAILED, "the answer is not the server's own")
             )
         self._note_answer(answer.status >= SERVER_ERROR, now)
+        if success:
+            self.board.note_size(self.task.service, len(answer.body))
         failed = answer.status >= SERVER_ERROR and self.task.route.repeatable
         self.end = AttemptEnd.FAILED if failed else AttemptEnd.ANSWERED
         return answer
@@ -144,7 +146,9 @@
         if failed:
             self.state.note_failure(now)
         else:
-            self.state.note_success(latency_s)
+            self.state.note_success(latency_s, now)
+            if self.task.route.has_affinity:
+                self.state.note_object(self.task.key, now)
         task = self.task
         self.task.earlier_runs = True
         server = self.state.server
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -18,15 +18,20 @@
 # Servers that share an object. Two servers that both know it balance its load; each further one
 # costs a run on a server that does not.
 SHARING = 2
-# How much fuller, in requests for each slot, the first server may be than the next ones before
-# the object goes to those.
-FIRST_BIAS = 0.4
+# How much fuller, in requests for each slot, the first server may be than the next one before
+# an object that both know goes to that one, and before one goes there that it does not know: a
+# run on an unknown object takes the time of some two known ones more.
+KNOWN_BIAS = 0.3
+UNKNOWN_BIAS = 1.2
 # Requests for each slot above which a server gets no more: the last of them would wait for
 # about two services, and its answer be late.
 MOST_LIMIT = 2.6
 # Requests for each slot up to which a server that does not share the object helps out. Above,
 # its slots are worth more for its own objects: a run there takes several times as long.
 HELP_LIMIT = 0.4
+# How much more a server of this host's own region weighs for a service of large answers: their
+# bytes between regions cost more than a few more runs on servers that do not know an object.
+NEAR_WEIGHT = 6.0
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -36,13 +41,15 @@
 
     :param homes: the only regions that may run it; ``None`` for all.
     :param versions: the only versions that may run it; ``None`` for all.
-    :param key: what tells objects of the service apart; empty where there is no affinity.
+    :param key: what tells objects of the service apart.
+    :param has_affinity: servers are faster for an object they know.
     """
 
     service: str
     key: str
     homes: frozenset[str] | None
     versions: frozenset[str] | None
+    has_affinity: bool = True
 
 
 class _PoolKey(t.NamedTuple):
@@ -55,21 +62,26 @@
     """Knows all backend servers and chooses among them.
 
     :param slow_start: bounds on what cold servers get.
+    :param region: this host's region.
     """
 
     __slots__ = (
+        "bulky",
         "drained",
         "medians",
         "orders",
         "pools",
+        "region",
         "rules",
         "slow_start",
         "states",
         "weights",
     )
 
-    def __init__(self, slow_start: SlowStart) -> None:
+    def __init__(self, slow_start: SlowStart, region: str = "") -> None:
         self.slow_start = slow_start
+        self.region = region
+        self.bulky: set[str] = set()
         self.states: dict[str, ServerState] = {}
         self.drained: frozenset[str] = frozenset()
         self.rules: dict[str, ServiceRule] = {}
@@ -102,6 +114,12 @@
         self.drained = frozenset(data_centers)
         self.forget_orders()
 
+    def set_bulky(self, service: str) -> None:
+        """Note that a service's answers are large, so that near servers are preferred."""
+        if service not in self.bulky:
+            self.bulky.add(service)
+            self.orders.clear()
+
     def forget_orders(self) -> None:
         """Build pools and orders anew when they are next needed."""
         self.pools.clear()
@@ -140,12 +158,15 @@
         """Return a server with room for one more request; ``None`` where there is none."""
         candidates = [state for state in self._order(need) if state.server.name not in tried]
         alive = [state for state in candidates if not state.is_out(now)] or candidates
-        return self._place(alive, now)
+        return self._place(alive, need, now)
 
-    def _place(self, alive: list[ServerState], now: float) -> ServerState | None:
+    def _place(self, alive: list[ServerState], need: Need, now: float) -> ServerState | None:
+        median_s = self.medians.get(need.service, 0.0)
         sharing = sorted(
             enumerate(alive[:SHARING]),
-            key=lambda placed: placed[1].occupancy(now) + FIRST_BIAS * placed[0],
+            key=lambda placed: placed[1].occupancy(now)
+            + placed[1].slowness(median_s, now)
+            + _bias(placed[0], placed[1], need, now),
         )
         for _, state in sharing:
             if state.occupancy(now) < MOST_LIMIT and self._admits(state, now):
@@ -170,8 +191,12 @@
         return held
 
     def _build_order(self, pool: _PoolKey, key: str) -> list[ServerState]:
-        weights = self.weights.get(pool.service) if pool.homes is None else None
-        return order(f"{pool.service}\0{key}", self._pool(pool), weights.weights if weights else {})
+        weights: dict[str, float] = {}
+        if pool.homes is None and pool.service in self.weights:
+            weights.update(self.weights[pool.service].weights)
+        if pool.service in self.bulky:
+            weights[self.region] = weights.get(self.region, 1.0) * NEAR_WEIGHT
+        return order(f"{pool.service}\0{key}", self._pool(pool), weights)
 
     def _pool(self, key: _PoolKey) -> list[ServerState]:
         pool = self.pools.get(key)
@@ -191,5 +216,11 @@
         )
 
 
+def _bias(position: int, state: ServerState, need: Need, now: float) -> float:
+    if not need.has_affinity or state.knows(need.key, now):
+        return KNOWN_BIAS * position
+    return UNKNOWN_BIAS * (position + 0.5)
+
+
 def _is_reborn(held: Server, seen: Server) -> bool:
     return held.incarnation != seen.incarnation or held.address != seen.address
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -53,6 +53,20 @@
         selector.update_weights("catalogue", {"east": 8.0})
         assert selector.weights["catalogue"].weights == held
 
+    def test_objects_of_large_answers_mostly_stay_in_the_region(self):
+        selector = make_selector(8)
+        selector.region = "east"
+        keys = [str(number) for number in range(300)]
+
+        def near() -> int:
+            chosen = [selector.choose(need(key), (), T0).server.region for key in keys]
+            return chosen.count("east")
+
+        before = near()
+        selector.set_bulky("catalogue")
+        assert before < 180
+        assert near() > 240
+
 
 class TestBounds:
     def test_homes_bind_even_when_they_are_full(self):
@@ -94,6 +108,22 @@
         fill(second, 2.0)
         assert selector.choose(need(), (), T0) is first
 
+    @pytest.mark.parametrize(("per_slot", "moves"), [(0.5, False), (1.0, False), (2.0, True)])
+    def test_it_leaves_a_server_that_knows_it_only_for_a_long_queue(self, per_slot, moves):
+        selector = make_selector(8)
+        first = selector.choose(need(), (), T0)
+        first.note_object("7", T0)
+        fill(first, per_slot)
+        assert (selector.choose(need(), (), T0) is not first) is moves
+
+    def test_servers_that_both_know_it_share_it_evenly(self):
+        selector = make_selector(8)
+        for state in selector.states.values():
+            state.note_object("7", T0)
+        first = selector.choose(need(), (), T0)
+        fill(first, 0.5)
+        assert selector.choose(need(), (), T0) is not first
+
     def test_it_is_refused_at_once_when_these_are_full_and_the_others_busy(self):
         selector = make_selector(8)
         for state in selector.states.values():
@@ -138,6 +168,31 @@
             state.note_failure(T0, weight=3)
         assert selector.choose(need(), (), T0) is not None
 
+    @pytest.mark.parametrize(("every", "is_out"), [(2, True), (10, False)])
+    def test_a_server_that_fails_a_good_part_of_its_requests_is_left_out(self, every, is_out):
+        state = make_selector(1).states["server-0"]
+        ejected = False
+        for number in range(40):
+            if number % every == 0:
+                ejected = state.note_failure(T0) or ejected
+            else:
+                state.note_success(0.1, T0)
+        assert ejected is is_out
+
+    def test_an_object_leaves_a_slow_server_and_tries_it_again(self):
+        # Load pattern: a server turns ten times slower, while its queue is short.
+        selector = make_selector(8)
+        for state in selector.states.values():
+            state.note_object("7", T0)
+            for _ in range(8):
+                state.note_success(0.1, T0)
+        first = selector.choose(need(), (), T0)
+        for _ in range(20):
+            first.note_success(1.0, T0)
+        selector.update_medians()
+        assert selector.choose(need(), (), T0) is not first
+        assert selector.choose(need(), (), T0 + 3.0) is first
+
 
 class TestSlowStart:
     """Load pattern: each host alone sends little to a cold server, all together too much."""
