Judge a version move by its last seconds too, and load few of its servers fully

Ruled out: a late signal (the verdict was in force within a second of the median's change). Change: evidence of the last 2 s is judged beside the sum; a part of s goes to s times as many servers as bear the whole, so that faults that come with load show in the probe; smaller steps; objects of a probe without room go to the old version.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -28,6 +28,7 @@
     Move,
     MoveOrder,
     MovePhase,
+    Need,
     RateLimiter,
     RetryBudget,
     RouteRule,
@@ -198,7 +199,7 @@
             self.poison.note_crash(crash.fingerprint, crash.server, now)
         for service, move in self.moves.items():
             seen = summary.evidence.get(service, Evidence())
-            fault = seen.fault()
+            fault = move.judge(seen, now)
             self.proved[service] = not fault
             if fault and not move.fault:
                 move.fault = fault
@@ -255,23 +256,31 @@
         at = (service, next(iter(homes)))
         self.home_meters.setdefault(at, DemandMeter(now)).add(now)
 
-    def versions(self, service: str, route: str, key: str) -> frozenset[str] | None:
-        """Return the versions that may serve an object now; ``None`` for all.
+    def needs(self, service: str, route: RouteRule, key: str) -> list[Need]:
+        """Return what may serve an object now, the first choice first; homes are left open.
 
         :param key: the object's name, or what stands for it.
         """
         counts = self.selector.versions(service)
+        need = Need(service, key, None, None, route.has_affinity)
         move = self.moves.get(service)
         if move is None:
-            return stable_versions(counts)
+            return [need._replace(versions=stable_versions(counts))]
         target = move.order.to_version
         share = move.share(time.monotonic(), self.proved.get(service, False))
         if share >= 1.0 and target in counts:
-            return frozenset({target})
+            return [need._replace(versions=frozenset({target}))]
         old = stable_versions(counts, without=target)
-        if target in counts and (not old or move.takes(route, key, share)):
-            return frozenset({target}) if share > 0.0 else old
-        return old
+        rest = need._replace(versions=old)
+        if share <= 0.0 or target not in counts:
+            return [rest]
+        if not old:
+            return [need._replace(versions=frozenset({target}))]
+        if not move.takes(route.name, key, share):
+            return [rest]
+        old_count = sum(counts[version] for version in old)
+        names = move.serving(self.selector.names(service, target), old_count, share)
+        return [need._replace(versions=frozenset({target}), names=names), rest]
 
     def note_answer(
         self, service: str, route: RouteRule, server: Server, key: str, latency_s: float, bad: bool
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -23,7 +23,7 @@
 from radishbridge.host.headers import HOP_BY_HOP
 from radishbridge.records import Failure, LimitSettings, ResultCode
 from radishbridge.routing import request_fingerprint
-from radishbridge.steering import Need, RouteRule, unit_hash
+from radishbridge.steering import RouteRule, ServerState, unit_hash
 
 # A refused caller comes back after this many seconds, spread by the second figure, so that
 # those refused together do not return together: a queue at a backend server empties within it.
@@ -197,7 +197,7 @@
         connects = 0
         while True:
             now = time.monotonic()
-            state = self.board.selector.choose(self._need(task), task.tried, now)
+            state = self._choose(task, now)
             if state is None:
                 return self._give_up(task, last)
             if task.sends and not self.board.budget(task.service, now).take():
@@ -212,9 +212,13 @@
             if not self._may_repeat(task, attempt, connects):
                 return self._give_up(task, last)
 
-    def _need(self, task: RequestTask) -> Need:
-        versions = self.board.versions(task.service, task.route.name, task.key)
-        return Need(task.service, task.key, task.homes, versions, task.route.has_affinity)
+    def _choose(self, task: RequestTask, now: float) -> ServerState | None:
+        needs = self.board.needs(task.service, task.route, task.key)
+        choices = (
+            self.board.selector.choose(need._replace(homes=task.homes), task.tried, now)
+            for need in needs
+        )
+        return next((state for state in choices if state is not None), None)
 
     def _may_repeat(self, task: RequestTask, attempt: Attempt, connects: int) -> bool:
         if attempt.end is AttemptEnd.ANSWERED or connects >= CONNECTS_MAX:
--- a/packages/steering/src/radishbridge/steering/moves.py
+++ b/packages/steering/src/radishbridge/steering/moves.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import typing as t
 
 import msgspec
 
+from radishbridge.peers import rank
 from radishbridge.steering.placement import unit_hash
 
 # Part of the objects that an unproven version gets. The operators' bound is on requests, which
@@ -20,10 +22,13 @@
 PROBE_FACTOR = 0.5
 # Points of a move's time at which the part grows, and the parts. The first one leaves time to
 # see faults that come late, the last leaves time to report the end.
-RAMP: tuple[tuple[float, float], ...] = ((0.50, 0.3), (0.62, 0.6), (0.74, 1.0))
+RAMP: tuple[tuple[float, float], ...] = ((0.50, 0.2), (0.62, 0.45), (0.76, 1.0))
 # Point of a move's time at which it is reported complete: all requests sent to the old version
 # have ended by then.
 COMPLETE_AT = 0.88
+# Length in seconds of the recent past that is judged by itself: a fault that comes late, or with
+# load, would drown in the good answers before it.
+RECENT_S = 2.0
 # Failed answers of the new version that are needed to call it bad.
 FAILURES_MIN = 4
 # Failures for each answer that the new version may have beyond the old one's.
@@ -82,6 +87,17 @@
         pairs = zip(self.times or [0] * len(other.times), other.times, strict=False)
         self.times = [own + its for own, its in pairs] if other.times else self.times
 
+    def since(self, earlier: Tally) -> Tally:
+        """Return what was counted after an earlier state; counts that fell began anew."""
+        if earlier.answers > self.answers:
+            return self
+        pairs = zip(self.times, earlier.times or [0] * len(self.times), strict=False)
+        return Tally(
+            answers=self.answers - earlier.answers,
+            failures=max(0, self.failures - earlier.failures),
+            times=[max(0, count - before) for count, before in pairs],
+        )
+
     @property
     def median_s(self) -> float | None:
         """Upper end of the median's bucket; ``None`` with too few samples."""
@@ -113,6 +129,13 @@
             for route, tally in its.items():
                 mine.setdefault(route, Tally()).merge(tally)
 
+    def since(self, earlier: Evidence) -> Evidence:
+        """Return what was seen after an earlier state."""
+        return Evidence(
+            new={at: one.since(earlier.new.get(at, Tally())) for at, one in self.new.items()},
+            old={at: one.since(earlier.old.get(at, Tally())) for at, one in self.old.items()},
+        )
+
     def fault(self) -> str:
         """Return why the new version is bad; empty where nothing says so."""
         routes = sorted(self.new)
@@ -136,6 +159,22 @@
         return ""
 
 
+class Recent:
+    """The evidence of the last seconds, from sums that count since the order."""
+
+    __slots__ = ("states",)
+
+    def __init__(self) -> None:
+        self.states: collections.deque[tuple[float, Evidence]] = collections.deque()
+
+    def update(self, seen: Evidence, now: float) -> Evidence:
+        """Take a new sum over, and return what came in the last seconds."""
+        self.states.append((now, seen))
+        while len(self.states) > 1 and self.states[1][0] <= now - RECENT_S:
+            self.states.popleft()
+        return seen.since(self.states[0][1])
+
+
 class Move:
     """One service's move as a host follows it.
 
@@ -143,15 +182,20 @@
     :param exposure: largest part of the requests for a version that may be bad.
     """
 
-    __slots__ = ("evidence", "exposure", "fault", "order", "started_at")
+    __slots__ = ("evidence", "exposure", "fault", "order", "recent", "started_at")
 
     def __init__(self, order: MoveOrder, exposure: float, now: float) -> None:
         self.order = order
         self.exposure = exposure
         self.started_at = now
         self.evidence = Evidence()
+        self.recent = Recent()
         self.fault = ""
 
+    def judge(self, seen: Evidence, now: float) -> str:
+        """Return why the new version is bad by all hosts' evidence; empty where nothing says so."""
+        return seen.fault() or self.recent.update(seen, now).fault()
+
     @property
     def probe_share(self) -> float:
         """Part of the objects that go to the new version before it has proved itself."""
@@ -176,6 +220,17 @@
         reached = (part for point, part in RAMP if progress >= point)
         return max(reached, default=self.probe_share)
 
+    def serving(self, new: t.Iterable[str], old_count: int, share: float) -> frozenset[str]:
+        """Return the new version's servers that share its part.
+
+        So few of them that each bears what a server usually does: some faults come with load.
+
+        :param new: names of the new version's servers.
+        :param old_count: number of servers that bear the whole.
+        """
+        count = max(1, round(share * old_count))
+        return frozenset(rank(self.order.service, new)[:count])
+
     def takes(self, route: str, key: str, share: float) -> bool:
         """Tell whether an object goes to the new version."""
         return unit_hash(self.order.service, route, key, "move") < share
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -43,6 +43,7 @@
     :param versions: the only versions that may run it; ``None`` for all.
     :param key: what tells objects of the service apart.
     :param has_affinity: servers are faster for an object they know.
+    :param names: the only servers that may run it; ``None`` for all.
     """
 
     service: str
@@ -50,12 +51,14 @@
     homes: frozenset[str] | None
     versions: frozenset[str] | None
     has_affinity: bool = True
+    names: frozenset[str] | None = None
 
 
 class _PoolKey(t.NamedTuple):
     service: str
     homes: frozenset[str] | None
     versions: frozenset[str] | None
+    names: frozenset[str] | None
 
 
 class Selector:
@@ -127,7 +130,7 @@
 
     def usable(self, service: str) -> list[ServerState]:
         """Return a service's servers that take requests, drains considered."""
-        return self._pool(_PoolKey(service, None, None))
+        return self._pool(_PoolKey(service, None, None, None))
 
     def versions(self, service: str) -> dict[str, int]:
         """Return the number of a service's servers by version."""
@@ -137,6 +140,12 @@
                 counts[state.server.version] = counts.get(state.server.version, 0) + 1
         return counts
 
+    def names(self, service: str, version: str) -> list[str]:
+        """Return the servers of one version of a service that take requests."""
+        return [
+            state.server.name for state in self.usable(service) if state.server.version == version
+        ]
+
     def update_weights(self, service: str, home_bound: t.Mapping[str, float]) -> None:
         """Take over how many slots home-bound requests need in each region."""
         slots: dict[str, int] = {}
@@ -182,7 +191,7 @@
         return self.slow_start.may_send(state.server.name, rate_per_s, now)
 
     def _order(self, need: Need) -> list[ServerState]:
-        at = (_PoolKey(need.service, need.homes, need.versions), need.key)
+        at = (_PoolKey(need.service, need.homes, need.versions, need.names), need.key)
         held = self.orders.get(at)
         if held is None:
             if len(self.orders) >= ORDERS_KEPT:
@@ -213,6 +222,7 @@
             and server.data_center not in self.drained
             and (key.homes is None or server.region in key.homes)
             and (key.versions is None or server.version in key.versions)
+            and (key.names is None or server.name in key.names)
         )
 
 
--- a/tests/test_steering_moves.py
+++ b/tests/test_steering_moves.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 from steering_world import T0
 
@@ -39,6 +40,25 @@
             seen.add("images", False, 0.1, False, True)
         assert "images" in seen.fault()
 
+    def test_a_fault_that_comes_late_is_not_hidden_by_the_good_answers_before_it(self):
+        # Load pattern: good at little load for 8 s, slow once it gets a fifth of the objects.
+        move, seen = make_move(), Evidence()
+        for step in range(40):
+            for _ in range(10):
+                seen.add("devices", True, 0.1, False, True)
+                seen.add("devices", False, 0.1, False, True)
+            assert (
+                move.judge(msgspec.convert(msgspec.to_builtins(seen), Evidence), T0 + step / 5)
+                == ""
+            )
+        for step in range(40, 50):
+            for _ in range(10):
+                seen.add("devices", True, 0.8, False, True)
+                seen.add("devices", False, 0.1, False, True)
+            found = move.judge(msgspec.convert(msgspec.to_builtins(seen), Evidence), T0 + step / 5)
+        assert seen.fault() == ""
+        assert "devices" in found
+
     def test_counts_of_hosts_add_up(self):
         total = Evidence()
         for _ in range(4):
@@ -58,6 +78,11 @@
         assert outcome(move, evidence(), T0 + 8.0) is MovePhase.RUNNING
         assert outcome(move, evidence(), T0 + 9.0) is MovePhase.COMPLETED
 
+    @pytest.mark.parametrize(("share", "servers"), [(0.05, 1), (0.2, 3), (0.45, 7), (1.0, 8)])
+    def test_so_few_servers_share_a_part_that_each_bears_the_usual_load(self, share, servers):
+        names = [f"new-{number}" for number in range(8)]
+        assert len(make_move().serving(names, 16, share)) == servers
+
     def test_a_bad_version_gets_nothing(self):
         move = make_move()
         move.fault = "errors"
