Name well-equipped hosts first, give them the fleet's duties, keep large answers near

A look-up now names the well-equipped hosts of a data centre alone, and all of them once one is strained (late timers, with hysteresis). Large answers stay in their region and mostly in their data centre. Ruled out: weighting addresses by repeating them, since callers choose among distinct ones. Tests: TestUnequalHosts, TestReports, near data centre, CountingBudget.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -9,7 +9,7 @@
 
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.fleet import Fleet
-from radishbridge.entry.messages import Crash, FleetReport, FleetSummary
+from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostSight
 from radishbridge.entry.protocol import (
     Decoded,
     Decoder,
@@ -107,6 +107,7 @@
     :param host: name of this host.
     :param decoder: decodes stored objects.
     :param region: this host's region.
+    :param data_center: this host's data centre.
     """
 
     __slots__ = (
@@ -133,13 +134,15 @@
         "warm_pairs",
     )
 
-    def __init__(self, host: str, decoder: Decoder, bounds: Bounds, region: str = "") -> None:
+    def __init__(
+        self, host: str, decoder: Decoder, bounds: Bounds, region: str = "", data_center: str = ""
+    ) -> None:
         now = time.monotonic()
         self.decoder = decoder
         self.bounds = bounds
         self.configuration: Configuration | None = None
         self.slow_start = SlowStart(host, bounds.slow_start_overage, bounds.slow_start_slack)
-        self.selector = Selector(self.slow_start, region)
+        self.selector = Selector(self.slow_start, region, data_center)
         self.part = FleetPart(now)
         self.limiters: dict[str, RateLimiter] = {}
         self.budgets: dict[str, RetryBudget] = {}
@@ -205,8 +208,8 @@
                 move.fault = fault
                 logger.warning("new version is bad", extra={"service": service, "reason": fault})
 
-    def report(self, follows: bool) -> FleetReport:
-        """Return what the summing hosts are told."""
+    def report(self, sight: HostSight) -> FleetReport:
+        """Return what the summing hosts are told, and note the demand that it states as sent."""
         now = time.monotonic()
         demands: dict[str, float] = {}
         for name, limiter in self.limiters.items():
@@ -219,9 +222,7 @@
             home_bound.setdefault(service, {})[region] = round(slots, 3)
         self.crashes = [one for one in self.crashes if now - one.at < CRASH_REPORT_S]
         return FleetReport(
-            is_ready=self.is_ready,
-            is_leaving=self.is_leaving,
-            follows=follows,
+            sight=sight,
             demands=demands,
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -12,6 +12,7 @@
 import time
 import typing as t
 
+from radishbridge.entry.capacity import well_equipped
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.messages import (
     CopyAnswer,
@@ -34,6 +35,8 @@
 # Hosts that sum up, and hosts that read the store: each bears the loss of one or two.
 SUMMING_HOSTS = 2
 FOLLOWING_HOSTS = 3
+# Well-equipped hosts that are enough to choose the hosts of a duty from.
+ENOUGH_FOR_DUTIES = 6
 # Reports older than this are left out of a sum, in seconds: three of them were lost.
 HEARD_S = 1.1
 # A summary older than this, in seconds, leaves the host to its own judgement.
@@ -67,7 +70,8 @@
     :param own: this host's entry.
     :param mesh: carries messages; hosts are named by their peer address.
     :param part: what this host may use of fleet-wide rates.
-    :param make_report: builds the present report.
+    :param make_sight: tells what others are told of this host.
+    :param make_report: builds the report that is sent next.
     :param clock: monotonic clock in seconds.
     """
 
@@ -80,6 +84,7 @@
         "last_seen",
         "listeners",
         "make_report",
+        "make_sight",
         "mesh",
         "own",
         "part",
@@ -97,6 +102,7 @@
         copy: ObjectCopy,
         part: FleetPart,
         seeds: t.Iterable[HostAddress],
+        make_sight: t.Callable[[], HostSight],
         make_report: t.Callable[[], FleetReport],
         clock: t.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -105,6 +111,7 @@
         self.mesh = mesh
         self.copy = copy
         self.part = part
+        self.make_sight = make_sight
         self.make_report = make_report
         self.seeds = {seed.name: seed for seed in seeds if seed.name != own.peer_address}
         self.entries: dict[str, HostEntry] = {own.peer_address: own}
@@ -155,11 +162,6 @@
         sights = {sight.name: sight for sight in self.summary.hosts}
         return {**sights, own.name: own}
 
-    def make_sight(self) -> HostSight:
-        """Return what others are told of this host."""
-        report = self.make_report()
-        return HostSight(self.own.peer_address, report.is_ready, report.is_leaving, report.follows)
-
     def must_follow(self, in_touch: bool) -> bool:
         """Whether this host reads the store itself.
 
@@ -173,9 +175,18 @@
         if len(others) < FOLLOWING_HOSTS and not in_touch:
             return True
         able = [one.name for one in hosts if not one.is_leaving]
-        chosen = rank("follow", able)[:FOLLOWING_HOSTS]
+        chosen = self.rank_for("follow", able)[:FOLLOWING_HOSTS]
         return self.own.peer_address in chosen or len(others) < FOLLOWING_HOSTS - 1
 
+    def rank_for(self, duty: str, names: t.Iterable[str]) -> list[str]:
+        """Return the hosts that may have a duty, the first choice first.
+
+        :param names: hosts that are able to do it.
+        """
+        known = [self.entries[name] for name in names if name in self.entries]
+        able = well_equipped(known, ENOUGH_FOR_DUTIES)
+        return rank(duty, (entry.peer_address for entry in able))
+
     def pass_on(self, objects: list[StoredObject]) -> None:
         """Send changes read from the store to all other hosts."""
         self._send_all(ObjectsChanged(objects=objects))
@@ -224,7 +235,7 @@
             or starting
             or now - self.last_seen[name] < START_S
         ]
-        return rank("sum", names)[:SUMMING_HOSTS]
+        return self.rank_for("sum", names)[:SUMMING_HOSTS]
 
     def _send_all(self, message: FleetSummary | ObjectsChanged) -> None:
         for name in self.entries:
@@ -304,10 +315,7 @@
             evidence.setdefault(service, Evidence()).merge(seen)
         crashes.update(dict.fromkeys(report.crashes))
     return FleetSummary(
-        hosts=[
-            HostSight(name, report.is_ready, report.is_leaving, report.follows)
-            for name, report in reports.items()
-        ],
+        hosts=[report.sight for report in reports.values()],
         demands=demands,
         home_bound=home_bound,
         evidence=evidence,
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -195,6 +195,7 @@
     async def _attempts(self, task: RequestTask) -> BackendAnswer | Failure:
         last: BackendAnswer | Failure = _NO_ROOM
         connects = 0
+        self.board.budget(task.service, task.arrived_at).note_request(time.monotonic())
         while True:
             now = time.monotonic()
             state = self._choose(task, now)
@@ -202,8 +203,6 @@
                 return self._give_up(task, last)
             if task.sends and not self.board.budget(task.service, now).take():
                 return self._give_up(task, last)
-            if not task.sends:
-                self.board.budget(task.service, now).note_request(now)
             attempt = Attempt(task, state, self.dialect, self.pool, self.board, self.crashes)
             last = await attempt.run()
             task.tried.append(state.server.name)
--- a/packages/entry/src/radishbridge/entry/lookup.py
+++ b/packages/entry/src/radishbridge/entry/lookup.py
@@ -4,6 +4,7 @@
 
 import typing as t
 
+from radishbridge.entry.capacity import well_equipped
 from radishbridge.entry.messages import HostSight
 from radishbridge.entry.protocol import HostEntry
 
@@ -22,19 +23,23 @@
 ) -> list[str]:
     """Return the addresses of the nearest hosts that take requests.
 
-    Requests with home regions may enter in the caller's own region, so that hosts of other
-    regions are named only where none of its own is left.
+    Well-equipped hosts are named alone while they keep up. Requests with home regions may enter
+    in the caller's own region, so that hosts of other regions are named only where none of its
+    own is left.
 
     :param region: the caller's region.
     :param data_center: the caller's data centre.
     """
-    serving = [
-        entries[sight.name]
+    serving = {
+        sight.name: sight
         for sight in sights
         if sight.is_ready and not sight.is_leaving and sight.name in entries
-    ]
-    near = [entry.listen for entry in serving if entry.data_center == data_center]
-    if len(near) < ENOUGH:
-        near = [entry.listen for entry in serving if entry.region == region]
-    near = near or [entry.listen for entry in serving]
-    return sorted(near)[:ADDRESSES_MAX]
+    }
+    here = [entries[name] for name in serving if entries[name].data_center == data_center]
+    near = [entries[name] for name in serving if entries[name].region == region]
+    everywhere = [entries[name] for name in serving]
+    group = next((group for group in (here, near) if len(group) >= ENOUGH), near or everywhere)
+    chosen = well_equipped(group, ENOUGH)
+    if any(serving[entry.peer_address].is_strained for entry in chosen):
+        chosen = group
+    return sorted(entry.listen for entry in chosen)[:ADDRESSES_MAX]
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -16,34 +16,36 @@
     server: str
 
 
+class HostSight(msgspec.Struct, frozen=True, array_like=True):
+    """What others are told of a host.
+
+    :param follows: it reads the store itself and the store answers it.
+    :param is_strained: it answers later than it should, for want of processor time or link.
+    """
+
+    name: str
+    is_ready: bool
+    is_leaving: bool
+    follows: bool
+    is_strained: bool = False
+
+
 class FleetReport(msgspec.Struct, kw_only=True, tag="report"):
     """What one host tells the hosts that sum up.
 
-    :param follows: it reads the store itself and the store answers it.
     :param demands: requests a second by workspace.
     :param home_bound: slots that requests with one home region take up, by service and region.
     :param evidence: outcomes by service under a version move, counted since the order.
     :param crashes: those of the last seconds.
     """
 
-    is_ready: bool
-    is_leaving: bool
-    follows: bool
+    sight: HostSight
     demands: dict[str, float]
     home_bound: dict[str, dict[str, float]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
 
 
-class HostSight(msgspec.Struct, frozen=True, array_like=True):
-    """What a summing host heard of another one lately."""
-
-    name: str
-    is_ready: bool
-    is_leaving: bool
-    follows: bool
-
-
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
     """What all hosts together do, from their reports of the last second.
 
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -45,12 +45,16 @@
 
     :param peer_address: where it takes messages from other hosts; also its name.
     :param listen: where it takes callers' requests.
+    :param link_mbps: bandwidth of its link in Mbit/s; 0 if unknown.
+    :param cores: processor time that it has, in cores; 0 if unknown.
     """
 
     peer_address: str
     listen: str
     region: str
     data_center: str
+    link_mbps: float = 0.0
+    cores: float = 0.0
 
 
 class DrainOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/entry/src/radishbridge/entry/ratedesk.py
+++ b/packages/entry/src/radishbridge/entry/ratedesk.py
@@ -105,7 +105,7 @@
     def _holder(self, workspace: str) -> str:
         holder = self.holders.get(workspace)
         if holder is None:
-            names = rank("rates", self.names)[:HOLDERS]
+            names = self.fleet.rank_for("rates", self.names)[:HOLDERS]
             own = self.fleet.own.peer_address
             holder = self.holders[workspace] = next(iter(rank(workspace, names)), own)
         return holder
@@ -117,7 +117,8 @@
             return
         self.names = names
         self.holders.clear()
-        for name in rank("rates", names)[:HOLDERS] if self._has_small_rates() else ():
+        chosen = self.fleet.rank_for("rates", names)[:HOLDERS] if self._has_small_rates() else ()
+        for name in chosen:
             if name != self.fleet.own.peer_address:
                 self.fleet.mesh.send(name, TokenAsk(workspace="", number=0))
 
--- a/packages/entry/src/radishbridge/entry/steward.py
+++ b/packages/entry/src/radishbridge/entry/steward.py
@@ -10,7 +10,6 @@
 from radishbridge.entry.board import Board
 from radishbridge.entry.fleet import SUMMARY_S, Fleet
 from radishbridge.entry.protocol import FleetStore, Kind, MoveReport
-from radishbridge.peers import rank
 from radishbridge.records import Failure
 from radishbridge.steering import Evidence, MovePhase
 
@@ -79,4 +78,4 @@
             for sight in self.fleet.live_hosts(now).values()
             if sight.follows and not sight.is_leaving
         ]
-        return rank("steward", able)[:1] == [self.fleet.own.peer_address]
+        return self.fleet.rank_for("steward", able)[:1] == [self.fleet.own.peer_address]
--- a/packages/steering/src/radishbridge/steering/placement.py
+++ b/packages/steering/src/radishbridge/steering/placement.py
@@ -12,7 +12,7 @@
 import math
 import typing as t
 
-from radishbridge.steering.servers import ServerState
+from radishbridge.steering.servers import Server, ServerState
 
 _DIGEST_BYTES = 8
 _DIGEST_END = 2.0 ** (8 * _DIGEST_BYTES)
@@ -29,18 +29,17 @@
 
 
 def order(
-    key: str, states: t.Iterable[ServerState], weights: t.Mapping[str, float]
+    key: str, states: t.Iterable[ServerState], weight: t.Callable[[Server], float]
 ) -> list[ServerState]:
     """Return servers by weighted rendezvous hashing, the best for the key first.
 
-    :param weights: weight of a region, 1 where it is missing; servers of weight 0 come last.
+    :param weight: weight of each slot of a server; servers of weight 0 come last.
     """
-    return sorted(states, key=lambda state: _score(key, state, weights), reverse=True)
+    return sorted(states, key=lambda state: _score(key, state.server, weight), reverse=True)
 
 
-def _score(key: str, state: ServerState, weights: t.Mapping[str, float]) -> float:
-    server = state.server
-    weight = weights.get(server.region, 1.0) * server.slots
+def _score(key: str, server: Server, weight_of: t.Callable[[Server], float]) -> float:
+    weight = weight_of(server) * server.slots
     point = unit_hash(key, server.name)
     if weight <= 0.0:
         return point - 1e9
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -29,9 +29,11 @@
 # Requests for each slot up to which a server that does not share the object helps out. Above,
 # its slots are worth more for its own objects: a run there takes several times as long.
 HELP_LIMIT = 0.4
-# How much more a server of this host's own region weighs for a service of large answers: their
-# bytes between regions cost more than a few more runs on servers that do not know an object.
-NEAR_WEIGHT = 6.0
+# How much more a server of this host's own region, and once more one of its data centre, weighs
+# for a service of large answers: their bytes between regions, and less so between data centres,
+# cost more than a few more runs on servers that do not know an object.
+NEAR_WEIGHT = 24.0
+NEAREST_WEIGHT = 3.0
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -66,10 +68,13 @@
 
     :param slow_start: bounds on what cold servers get.
     :param region: this host's region.
+    :param data_center: this host's data centre.
     """
 
     __slots__ = (
         "bulky",
+        "counts",
+        "data_center",
         "drained",
         "medians",
         "orders",
@@ -81,9 +86,10 @@
         "weights",
     )
 
-    def __init__(self, slow_start: SlowStart, region: str = "") -> None:
+    def __init__(self, slow_start: SlowStart, region: str = "", data_center: str = "") -> None:
         self.slow_start = slow_start
         self.region = region
+        self.data_center = data_center
         self.bulky: set[str] = set()
         self.states: dict[str, ServerState] = {}
         self.drained: frozenset[str] = frozenset()
@@ -92,6 +98,7 @@
         self.medians: dict[str, float] = {}
         self.pools: dict[_PoolKey, list[ServerState]] = {}
         self.orders: dict[tuple[_PoolKey, str], list[ServerState]] = {}
+        self.counts: dict[str, dict[str, int]] = {}
 
     def put(self, server: Server, now: float) -> bool:
         """Take over a new or changed server.
@@ -127,6 +134,7 @@
         """Build pools and orders anew when they are next needed."""
         self.pools.clear()
         self.orders.clear()
+        self.counts.clear()
 
     def usable(self, service: str) -> list[ServerState]:
         """Return a service's servers that take requests, drains considered."""
@@ -134,10 +142,12 @@
 
     def versions(self, service: str) -> dict[str, int]:
         """Return the number of a service's servers by version."""
-        counts: dict[str, int] = {}
-        for state in self.states.values():
-            if state.server.service == service:
-                counts[state.server.version] = counts.get(state.server.version, 0) + 1
+        counts = self.counts.get(service)
+        if counts is None:
+            counts = self.counts[service] = {}
+            for state in self.states.values():
+                if state.server.service == service:
+                    counts[state.server.version] = counts.get(state.server.version, 0) + 1
         return counts
 
     def names(self, service: str, version: str) -> list[str]:
@@ -203,9 +213,16 @@
         weights: dict[str, float] = {}
         if pool.homes is None and pool.service in self.weights:
             weights.update(self.weights[pool.service].weights)
-        if pool.service in self.bulky:
-            weights[self.region] = weights.get(self.region, 1.0) * NEAR_WEIGHT
-        return order(f"{pool.service}\0{key}", self._pool(pool), weights)
+
+        def weight(server: Server) -> float:
+            return weights.get(server.region, 1.0) * self._nearness(server)
+
+        return order(f"{pool.service}\0{key}", self._pool(pool), weight)
+
+    def _nearness(self, server: Server) -> float:
+        if server.service not in self.bulky or server.region != self.region:
+            return 1.0
+        return NEAR_WEIGHT * (NEAREST_WEIGHT if server.data_center == self.data_center else 1.0)
 
     def _pool(self, key: _PoolKey) -> list[ServerState]:
         pool = self.pools.get(key)
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import itertools
+import time
+import typing as t
 
 import msgspec
 import pytest
@@ -18,6 +20,7 @@
     StoredObject,
     nearby_hosts,
 )
+from radishbridge.entry.capacity import StrainGauge
 from radishbridge.entry.fleet import FOLLOWING_HOSTS, SUMMING_HOSTS, sum_up
 from radishbridge.entry.messages import (
     Crash,
@@ -39,11 +42,13 @@
     )
 
 
-def report(**changes) -> FleetReport:
+def sight(name: str = "h", **changes) -> HostSight:
+    return msgspec.structs.replace(HostSight(name, True, False, True), **changes)
+
+
+def report(name: str = "h", **changes) -> FleetReport:
     fields = {
-        "is_ready": True,
-        "is_leaving": False,
-        "follows": True,
+        "sight": sight(name),
         "demands": {},
         "home_bound": {},
         "evidence": {},
@@ -111,7 +116,8 @@
             ObjectCopy(),
             part,
             [],
-            lambda: report(demands={"school": 2.0}),
+            lambda: sight(own.peer_address),
+            lambda: report(own.peer_address, demands={"school": 2.0}),
             lambda: self.now,
         )
         fleet.update_hosts(self.entries)
@@ -135,9 +141,9 @@
 class TestSums:
     def test_reports_add_up(self):
         one = report(
-            demands={"a": 1.0}, home_bound={"s": {"east": 2.0}}, crashes=[Crash(b"x", "1")]
+            "h1", demands={"a": 1.0}, home_bound={"s": {"east": 2.0}}, crashes=[Crash(b"x", "1")]
         )
-        other = report(demands={"a": 2.0, "b": 1.0}, home_bound={"s": {"east": 1.0}})
+        other = report("h2", demands={"a": 2.0, "b": 1.0}, home_bound={"s": {"east": 1.0}})
         total = sum_up({"h1": one, "h2": other}, dict.fromkeys(Kind, 0))
         assert total.demands == {"a": 3.0, "b": 1.0}
         assert total.home_bound == {"s": {"east": 3.0}}
@@ -147,7 +153,7 @@
     def test_evidence_of_two_hosts_is_kept_apart_from_theirs(self):
         seen = Evidence()
         seen.add("r", True, 0.1, True, False)
-        reports = {name: report(evidence={"s": seen}) for name in ("h1", "h2")}
+        reports = {name: report(name, evidence={"s": seen}) for name in ("h1", "h2")}
         assert sum_up(reports, {}).evidence["s"].new["r"].failures == 2
         assert seen.new["r"].failures == 1
 
@@ -298,9 +304,7 @@
 
 class TestLookup:
     def sights(self, *numbers: int, **changes) -> list[HostSight]:
-        sight = HostSight("", True, False, True)
-        named = (entry(number).peer_address for number in numbers)
-        return [msgspec.structs.replace(sight, name=name, **changes) for name in named]
+        return [sight(entry(number).peer_address, **changes) for number in numbers]
 
     @pytest.mark.parametrize(
         ("alive", "expected"),
@@ -324,6 +328,85 @@
         assert nearby_hosts(sights, entries, "east", "dc-0") == [entry(4).listen]
 
 
+class TestUnequalHosts:
+    """Load pattern: a fleet of a few large hosts and many with a twentieth of their link."""
+
+    def entries(self, large: t.Collection[int]) -> dict[str, HostEntry]:
+        sizes = {
+            True: {"link_mbps": 200.0, "cores": 2.15},
+            False: {"link_mbps": 10.0, "cores": 0.4},
+        }
+        found = [
+            msgspec.structs.replace(entry(number), **sizes[number in large]) for number in range(24)
+        ]
+        return {one.peer_address: one for one in found}
+
+    def look_up(self, large, alive, strained=()) -> list[str]:
+        sights = [
+            sight(entry(number).peer_address, is_strained=number in strained) for number in alive
+        ]
+        return nearby_hosts(sights, self.entries(large), "east", "dc-0")
+
+    @pytest.mark.parametrize(
+        ("large", "alive", "strained", "expected"),
+        [
+            ({0, 4}, range(24), (), [0, 4]),
+            ({0, 4}, range(24), {4}, [0, 4, 8, 12, 16, 20]),
+            ({0, 4}, [0, 8, 12], (), [0, 8, 12]),
+            ({0}, range(24), (), [0, 4, 8, 12, 16, 20]),
+            ((), range(24), (), [0, 4, 8, 12, 16, 20]),
+        ],
+    )
+    def test_large_hosts_are_named_alone_while_they_keep_up(self, large, alive, strained, expected):
+        found = self.look_up(large, alive, strained)
+        assert found == sorted(entry(number).listen for number in expected)
+
+    def test_duties_fall_to_large_hosts(self):
+        hosts = Hosts(24)
+        large = {1, 3, 6, 8, 13, 17, 20}
+        for fleet in hosts.fleets:
+            fleet.update_hosts(self.entries(large))
+        names = [entry(number).peer_address for number in range(24)]
+        able = {entry(number).peer_address for number in large}
+        assert set(hosts.fleets[0].rank_for("sum", names)) == able
+
+    def test_a_host_is_strained_while_its_timers_are_late_and_some_time_after(self):
+        gauge = StrainGauge()
+        states = []
+        for step in range(200):
+            gauge.note(0.2 if 50 <= step < 60 else 0.001, step * 0.1)
+            states.append(gauge.is_strained)
+        assert states[49:53] == [False, True, True, True]
+        assert states[100]
+        assert not states[150]
+
+
+class TestReports:
+    def test_one_is_built_only_where_it_is_sent(self):
+        built = []
+        hosts = Hosts(3)
+        fleet = hosts.fleets[0]
+        make_report = fleet.make_report
+        fleet.make_report = lambda: built.append(1) or make_report()
+        fleet.step(0.2)
+        fleet.live_hosts(0.3)
+        fleet.must_follow(in_touch=True)
+        assert len(built) == 1
+
+    def test_a_rate_is_divided_by_the_demand_that_was_reported(self):
+        board = Board("h", None, Bounds())
+        now = time.monotonic()
+        board.configuration = Configuration(
+            1, [], [], [WorkspaceRule(name="school", rate_per_s=10.0, burst=10.0)]
+        )
+        limiter = board.limiter("school", now)
+        limiter.demand.add(now)
+        board.report(sight())
+        reported = limiter.reported
+        limiter.demand.add(now)
+        assert limiter.reported == reported > 0.0
+
+
 class TestMessages:
     @pytest.mark.parametrize(
         "message",
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import logging
+import time
 
+import msgspec
 import pytest
 from entry_world import hang_up, reply, running, shed, stall
 from steering_world import make_route
 
-from radishbridge.steering import WorkspaceRule
+from radishbridge.steering import RetryBudget, WorkspaceRule
 
 
 class TestAnswers:
@@ -37,6 +39,18 @@
             assert b"evil" not in body
 
 
+class CountingBudget(RetryBudget):
+    """Notes the requests that earn."""
+
+    def __init__(self, earned: list[float]) -> None:
+        super().__init__(1.0, 100.0, 10.0, time.monotonic())
+        self.earned = earned
+
+    def note_request(self, now: float) -> None:
+        self.earned.append(now)
+        super().note_request(now)
+
+
 class TestRepeats:
     async def test_a_repeatable_request_is_sent_again_elsewhere(self):
         async with running(hang_up, reply()) as (world, backends):
@@ -63,6 +77,15 @@
             assert 0.0 < float(headers["Retry-After"]) < 1.0
             assert sum(len(backend.seen) for backend in backends) == 2
 
+    async def test_a_request_earns_for_the_budget_once_however_many_connections_fail(self):
+        async with running(reply(), reply()) as (world, _):
+            earned = []
+            for state in world.board.selector.states.values():
+                state.server = msgspec.structs.replace(state.server, address="127.0.0.1:1")
+            world.board.budgets["catalogue"] = CountingBudget(earned)
+            assert (await world.ask())[0] == 503
+            assert len(earned) == 1
+
     async def test_a_refusal_never_denies_a_run(self):
         async with running(hang_up, shed()) as (world, backends):
             for number in range(8):
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -67,6 +67,22 @@
         assert before < 180
         assert near() > 240
 
+    def test_most_of_them_stay_in_the_data_centre_where_it_has_the_servers(self):
+        selector = make_selector(8)
+        selector.region, selector.data_center = "east", "dc-0"
+        selector.set_bulky("catalogue")
+        keys = [str(number) for number in range(300)]
+        chosen = [selector.choose(need(key), (), T0).server.data_center for key in keys]
+        assert chosen.count("dc-0") > 200
+
+    def test_versions_are_counted_anew_when_servers_change(self):
+        selector = make_selector(3)
+        assert selector.versions("catalogue") == {"v1": 3}
+        selector.put(make_server(3, version="v2"), T0)
+        assert selector.versions("catalogue") == {"v1": 3, "v2": 1}
+        selector.remove("server-0")
+        assert selector.versions("catalogue") == {"v1": 2, "v2": 1}
+
 
 class TestBounds:
     def test_homes_bind_even_when_they_are_full(self):
