Send repeatable requests elsewhere too while their server is silent

Cause: a backend server that is cut off or hangs answers nothing and breaks no connection; what it was sent waited for its deadline, and it took three such waits before a host left the server out. Ruled out: ending the first attempt at once (a slow server's answer would be thrown away, and a refusal by the second one would end the request early); sharing the suspicion between hosts (one report later, no test yet). Change: a server with requests under way that has answered none of them for five usual times of its service counts as silent and gets no more; a repeatable request waiting there is sent to a second server out of the retry budget, the first answer is passed on. Tests: TestSilence, TestSilentServers (504 or waiting until the deadline before).

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -43,7 +43,17 @@
     :param state: the server, whose load and health the outcome updates.
     """
 
-    __slots__ = ("board", "crashes", "dialect", "end", "pool", "started_at", "state", "task")
+    __slots__ = (
+        "board",
+        "crashes",
+        "dialect",
+        "end",
+        "is_unanswered",
+        "pool",
+        "started_at",
+        "state",
+        "task",
+    )
 
     def __init__(
         self,
@@ -62,9 +72,11 @@
         self.crashes = crashes
         self.started_at = time.monotonic()
         self.end = AttemptEnd.UNSENT
+        self.is_unanswered = False
 
     async def run(self) -> BackendAnswer | Failure:
         """Send the request and return the answer, or why there is none."""
+        self.task.tried.append(self.state.server.name)
         self.state.start(self.started_at)
         try:
             return await self._run()
@@ -113,6 +125,7 @@
             return self._note_break(
                 Failure(ResultCode.BACKEND_FAILED, "the answer belongs to another request")
             )
+        self.state.note_heard(now)
         if facts.load is not None:
             self.state.note_load(facts.load, now)
         self.pool.put(self.state.server.address, connection)
@@ -166,9 +179,15 @@
         return failure
 
     def _note_cancellation(self) -> None:
-        now = time.monotonic()
-        if now < self.task.deadline or self.end is AttemptEnd.UNSENT:
+        if time.monotonic() >= self.task.deadline and self.end is not AttemptEnd.UNSENT:
+            self.note_unanswered()
+
+    def note_unanswered(self) -> None:
+        """Count once that the server has not answered in time, against it and its version."""
+        if self.is_unanswered:
             return
+        self.is_unanswered = True
+        now = time.monotonic()
         task, server = self.task, self.state.server
         self.state.note_failure(now)
         self.board.note_answer(
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -16,6 +16,7 @@
 from radishbridge.entry.backends import BackendAnswer, BackendPool
 from radishbridge.entry.board import Board
 from radishbridge.entry.crashes import CrashWatch
+from radishbridge.entry.hedge import Hedge, Outcome
 from radishbridge.entry.journal import RequestJournal
 from radishbridge.entry.protocol import Dialect, RequestFacts
 from radishbridge.entry.task import RequestTask
@@ -203,14 +204,31 @@
                 return self._give_up(task, last)
             if task.sends and not self.board.budget(task.service, now).take():
                 return self._give_up(task, last)
-            attempt = Attempt(task, state, self.dialect, self.pool, self.board, self.crashes)
-            last = await attempt.run()
-            task.tried.append(state.server.name)
+            attempt, last = await self._run(self._attempt(task, state))
             if attempt.end is AttemptEnd.UNSENT:
                 connects += 1
             if not self._may_repeat(task, attempt, connects):
                 return self._give_up(task, last)
 
+    async def _run(self, attempt: Attempt) -> Outcome:
+        task = attempt.task
+        if not task.route.repeatable:
+            return Outcome(attempt, await attempt.run())
+        usual_s = self.board.selector.medians.get(task.service, 0.0)
+        return await Hedge(task, usual_s, lambda: self._second(task)).run(attempt)
+
+    def _second(self, task: RequestTask) -> Attempt | None:
+        now = time.monotonic()
+        if task.sends >= task.route.attempts:
+            return None
+        state = self._choose(task, now)
+        if state is None or not self.board.budget(task.service, now).take():
+            return None
+        return self._attempt(task, state)
+
+    def _attempt(self, task: RequestTask, state: ServerState) -> Attempt:
+        return Attempt(task, state, self.dialect, self.pool, self.board, self.crashes)
+
     def _choose(self, task: RequestTask, now: float) -> ServerState | None:
         needs = self.board.needs(task.service, task.route, task.key)
         choices = (
--- a/packages/peers/src/radishbridge/peers/link.py
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing as t
 
 import msgspec
@@ -16,7 +17,10 @@
 
 
 class MeshCounters:
-    """What a mesh has sent, received and dropped since it started."""
+    """What a mesh has sent, received and dropped since it started.
+
+    :param sent_bytes_by_type: bytes of the messages of each type, by the type's name.
+    """
 
     __slots__ = (
         "duplicate",
@@ -27,6 +31,7 @@
         "received_bytes",
         "sent",
         "sent_bytes",
+        "sent_bytes_by_type",
         "unknown_sender",
         "unreachable",
     )
@@ -34,6 +39,7 @@
     def __init__(self) -> None:
         self.sent = 0
         self.sent_bytes = 0
+        self.sent_bytes_by_type: collections.Counter[str] = collections.Counter()
         self.received = 0
         self.received_bytes = 0
         self.queue_full = 0
@@ -122,3 +128,4 @@
             return
         self.counters.sent += 1
         self.counters.sent_bytes += len(frame)
+        self.counters.sent_bytes_by_type[type(message).__name__] += len(frame)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -176,11 +176,17 @@
     def choose(self, need: Need, tried: t.Collection[str], now: float) -> ServerState | None:
         """Return a server with room for one more request; ``None`` where there is none."""
         candidates = [state for state in self._order(need) if state.server.name not in tried]
-        alive = [state for state in candidates if not state.is_out(now)] or candidates
-        return self._place(alive, need, now)
-
-    def _place(self, alive: list[ServerState], need: Need, now: float) -> ServerState | None:
         median_s = self.medians.get(need.service, 0.0)
+        alive = [
+            state
+            for state in candidates
+            if not state.is_out(now) and not state.is_silent(median_s, now)
+        ]
+        return self._place(alive or candidates, need, median_s, now)
+
+    def _place(
+        self, alive: list[ServerState], need: Need, median_s: float, now: float
+    ) -> ServerState | None:
         sharing = sorted(
             enumerate(alive[:SHARING]),
             key=lambda placed: placed[1].occupancy(now)
--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -31,6 +31,11 @@
 KNOWN_S = 8.0
 # Objects that are noted for each server; all are forgotten beyond, which costs a few cold runs.
 KNOWN_MAX = 2_048
+# A server with requests under way that has answered none for this many times the service's usual
+# time counts as silent, but not before the second figure in seconds. A run on an object that it
+# does not know takes some three times as long as others, and waits for one before it.
+SILENT_FACTOR = 5.0
+SILENT_MIN_S = 0.25
 # Answers after which a server's speed is known well enough to compare it.
 SPEED_SAMPLES = 6
 
@@ -82,6 +87,7 @@
         "known",
         "others",
         "probing",
+        "quiet_since",
         "reported_at",
         "samples",
         "server",
@@ -93,6 +99,7 @@
         self.server = server
         self.cold_until = now + server.cold_for_s
         self.in_flight = 0
+        self.quiet_since = now
         self.others = 0.0
         self.reported_at = now
         self.failures = 0
@@ -135,6 +142,8 @@
 
     def start(self, now: float) -> None:
         """Note that a request goes to the server."""
+        if not self.in_flight:
+            self.quiet_since = now
         self.in_flight += 1
         if self.ejected_until and now >= self.ejected_until:
             self.probing = True
@@ -144,6 +153,21 @@
         self.in_flight = max(0, self.in_flight - 1)
         self.probing = False
 
+    def note_heard(self, now: float) -> None:
+        """Note that an answer came from the server, whatever it says."""
+        self.quiet_since = now
+
+    def silent_in(self, usual_s: float, now: float) -> float:
+        """Return the seconds after which the server counts as silent if no answer comes.
+
+        :param usual_s: time that the service usually takes, in seconds.
+        """
+        return self.quiet_since + max(SILENT_MIN_S, SILENT_FACTOR * usual_s) - now
+
+    def is_silent(self, usual_s: float, now: float) -> bool:
+        """Whether the server has requests under way and has answered none for long."""
+        return usual_s > 0.0 and self.in_flight > 0 and self.silent_in(usual_s, now) <= 0.0
+
     def note_load(self, report: LoadReport, now: float) -> None:
         """Take in a load report; it counts the request whose answer carried it or not."""
         self.others = max(0.0, float(report.running + report.waiting - self.in_flight))
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -9,7 +9,7 @@
 from entry_world import hang_up, reply, running, shed, stall
 from steering_world import make_route
 
-from radishbridge.steering import RetryBudget, WorkspaceRule
+from radishbridge.steering import Move, MoveOrder, RetryBudget, WorkspaceRule
 
 
 class TestAnswers:
@@ -94,6 +94,70 @@
                 assert (status == 502) is (len(backends[0].seen) > before)
 
 
+class TestSilentServers:
+    """Load pattern: a backend server hangs; its connections stay open."""
+
+    def usual(self, world) -> None:
+        world.board.selector.medians = {"catalogue": 0.02}
+
+    async def test_a_repeatable_request_is_answered_by_another_one_meanwhile(self):
+        async with running(stall, reply()) as (world, backends):
+            self.usual(world)
+            for number in range(4):
+                assert (await world.ask(Affinity_Key=str(number)))[0] == 200
+            assert backends[0].seen
+            await asyncio.sleep(0.05)
+            assert backends[0].cancelled == len(backends[0].seen)
+
+    async def test_its_silence_counts_once_against_the_server_and_its_version(self):
+        async with running(stall, reply()) as (world, backends):
+            self.usual(world)
+            order = MoveOrder(service="catalogue", to_version="v1", duration_s=60.0)
+            move = world.board.moves["catalogue"] = Move(order, 0.1, time.monotonic())
+            asked = 0
+            while not backends[0].seen:
+                await world.ask(Affinity_Key=str(asked))
+                asked += 1
+            assert move.evidence.new["devices"].failures == 1
+
+    async def test_one_that_may_run_once_waits(self):
+        route = make_route(repeatable=False, timeout_s=0.6)
+        async with running(stall, stall, route=route) as (world, backends):
+            self.usual(world)
+            assert (await world.ask())[0] == 504
+            assert sum(len(backend.seen) for backend in backends) == 1
+
+    async def test_a_refusal_by_the_second_one_leaves_the_first_one_its_time(self):
+        async def late(request):
+            await asyncio.sleep(0.5)
+            return await reply()(request)
+
+        async with running(late, shed()) as (world, _):
+            self.usual(world)
+            statuses = {(await world.ask(Affinity_Key=str(number)))[0] for number in range(4)}
+            assert statuses == {200}
+
+    async def test_a_refusal_by_both_never_denies_a_run(self):
+        async def late(request):
+            await asyncio.sleep(0.5)
+            return await hang_up(request)
+
+        async with running(late, shed()) as (world, backends):
+            self.usual(world)
+            for number in range(4):
+                before = len(backends[0].seen)
+                status, _, _ = await world.ask(Affinity_Key=str(number))
+                assert (status == 502) is (len(backends[0].seen) > before)
+
+    async def test_without_budget_it_is_not_sent_again(self):
+        async with running(stall, reply(), route=make_route(timeout_s=0.6)) as (world, backends):
+            self.usual(world)
+            world.board.budgets["catalogue"] = RetryBudget(0.0, 0.0, 10.0, time.monotonic())
+            world.board.budgets["catalogue"].tokens = 0.0
+            statuses = [(await world.ask(Affinity_Key=str(number)))[0] for number in range(3)]
+            assert len(backends[0].seen) == statuses.count(504) > 0
+
+
 class TestChecks:
     @pytest.mark.parametrize(
         ("headers", "status"),
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -210,6 +210,49 @@
         assert selector.choose(need(), (), T0 + 3.0) is first
 
 
+class TestSilence:
+    """Load pattern: a server is cut off; nothing breaks, and requests to it wait in vain."""
+
+    def selector(self):
+        selector = make_selector(4)
+        for state in selector.states.values():
+            for _ in range(8):
+                state.note_success(0.1, T0)
+        selector.update_medians()
+        return selector
+
+    def test_one_that_answers_nothing_gets_no_more_requests(self):
+        selector = self.selector()
+        first = selector.choose(need(), (), T0)
+        first.start(T0)
+        assert selector.choose(need(), (), T0 + 0.3) is first
+        assert selector.choose(need(), (), T0 + 0.6) is not first
+
+    def test_any_answer_ends_the_silence(self):
+        selector = self.selector()
+        first = selector.choose(need(), (), T0)
+        first.start(T0)
+        first.start(T0 + 0.1)
+        first.finish()
+        first.note_heard(T0 + 0.4)
+        assert selector.choose(need(), (), T0 + 0.6) is first
+
+    def test_an_idle_one_is_not_silent(self):
+        selector = self.selector()
+        first = selector.choose(need(), (), T0)
+        first.start(T0)
+        first.finish()
+        assert selector.choose(need(), (), T0 + 9.0) is first
+        first.start(T0 + 9.0)
+        assert selector.choose(need(), (), T0 + 9.1) is first
+
+    def test_without_a_usual_time_none_is_silent(self):
+        selector = make_selector(4)
+        first = selector.choose(need(), (), T0)
+        first.start(T0)
+        assert selector.choose(need(), (), T0 + 9.0) is first
+
+
 class TestSlowStart:
     """Load pattern: each host alone sends little to a cold server, all together too much."""
 
