Pass on changes alone, watch later, connect on demand: a large fleet's start costs little

Change: a first listing is not passed on; the first watch of a kind but hosts waits a second; watches of hosts gather 0.3 s; connections between entry hosts open with the first message and outlive changes of the list. Ruled out: smaller messages (the same messages are needless), no registration in the store (seeds may be down).

--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -19,9 +19,14 @@
 # Pause in seconds after a failed call, doubled up to the second figure.
 RETRY_S = 0.1
 RETRY_MAX_S = 0.6
-# Pause in seconds after changes of servers before the next watch, so that one call brings the
-# changes of servers that start or leave together; well within the time in which they bind.
-GATHER_S = 0.15
+# Pauses in seconds after changes of a kind before the next watch, so that one call brings the
+# changes of servers that start or leave together, and of hosts that start together; both well
+# within the time in which they bind.
+GATHER_S = {Kind.SERVER: 0.15, Kind.HOST: 0.3}
+# Pause in seconds between the first listing of a kind and the first watch. Hosts that start
+# together hear each other within it, and only a few of them have to watch. Hosts themselves are
+# watched at once, since that is how a host learns whom to hear.
+FORM_S = 1.0
 # Pause in seconds between two looks at whether this host has to follow the store.
 IDLE_S = 0.1
 # Entries of servers lapse while the store is away, and are back within two seconds of its return.
@@ -86,8 +91,12 @@
             self._note_failure(listing, kind)
             return listing
         self._note_answer()
-        self._take([*listing.objects, *self.copy.missing(kind, listing)])
+        # What a host reads as it starts is news to itself alone.
+        is_first = kind not in self.copy.loaded
+        self._take([*listing.objects, *self.copy.missing(kind, listing)], passes_on=not is_first)
         self.copy.advance(kind, listing.revision)
+        if is_first and kind is not Kind.HOST:
+            await asyncio.sleep(FORM_S)
         return None
 
     async def _follow(self, kind: Kind) -> None:
@@ -119,11 +128,11 @@
         self._note_answer()
         self._take(changes.objects)
         self.copy.advance(kind, changes.revision)
-        if kind is Kind.SERVER and changes.objects:
-            await asyncio.sleep(GATHER_S)
+        if changes.objects:
+            await asyncio.sleep(GATHER_S.get(kind, 0.0))
         return None
 
-    def _take(self, objects: t.Iterable[StoredObject]) -> None:
+    def _take(self, objects: t.Iterable[StoredObject], passes_on: bool = True) -> None:
         now = time.monotonic()
         fresh: list[StoredObject] = []
         for stored in objects:
@@ -134,7 +143,7 @@
                 self.deferred.pop(stored.name, None)
             if self.copy.apply(stored, STORE):
                 fresh.append(stored)
-        if fresh:
+        if fresh and passes_on:
             self.taken(fresh)
 
     def _may_return(self, stored: StoredObject, now: float) -> bool:
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -47,6 +47,8 @@
     :param heartbeat: builds the heartbeat of this host.
     :param clock: monotonic clock in seconds.
     :param message_type: union of the messages that are understood.
+    :param keeps_standing: connect to the data centre's hosts and relays before there is a message;
+        otherwise a connection opens with the first message and stays.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "heartbeat",
         "host",
         "incarnation",
+        "keeps_standing",
         "links",
         "message_type",
         "settings",
@@ -76,7 +79,9 @@
         timing: MeshTiming | None = None,
         clock: t.Callable[[], float] = time.monotonic,
         message_type: t.Any = PeerMessage,
+        keeps_standing: bool = True,
     ) -> None:
+        self.keeps_standing = keeps_standing
         self.host = host
         self.message_type = message_type
         self.address = address
@@ -122,9 +127,10 @@
                 self.view.peers[name] = Peer(name, entry.region, entry.data_center)
         for name in before.keys() - self.directory.hosts.keys():
             self.view.peers.pop(name, None)
-        standing = self.directory.standing_peers()
+        standing = self.directory.standing_peers() if self.keeps_standing else set()
+        kept = standing if self.keeps_standing else self.directory.hosts.keys()
         moved = {name for name, entry in before.items() if self._address_of(name) != entry.address}
-        for name in self.links.keys() & (moved | (before.keys() - standing)):
+        for name in self.links.keys() & (moved | (before.keys() - kept)):
             self._disconnect(name)
         for name in standing - self.links.keys():
             self._connect(self.directory.hosts[name])
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -106,6 +106,45 @@
         store = ScriptedStore([AWAY, AWAY, listing(3, server("a", 1))], [])
         assert names(await follow(store, lambda copy: Kind.SERVER in copy.loaded)) == {"a"}
 
+    async def test_what_a_host_reads_as_it_starts_is_not_passed_on(self):
+        # Load pattern: a whole fleet starts at once, and each host reads all servers.
+        store = ScriptedStore([listing(3, server("a", 1))], [listing(4, server("b", 4))])
+        passed: list[str] = []
+        copy = ObjectCopy()
+        follower = StoreFollower(
+            store,
+            copy,
+            lambda: True,
+            lambda objects: passed.extend(stored.name for stored in objects),
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5.0):
+            while copy.revisions[Kind.SERVER] < 4:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        assert passed == ["b"]
+
+    async def test_hosts_that_start_together_watch_only_each_other_at_first(self):
+        store = ScriptedStore([listing(3)], [])
+        watched: list[Kind] = []
+        watch = store.watch
+
+        async def note(kind, after, wait_s):
+            watched.append(kind)
+            return await watch(kind, after, wait_s)
+
+        store.watch = note
+        copy = ObjectCopy()
+        follower = StoreFollower(store, copy, lambda: True, lambda _: None, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.3)
+        assert watched == [Kind.HOST]
+        follower.must_follow = lambda: False
+        await asyncio.sleep(1.0)
+        assert watched == [Kind.HOST]
+        task.cancel()
+
     async def test_entries_that_lapsed_with_the_store_get_time_to_return(self):
         # Load pattern: the store was away for longer than entries live, all servers are well.
         copy = ObjectCopy()
--- a/tests/test_peers_mesh.py
+++ b/tests/test_peers_mesh.py
@@ -74,6 +74,42 @@
     mesh.context.destroy(linger=0)
 
 
+class TestConnectionsOnDemand:
+    """Load pattern: a large fleet in which each host talks to few others."""
+
+    async def test_they_open_with_the_first_message_and_outlive_changes_of_the_list(self):
+        hosts = entries(3)
+        keys = PeerSettings()
+        one, other = (
+            ZmqMesh(
+                entry.name,
+                entry.address,
+                keys,
+                lambda: Heartbeat(revision=7),
+                TIMING,
+                keeps_standing=False,
+            )
+            for entry in hosts[:2]
+        )
+        heard: list[int] = []
+        other.subscribe(TokenRequest, lambda peer, message: heard.append(1))
+        async with running(one, other):
+            for mesh in (one, other):
+                mesh.update_directory(hosts[:2])
+            assert not one.links
+            request = TokenRequest(quantity="w", request_id=1, amount=1.0, deadline=9.0)
+            one.send(hosts[1].name, request)
+            await until(lambda: len(heard) == 1)
+            link = one.links[hosts[1].name]
+            for mesh in (one, other):
+                mesh.update_directory(hosts)
+            assert one.links == {hosts[1].name: link}
+            one.send(hosts[1].name, request)
+            await until(lambda: len(heard) == 2)
+            one.update_directory([hosts[0], hosts[2]])
+            assert not one.links
+
+
 class TestZmqMesh:
     @pytest.mark.parametrize("keys", [PeerSettings(), fleet_keys()], ids=["plain", "curve"])
     async def test_hosts_hear_each_other(self, keys: PeerSettings) -> None:
