Add a randomized soak of real entry hosts under faults from outside

Change: tests/soak runs entry hosts as processes, with stand-ins for store, backend servers and callers, loopback proxies (delay, reset, one-way, silence), signals (stop, pause, kill, restart, reload), and a store that refuses, resets, is silent, slow, loses answers or its history, in overlapping series by seed. It checks TWICE, REFUSED, MIXED, UNASKED, keys withdrawn, rates, drains, denials and recovery from what callers and servers saw. TestChecks shows for each check that it finds a made-up breach.

--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,84 @@
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import pytest
+from soak.__main__ import run
+from soak.callers import Key
+from soak.checks import Drain, check
+from soak.ledger import Ledger, Outcome, Run
+
+KEYS = {"good": Key("good", "school"), "old": Key("old", "school", revoked_at=10.0)}
+RATES = {"school": (10.0, 10.0)}
+# Seeds of runs that failed once, with what was found.
+FAILED_ONCE: dict[int, str] = {}
+
+
+def outcome(request_id: str = "r", **changes) -> Outcome:
+    fields = {
+        "host": "host-0",
+        "unsafe": True,
+        "tenant": "school",
+        "key": "good",
+        "path": "/orders/1",
+        "sent_at": 50.0,
+        "ended_at": 50.1,
+        "status": 200,
+        "whole": True,
+    }
+    return Outcome(request_id, **{**fields, **changes})
+
+
+def ran(request_id: str = "r", at: float = 50.0, **changes) -> Run:
+    return Run(request_id, "i-2", "orders", "school", at)._replace(**changes)
+
+
+class TestChecks:
+    """Each check finds the broken promise that it is for."""
+
+    @pytest.mark.parametrize(
+        ("runs", "outcomes", "found"),
+        [
+            ([ran()], [outcome()], []),
+            ([ran(), ran()], [outcome()], ["TWICE"]),
+            ([ran(), ran()], [outcome(unsafe=False)], []),
+            ([ran()], [outcome(status=503)], ["REFUSED"]),
+            ([ran()], [outcome(status=502)], []),
+            ([ran()], [outcome(whole=False)], ["MIXED"]),
+            ([ran(tenant="salon")], [outcome()], ["UNASKED"]),
+            ([ran(at=30.0)], [outcome(key="old", sent_at=30.0)], ["CONFIG"]),
+            ([ran(at=14.0)], [outcome(key="old", sent_at=14.0)], []),
+            ([ran(str(n)) for n in range(120)], [], ["QUOTA"]),
+            ([ran(at=45.0, server="i-1")], [outcome(sent_at=44.9)], ["DRAIN"]),
+            ([ran(at=42.0, server="i-1")], [outcome(sent_at=41.9)], []),
+            ([], [outcome(str(n), status=401) for n in range(7)], ["DENIED"]),
+        ],
+    )
+    def test_what_it_finds(self, runs, outcomes, found):
+        ledger = Ledger()
+        ledger.runs = runs
+        ledger.outcomes = [*outcomes, outcome("last", sent_at=90.0)]
+        broken = check(ledger, KEYS, RATES, [Drain("i-1", 40.0)], 80.0)
+        assert [text.split()[0] for text in broken] == found
+
+    def test_a_disturbed_host_is_not_held_to_bounds_in_time(self):
+        ledger = Ledger()
+        ledger.runs = [ran(at=45.0, server="i-1")]
+        ledger.outcomes = [outcome(sent_at=44.9), outcome("last", sent_at=90.0)]
+        ledger.disturbed["host-0"] = []
+        ledger.disturb("host-0", 0.0)
+        ledger.disturbed["host-0"] = [ledger.disturbed["host-0"][0]._replace(start=41.0, end=44.0)]
+        assert check(ledger, KEYS, RATES, [Drain("i-1", 40.0)], 80.0) == []
+
+    def test_nothing_served_at_the_end_is_found(self):
+        broken = check(Ledger(), KEYS, RATES, [], 80.0)
+        assert [text.split()[0] for text in broken] == ["RECOVER"]
+
+
+class TestSoak:
+    """Real entry hosts as processes, under faults from outside; see docs/operators/soak.md."""
+
+    @pytest.mark.parametrize("seed", [1, *FAILED_ONCE])
+    def test_no_promise_is_broken(self, seed: int, tmp_path: pathlib.Path):
+        assert asyncio.run(run(seed, 8.0, 4, tmp_path)) == []
