Let a starting fleet hear itself before any host watches or passes on; close unused connections

While a fleet starts each host sums up for itself and opened a connection to all others, and kept it with a heartbeat a second: 3.3 MB in 10 s. Change: the first watch waits until others are heard, 2 s at most; a sum of oneself is told to nobody; a connection that was opened for a message closes after 5 s without one. Ruled out: a fixed longer wait (a small fleet is formed in half a second). Tests: test_hosts_that_start_together_watch_only_each_other_at_first, test_one_that_is_not_used_ends_and_opens_again.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -162,6 +162,11 @@
         sights = {sight.name: sight for sight in self.summary.hosts}
         return {**sights, own.name: own}
 
+    def is_formed(self) -> bool:
+        """Whether this host has heard lately what others do."""
+        fresh = self.clock() - self.summary_at <= SUMMARY_S
+        return fresh and self.summary is not None and len(self.summary.hosts) > 1
+
     def must_follow(self, in_touch: bool) -> bool:
         """Whether this host reads the store itself.
 
@@ -222,7 +227,9 @@
         if self.own.peer_address in targets or len(heard) > 1:
             summary = sum_up(heard, self.copy.digests)
             self._take_summary(summary, now)
-            self._send_all(summary)
+            # While a fleet starts, each host is the only one it knows, and would tell all others.
+            if len(heard) > 1:
+                self._send_all(summary)
         self.part.hosts = max(1, len(self.possible_hosts(now)))
 
     def _summing(self, now: float) -> list[str]:
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -23,10 +23,10 @@
 # changes of servers that start or leave together, and of hosts that start together; both well
 # within the time in which they bind.
 GATHER_S = {Kind.SERVER: 0.15, Kind.HOST: 0.3}
-# Pause in seconds between the first listing of a kind and the first watch. Hosts that start
-# together hear each other within it, and only a few of them have to watch. Hosts themselves are
-# watched at once, since that is how a host learns whom to hear.
-FORM_S = 1.0
+# Longest pause in seconds between the first listing of a kind and the first watch. Hosts that
+# start together hear each other within it, and only a few of them have to watch. Hosts themselves
+# are watched at once, since that is how a host learns whom to hear.
+FORM_S = 2.0
 # Pause in seconds between two looks at whether this host has to follow the store.
 IDLE_S = 0.1
 # Entries of servers lapse while the store is away, and are back within two seconds of its return.
@@ -41,6 +41,7 @@
     """Keeps the copy up to date while it is this host's turn to follow the store.
 
     :param must_follow: whether this host reads the store, or gets changes from others.
+    :param knows_fleet: whether this host hears others.
     :param taken: called with each object that was new to the copy.
     """
 
@@ -49,6 +50,7 @@
         "copy",
         "deferred",
         "failing_since",
+        "knows_fleet",
         "must_follow",
         "returned_at",
         "rng",
@@ -61,12 +63,14 @@
         store: FleetStore,
         copy: ObjectCopy,
         must_follow: t.Callable[[], bool],
+        knows_fleet: t.Callable[[], bool],
         taken: t.Callable[[list[StoredObject]], None],
         rng: random.Random,
     ) -> None:
         self.store = store
         self.copy = copy
         self.must_follow = must_follow
+        self.knows_fleet = knows_fleet
         self.taken = taken
         self.rng = rng
         self.answered_at = float("-inf")
@@ -96,9 +100,14 @@
         self._take([*listing.objects, *self.copy.missing(kind, listing)], passes_on=not is_first)
         self.copy.advance(kind, listing.revision)
         if is_first and kind is not Kind.HOST:
-            await asyncio.sleep(FORM_S)
+            await self._await_fleet()
         return None
 
+    async def _await_fleet(self) -> None:
+        until = time.monotonic() + FORM_S
+        while time.monotonic() < until and not self.knows_fleet():
+            await asyncio.sleep(IDLE_S)
+
     async def _follow(self, kind: Kind) -> None:
         pause_s = RETRY_S
         must_load = may_be_stale = True
--- a/packages/peers/src/radishbridge/peers/link.py
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 import typing as t
 
 import msgspec
@@ -56,13 +57,17 @@
     :param socket: connected socket of the peer; the link closes it.
     :param heartbeat: builds the present heartbeat.
     :param heartbeat_s: seconds between heartbeats.
+    :param idle_s: seconds without a message after which the link ends.
+    :param on_idle: called then, before the link ends.
     """
 
     __slots__ = (
         "counters",
         "heartbeat",
         "heartbeat_s",
+        "idle_s",
         "incarnation",
+        "on_idle",
         "queue",
         "sender",
         "sequence",
@@ -77,7 +82,11 @@
         heartbeat: t.Callable[[], Heartbeat],
         heartbeat_s: float,
         counters: MeshCounters,
+        idle_s: float = math.inf,
+        on_idle: t.Callable[[], None] | None = None,
     ) -> None:
+        self.idle_s = idle_s
+        self.on_idle = on_idle
         self.socket = socket
         self.sender = sender
         self.incarnation = incarnation
@@ -99,19 +108,27 @@
     async def run(self) -> None:
         """Send until cancelled."""
         loop = asyncio.get_running_loop()
-        due = loop.time()
+        due = used_at = loop.time()
         try:
             while True:
                 try:
                     async with asyncio.timeout_at(due):
                         message = await self.queue.get()
+                    used_at = loop.time()
                 except TimeoutError:
+                    if loop.time() - used_at >= self.idle_s:
+                        self._end()
+                        return
                     message = self.heartbeat()
                     due = loop.time() + self.heartbeat_s
                 await self._send(message)
         finally:
             self.socket.close(linger=0)
 
+    def _end(self) -> None:
+        if self.on_idle is not None:
+            self.on_idle()
+
     async def _send(self, message: msgspec.Struct) -> None:
         self.sequence += 1
         envelope = Envelope(
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import time
 import typing as t
 
@@ -27,6 +28,9 @@
 PROBE_INTERVAL_MS = 500
 PROBE_TIMEOUT_MS = 1_500
 RECONNECT_MS = 100
+# Time in seconds after which a connection that was opened for a message is closed again: duties
+# that need one send at least once a second.
+LINK_IDLE_S = 5.0
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +52,7 @@
     :param clock: monotonic clock in seconds.
     :param message_type: union of the messages that are understood.
     :param keeps_standing: connect to the data centre's hosts and relays before there is a message;
-        otherwise a connection opens with the first message and stays.
+        otherwise a connection opens with the first message and stays while it is used.
     """
 
     __slots__ = (
@@ -173,7 +177,17 @@
             socket.curve_secretkey = self.settings.secret_key.encode()
         socket.connect(f"tcp://{entry.address}")
         interval_s = self._heartbeat_s(entry)
-        link = Link(socket, self.host, self.incarnation, self.heartbeat, interval_s, self.counters)
+        idle_s = math.inf if self.keeps_standing else LINK_IDLE_S
+        link = Link(
+            socket,
+            self.host,
+            self.incarnation,
+            self.heartbeat,
+            interval_s,
+            self.counters,
+            idle_s,
+            lambda: self._forget(entry.name),
+        )
         self.links[entry.name] = link
         self.tasks[entry.name] = asyncio.create_task(link.run(), name=f"link-{entry.name}")
         return link
@@ -182,6 +196,10 @@
         del self.links[name]
         self.tasks.pop(name).cancel()
 
+    def _forget(self, name: str) -> None:
+        del self.links[name]
+        del self.tasks[name]
+
     def disconnect(self) -> None:
         """End the connections with all peers."""
         for name in list(self.links):
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -71,7 +71,9 @@
 
 async def follow(store, until, must_follow=lambda: True) -> ObjectCopy:
     copy = ObjectCopy()
-    follower = StoreFollower(store, copy, must_follow, lambda _: None, random.Random(1))
+    follower = StoreFollower(
+        store, copy, must_follow, lambda: True, lambda _: None, random.Random(1)
+    )
     task = asyncio.create_task(follower.run())
     async with asyncio.timeout(20.0):
         while not until(copy):
@@ -115,6 +117,7 @@
             store,
             copy,
             lambda: True,
+            lambda: True,
             lambda objects: passed.extend(stored.name for stored in objects),
             random.Random(1),
         )
@@ -126,7 +129,7 @@
         assert passed == ["b"]
 
     async def test_hosts_that_start_together_watch_only_each_other_at_first(self):
-        store = ScriptedStore([listing(3)], [])
+        store = ScriptedStore([listing(3), listing(3)], [])
         watched: list[Kind] = []
         watch = store.watch
 
@@ -136,19 +139,27 @@
 
         store.watch = note
         copy = ObjectCopy()
-        follower = StoreFollower(store, copy, lambda: True, lambda _: None, random.Random(1))
+        follower = StoreFollower(
+            store, copy, lambda: True, lambda: False, lambda _: None, random.Random(1)
+        )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.3)
         assert watched == [Kind.HOST]
         follower.must_follow = lambda: False
-        await asyncio.sleep(1.0)
+        follower.knows_fleet = lambda: True
+        await asyncio.sleep(0.3)
         assert watched == [Kind.HOST]
+        follower.must_follow = lambda: True
+        await asyncio.sleep(0.3)
+        assert set(watched) == set(Kind)
         task.cancel()
 
     async def test_entries_that_lapsed_with_the_store_get_time_to_return(self):
         # Load pattern: the store was away for longer than entries live, all servers are well.
         copy = ObjectCopy()
-        follower = StoreFollower(None, copy, lambda: True, lambda _: None, random.Random(1))
+        follower = StoreFollower(
+            None, copy, lambda: True, lambda: False, lambda _: None, random.Random(1)
+        )
         follower._take([server("a", 1), server("b", 2)])
         follower.failing_since = 0.0
         follower._note_answer()
--- a/tests/test_peers_mesh.py
+++ b/tests/test_peers_mesh.py
@@ -77,20 +77,19 @@
 class TestConnectionsOnDemand:
     """Load pattern: a large fleet in which each host talks to few others."""
 
+    def mesh(self, entry: HostAddress) -> ZmqMesh:
+        return ZmqMesh(
+            entry.name,
+            entry.address,
+            PeerSettings(),
+            lambda: Heartbeat(revision=7),
+            TIMING,
+            keeps_standing=False,
+        )
+
     async def test_they_open_with_the_first_message_and_outlive_changes_of_the_list(self):
         hosts = entries(3)
-        keys = PeerSettings()
-        one, other = (
-            ZmqMesh(
-                entry.name,
-                entry.address,
-                keys,
-                lambda: Heartbeat(revision=7),
-                TIMING,
-                keeps_standing=False,
-            )
-            for entry in hosts[:2]
-        )
+        one, other = (self.mesh(entry) for entry in hosts[:2])
         heard: list[int] = []
         other.subscribe(TokenRequest, lambda peer, message: heard.append(1))
         async with running(one, other):
@@ -109,6 +108,21 @@
             one.update_directory([hosts[0], hosts[2]])
             assert not one.links
 
+    async def test_one_that_is_not_used_ends_and_opens_again(self, monkeypatch):
+        monkeypatch.setattr("radishbridge.peers.mesh.LINK_IDLE_S", 0.2)
+        hosts = entries(2)
+        one, other = (self.mesh(entry) for entry in hosts)
+        heard: list[int] = []
+        other.subscribe(TokenRequest, lambda peer, message: heard.append(1))
+        request = TokenRequest(quantity="w", request_id=1, amount=1.0, deadline=9.0)
+        async with running(one, other):
+            for mesh in (one, other):
+                mesh.update_directory(hosts)
+            for count in (1, 2):
+                one.send(hosts[1].name, request)
+                await until(lambda count=count: len(heard) == count)
+                await until(lambda: not one.links)
+
 
 class TestZmqMesh:
     @pytest.mark.parametrize("keys", [PeerSettings(), fleet_keys()], ids=["plain", "curve"])
