Number messages across connections: a connection opened again lost all until it caught up

Whenever a connection closed and opened again, as it did for hosts of other data centres at each change of the list of hosts (a planned stop, a host added), receivers dropped its messages as repeated for as long as the sender had run before: reports, sums and changes were lost. Ruled out: accepting a restart of numbers (then a repeated frame of before would count as new). Change: one counter of a mesh numbers the messages of all its links.

--- a/packages/peers/src/radishbridge/peers/link.py
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -57,6 +57,8 @@
     :param socket: connected socket of the peer; the link closes it.
     :param heartbeat: builds the present heartbeat.
     :param heartbeat_s: seconds between heartbeats.
+    :param sequences: numbers messages; one for all links of an incarnation, since a link that is
+        opened again must not repeat numbers.
     :param idle_s: seconds without a message after which the link ends.
     :param on_idle: called then, before the link ends.
     """
@@ -70,7 +72,7 @@
         "on_idle",
         "queue",
         "sender",
-        "sequence",
+        "sequences",
         "socket",
     )
 
@@ -82,6 +84,7 @@
         heartbeat: t.Callable[[], Heartbeat],
         heartbeat_s: float,
         counters: MeshCounters,
+        sequences: t.Iterator[int],
         idle_s: float = math.inf,
         on_idle: t.Callable[[], None] | None = None,
     ) -> None:
@@ -94,7 +97,7 @@
         self.heartbeat_s = heartbeat_s
         self.counters = counters
         self.queue: asyncio.Queue[msgspec.Struct] = asyncio.Queue(QUEUE_LENGTH)
-        self.sequence = 0
+        self.sequences = sequences
 
     def offer(self, message: msgspec.Struct) -> bool:
         """Queue a message; ``False`` where the queue is full."""
@@ -130,11 +133,10 @@
             self.on_idle()
 
     async def _send(self, message: msgspec.Struct) -> None:
-        self.sequence += 1
         envelope = Envelope(
             sender=self.sender,
             incarnation=self.incarnation,
-            sequence=self.sequence,
+            sequence=next(self.sequences),
             body=msgspec.Raw(msgspec.msgpack.encode(message)),
         )
         frame = msgspec.msgpack.encode(envelope)
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import math
 import time
@@ -68,6 +69,7 @@
         "keeps_standing",
         "links",
         "message_type",
+        "sequences",
         "settings",
         "tasks",
         "timing",
@@ -96,6 +98,7 @@
         self.incarnation = time.time_ns()
         self.context = zmq.asyncio.Context()
         self.counters = MeshCounters()
+        self.sequences = itertools.count(1)
         self.directory = Directory(host)
         self.view = PeerView(LIVENESS_HEARTBEATS * self.timing.far_s)
         self.handlers: dict[type[msgspec.Struct], list[Handler]] = {}
@@ -185,6 +188,7 @@
             self.heartbeat,
             interval_s,
             self.counters,
+            self.sequences,
             idle_s,
             lambda: self._forget(entry.name),
         )
--- a/packages/peers/src/radishbridge/peers/messages.py
+++ b/packages/peers/src/radishbridge/peers/messages.py
@@ -10,7 +10,7 @@
 
     :param sender: name of the sending host.
     :param incarnation: differs for each start of the sending process.
-    :param sequence: grows by one with each message of the incarnation.
+    :param sequence: grows with each message of the incarnation.
     :param body: the message in MessagePack.
     """
 
--- a/tests/test_peers_mesh.py
+++ b/tests/test_peers_mesh.py
@@ -108,6 +108,25 @@
             one.update_directory([hosts[0], hosts[2]])
             assert not one.links
 
+    async def test_messages_are_taken_after_the_list_has_closed_and_reopened_a_connection(self):
+        # Load pattern: a host elsewhere stops as planned, and the list changes for all.
+        hosts = [
+            msgspec.structs.replace(entry, data_center=f"dc-{n}")
+            for n, entry in enumerate(entries(3))
+        ]
+        one, other = (new_mesh(entry, PeerSettings()) for entry in hosts[:2])
+        heard: list[int] = []
+        other.subscribe(TokenRequest, lambda peer, message: heard.append(1))
+        request = TokenRequest(quantity="w", request_id=1, amount=1.0, deadline=9.0)
+        async with running(one, other):
+            for listed in (hosts, [*hosts[:2]], hosts):
+                before = len(heard)
+                for mesh in (one, other):
+                    mesh.update_directory(listed)
+                one.send(hosts[1].name, request)
+                await until(lambda before=before: len(heard) > before)
+                one._disconnect(hosts[1].name)
+
     async def test_one_that_is_not_used_ends_and_opens_again(self, monkeypatch):
         monkeypatch.setattr("radishbridge.peers.mesh.LINK_IDLE_S", 0.2)
         hosts = entries(2)
