--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,13 @@
 
 capacity: venv
 	PYTHONPATH=$(PYTHONPATH):$(CURDIR) $(BIN)/python -m bench.capacity
+
+# A randomized soak of entry hosts under faults; SEED=n RUNS=n SECONDS=n HOSTS=n
+.PHONY: soak
+SEED ?= 1
+RUNS ?= 1
+SECONDS ?= 20
+HOSTS ?= 5
+
+soak: venv
+	cd tests && $(CURDIR)/$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS) --hosts $(HOSTS)
--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import logging
 import time
 
 from radishbridge.entry.backends import (
@@ -20,6 +21,8 @@
 from radishbridge.steering import ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
 
+logger = logging.getLogger(__name__)
+
 SERVER_ERROR = 500
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -90,7 +93,7 @@
         server = self.state.server
         connection = await self.pool.take(server.address, not self.task.route.repeatable)
         if isinstance(connection, Failure):
-            self.state.note_failure(time.monotonic(), FAILURES_TO_EJECT)
+            self._count_failure(connection.reason, FAILURES_TO_EJECT)
             return connection
         self.end = AttemptEnd.MAY_HAVE_RUN
         self.task.sends += 1
@@ -147,17 +150,17 @@
         self.end = AttemptEnd.NOT_RUN
         self.task.may_have_run = self.task.earlier_runs
         if facts.misdirected:
-            self.state.note_failure(now, FAILURES_TO_EJECT)
+            self._count_failure("another server has the address", FAILURES_TO_EJECT)
             return Failure(ResultCode.BACKEND_REFUSED, "another server has the address")
         load = facts.load
         if load is None or load.running + load.waiting < SHEDS_WHILE_FREE * load.slots:
-            self.state.note_failure(now)
+            self._count_failure("it sheds although it has free slots")
         return Failure(ResultCode.BACKEND_REFUSED, "the backend server shed it")
 
     def _note_answer(self, failed: bool, now: float) -> None:
         latency_s = now - self.started_at
         if failed:
-            self.state.note_failure(now)
+            self._count_failure("it answers with failures")
         else:
             self.state.note_success(latency_s, now)
             if self.task.route.has_affinity:
@@ -169,7 +172,7 @@
 
     def _note_break(self, failure: Failure) -> Failure:
         now = time.monotonic()
-        self.state.note_failure(now)
+        self._count_failure(failure.reason)
         self.task.earlier_runs = True
         task, server = self.task, self.state.server
         self.crashes.note_break(task.fingerprint, server)
@@ -182,6 +185,21 @@
         if time.monotonic() >= self.task.deadline and self.end is not AttemptEnd.UNSENT:
             self.note_unanswered()
 
+    def _count_failure(self, reason: str, weight: int = 1) -> None:
+        now = time.monotonic()
+        if self.state.note_failure(now, weight):
+            logger.info(
+                "server left out",
+                extra={
+                    "server": self.state.server.name,
+                    "service": self.state.server.service,
+                    "id": self.task.facts.request_id,
+                    "for_s": round(self.state.ejected_until - now, 2),
+                    "ejections": self.state.ejections,
+                    "reason": reason,
+                },
+            )
+
     def note_unanswered(self) -> None:
         """Count once that the server has not answered in time, against it and its version."""
         if self.is_unanswered:
@@ -189,7 +207,7 @@
         self.is_unanswered = True
         now = time.monotonic()
         task, server = self.task, self.state.server
-        self.state.note_failure(now)
+        self._count_failure("it does not answer")
         self.board.note_answer(
             task.service, task.route, server, task.key, now - self.started_at, True
         )
