Take a fleet for formed once most registered hosts are heard; pass on only while it is one's turn

Change: a fleet is formed when a fresh sum covers more than half of the registered hosts; a host whose turn has passed while its watch waited does not pass on what that brings; the first watch waits 0.8 s at least.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -163,9 +163,10 @@
         return {**sights, own.name: own}
 
     def is_formed(self) -> bool:
-        """Whether this host has heard lately what others do."""
-        fresh = self.clock() - self.summary_at <= SUMMARY_S
-        return fresh and self.summary is not None and len(self.summary.hosts) > 1
+        """Whether this host has heard lately what most of the registered hosts do."""
+        if self.summary is None or self.clock() - self.summary_at > SUMMARY_S:
+            return False
+        return 1 < len(self.summary.hosts) > len(self.entries) / 2
 
     def must_follow(self, in_touch: bool) -> bool:
         """Whether this host reads the store itself.
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -23,10 +23,12 @@
 # changes of servers that start or leave together, and of hosts that start together; both well
 # within the time in which they bind.
 GATHER_S = {Kind.SERVER: 0.15, Kind.HOST: 0.3}
-# Longest pause in seconds between the first listing of a kind and the first watch. Hosts that
-# start together hear each other within it, and only a few of them have to watch. Hosts themselves
-# are watched at once, since that is how a host learns whom to hear.
-FORM_S = 2.0
+# Shortest and longest pause in seconds between the first listing of a kind and the first watch.
+# Hosts that start together, within some 0.3 s, register and hear each other in that time, and only
+# a few of them have to watch. Hosts themselves are watched at once, since that is how a host
+# learns whom to hear.
+FORM_S = 0.8
+FORM_MAX_S = 2.0
 # Pause in seconds between two looks at whether this host has to follow the store.
 IDLE_S = 0.1
 # Entries of servers lapse while the store is away, and are back within two seconds of its return.
@@ -104,7 +106,8 @@
         return None
 
     async def _await_fleet(self) -> None:
-        until = time.monotonic() + FORM_S
+        until = time.monotonic() + FORM_MAX_S
+        await asyncio.sleep(FORM_S)
         while time.monotonic() < until and not self.knows_fleet():
             await asyncio.sleep(IDLE_S)
 
@@ -152,7 +155,8 @@
                 self.deferred.pop(stored.name, None)
             if self.copy.apply(stored, STORE):
                 fresh.append(stored)
-        if fresh and passes_on:
+        # Where others have taken over meanwhile, they pass the changes on.
+        if fresh and passes_on and self.must_follow():
             self.taken(fresh)
 
     def _may_return(self, stored: StoredObject, now: float) -> bool:
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -171,6 +171,8 @@
         counts = []
         for count in (10, 40):
             hosts = Hosts(count)
+            for fleet, kind in itertools.product(hosts.fleets, Kind):
+                fleet.copy.advance(kind, 1)
             hosts.run(1.0)
             counts.append(hosts.step() / count)
         assert counts[1] <= counts[0] + 1.0
@@ -203,6 +205,15 @@
         follow = [fleet for fleet in hosts.fleets if fleet.must_follow(in_touch=True)]
         assert len(follow) == FOLLOWING_HOSTS
 
+    def test_a_fleet_is_formed_once_most_of_its_hosts_are_heard(self):
+        hosts = Hosts(8)
+        first = hosts.fleets[0]
+        assert not first.is_formed()
+        first._take_summary(sum_up({n: report(n) for n in list(hosts.entries)[:3]}, {}), hosts.now)
+        assert not first.is_formed()
+        hosts.run(1.0)
+        assert all(fleet.is_formed() for fleet in hosts.fleets)
+
     def test_a_host_that_hears_nobody_follows_it_itself(self):
         assert Hosts(3).fleets[0].must_follow(in_touch=True)
 
