--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -228,8 +228,9 @@
         if self.own.peer_address in targets or len(heard) > 1:
             summary = sum_up(heard, self.copy.digests)
             self._take_summary(summary, now)
-            # While a fleet starts, each host is the only one it knows, and would tell all others.
-            if len(heard) > 1:
+            # While a fleet starts, each host has heard itself alone and need not tell all others.
+            # Later this is how hosts that lost each other meet again.
+            if len(heard) > 1 or now - self.started_at >= START_S:
                 self._send_all(summary)
         self.part.hosts = max(1, len(self.possible_hosts(now)))
 
