--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -32,10 +32,10 @@
 # Objects that are noted for each server; all are forgotten beyond, which costs a few cold runs.
 KNOWN_MAX = 2_048
 # A server with requests under way that has answered none for this many times the service's usual
-# time counts as silent, but not before the second figure in seconds. A run on an object that it
-# does not know takes some three times as long as others, and waits for one before it.
-SILENT_FACTOR = 5.0
-SILENT_MIN_S = 0.25
+# time counts as silent, but not before the second figure in seconds. The usual time is a mean over
+# runs on known and unknown objects; a run on an unknown one takes up to about twice that.
+SILENT_FACTOR = 3.0
+SILENT_MIN_S = 0.2
 # Answers after which a server's speed is known well enough to compare it.
 SPEED_SAMPLES = 6
 
