Keep the last places of a service for its more urgent requests

Cause: priorities of routes and workspaces were read and not acted on; under overload a service's less urgent kind could take the places that its more urgent one came for a moment later. Change: a server takes requests up to 2.6 for each slot, 0.4 less for each kind of the service that is more urgent (0.8 at most); the workspace's priority goes before the route's. A service with one kind is as before. Ruled out: a queue here by priority (requests wait at the servers, where the order is theirs). Tests: test_the_last_places_are_for_the_more_urgent, TestPriorities.

--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -189,10 +189,17 @@
             return _POISON
         point = unit_hash(task.facts.request_id, "split")
         task.service = task.route.pick_service(point)
+        task.rank = self._rank(task)
         task.key = task.facts.affinity if task.route.has_affinity else task.facts.request_id
         self.board.note_home_bound(task.service, task.homes, task.arrived_at)
         return await self._attempts(task)
 
+    def _rank(self, task: RequestTask) -> int:
+        configuration = self.board.configuration
+        if configuration is None:
+            return 0
+        return configuration.rank(task.service, task.route, task.workspace)
+
     async def _attempts(self, task: RequestTask) -> BackendAnswer | Failure:
         last: BackendAnswer | Failure = _NO_ROOM
         connects = 0
@@ -232,7 +239,9 @@
     def _choose(self, task: RequestTask, now: float) -> ServerState | None:
         needs = self.board.needs(task.service, task.route, task.key)
         choices = (
-            self.board.selector.choose(need._replace(homes=task.homes), task.tried, now)
+            self.board.selector.choose(
+                need._replace(homes=task.homes, rank=task.rank), task.tried, now
+            )
             for need in needs
         )
         return next((state for state in choices if state is not None), None)
--- a/packages/entry/src/radishbridge/entry/task.py
+++ b/packages/entry/src/radishbridge/entry/task.py
@@ -39,6 +39,7 @@
         "homes",
         "key",
         "may_have_run",
+        "rank",
         "reason",
         "request",
         "retry_after_s",
@@ -62,6 +63,7 @@
         self.homes: frozenset[str] | None = None
         self.service = ""
         self.key = ""
+        self.rank = 0
         self.body = b""
         self.fingerprint = b""
         self.tried: list[str] = []
--- a/packages/steering/src/radishbridge/steering/configuration.py
+++ b/packages/steering/src/radishbridge/steering/configuration.py
@@ -107,7 +107,15 @@
     :param keys: workspace name by key; empty where callers need no key.
     """
 
-    __slots__ = ("keys", "limits", "routes_by_host", "services", "version", "workspaces")
+    __slots__ = (
+        "keys",
+        "limits",
+        "priorities",
+        "routes_by_host",
+        "services",
+        "version",
+        "workspaces",
+    )
 
     def __init__(
         self,
@@ -127,6 +135,7 @@
         for route in sorted(routes, key=lambda route: len(route.prefix), reverse=True):
             by_host.setdefault(route.host, []).append(route)
         self.routes_by_host = by_host
+        self.priorities = self._priorities(itertools.chain(*by_host.values()))
 
     def match(self, host: str, path: str) -> RouteRule | None:
         """Return the route of a host name with the longest prefix that begins a path."""
@@ -138,6 +147,24 @@
         """Whether requests need a key at all."""
         return bool(self.workspaces)
 
+    def rank(self, service: str, route: RouteRule, workspace: str) -> int:
+        """Return how many kinds of requests of a service are more urgent; 0 for the most urgent.
+
+        The workspace's priority goes before the route's.
+        """
+        rule = self.workspaces.get(workspace)
+        own = (rule.priority if rule is not None else 0, route.priority)
+        return sum(one < own for one in self.priorities.get(service, ()))
+
+    def _priorities(self, routes: t.Iterable[RouteRule]) -> dict[str, set[tuple[int, int]]]:
+        # The priorities of a service's requests: of the workspace, then of the route.
+        of_workspaces = {rule.priority for rule in self.workspaces.values()} or {0}
+        found: dict[str, set[tuple[int, int]]] = {}
+        for route, of_workspace in itertools.product(routes, of_workspaces):
+            for part in route.parts:
+                found.setdefault(part.service, set()).add((of_workspace, route.priority))
+        return found
+
     def homes(self, route: RouteRule, workspace: str) -> frozenset[str] | None:
         """Return the regions in which a request may run; ``None`` allows all.
 
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -26,6 +26,10 @@
 # Requests for each slot above which a server gets no more: the last of them would wait for
 # about two services, and its answer be late.
 MOST_LIMIT = 2.6
+# How much less that is for each kind of requests of the service that is more urgent, and the most
+# that it may be less: under overload the more urgent kinds find the last places free.
+RANK_STEP = 0.4
+RANK_MOST = 0.8
 # Requests for each slot up to which a server that does not share the object helps out. Above,
 # its slots are worth more for its own objects: a run there takes several times as long.
 HELP_LIMIT = 0.4
@@ -46,6 +50,7 @@
     :param key: what tells objects of the service apart.
     :param has_affinity: servers are faster for an object they know.
     :param names: the only servers that may run it; ``None`` for all.
+    :param rank: how many kinds of requests of the service are more urgent.
     """
 
     service: str
@@ -54,6 +59,7 @@
     versions: frozenset[str] | None
     has_affinity: bool = True
     names: frozenset[str] | None = None
+    rank: int = 0
 
 
 class _PoolKey(t.NamedTuple):
@@ -187,6 +193,7 @@
     def _place(
         self, alive: list[ServerState], need: Need, median_s: float, now: float
     ) -> ServerState | None:
+        limit = MOST_LIMIT - min(RANK_MOST, RANK_STEP * need.rank)
         sharing = sorted(
             enumerate(alive[:SHARING]),
             key=lambda placed: placed[1].occupancy(now)
@@ -194,7 +201,7 @@
             + _bias(placed[0], placed[1], need, now),
         )
         for _, state in sharing:
-            if state.occupancy(now) < MOST_LIMIT and self._admits(state, now):
+            if state.occupancy(now) < limit and self._admits(state, now):
                 return state
         helping = (state for state in alive[SHARING:] if state.occupancy(now) < HELP_LIMIT)
         return next((state for state in helping if self._admits(state, now)), None)
--- a/tests/test_steering_configuration.py
+++ b/tests/test_steering_configuration.py
@@ -53,3 +53,32 @@
     def test_weights_divide_the_points(self, point, service):
         route = make_route(parts=(SplitPart("a", 30.0), SplitPart("b", 70.0)))
         assert route.pick_service(point) == service
+
+
+class TestPriorities:
+    @pytest.mark.parametrize(
+        ("route", "workspace", "rank"),
+        [
+            ("urgent", "plain", 0),
+            ("usual", "plain", 1),
+            ("urgent", "late", 2),
+            ("usual", "late", 3),
+        ],
+    )
+    def test_a_workspaces_priority_goes_before_a_routes(self, route, workspace, rank):
+        routes = {
+            name: make_route(name=name, prefix=f"/{name}/", priority=priority)
+            for name, priority in (("urgent", 1), ("usual", 2))
+        }
+        configuration = Configuration(
+            1,
+            routes.values(),
+            [],
+            [WorkspaceRule(name="plain"), WorkspaceRule(name="late", priority=3)],
+        )
+        assert configuration.rank("catalogue", routes[route], workspace) == rank
+
+    def test_kinds_of_other_services_do_not_count(self):
+        other = make_route(name="other", prefix="/o/", parts=(SplitPart("orders", 1.0),))
+        route = make_route(priority=7)
+        assert Configuration(1, [other, route], []).rank("catalogue", route, "") == 0
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -148,6 +148,16 @@
             fill(selector.choose(need(), (), T0), 9.0)
         assert selector.choose(need(), (), T0) is None
 
+    @pytest.mark.parametrize(
+        ("rank", "per_slot", "runs"),
+        [(0, 2.5, True), (1, 2.0, True), (1, 2.5, False), (2, 2.0, False), (9, 1.5, True)],
+    )
+    def test_the_last_places_are_for_the_more_urgent(self, rank, per_slot, runs):
+        selector = make_selector(2)
+        for state in selector.states.values():
+            fill(state, per_slot)
+        assert (selector.choose(need(rank=rank), (), T0) is not None) is runs
+
     def test_idle_servers_help_out(self):
         selector = make_selector(8)
         for _ in range(2):
