Pass on nothing while the fleet starts

Change: a host passes changes on once its view of the fleet is formed: most registered hosts are heard, or it has run for 2 s, so that the loss of most hosts later does not stop it. Tests: test_a_host_that_others_do_not_need_passes_nothing_on, test_it_stays_formed_when_most_hosts_are_lost.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -163,10 +163,15 @@
         return {**sights, own.name: own}
 
     def is_formed(self) -> bool:
-        """Whether this host has heard lately what most of the registered hosts do."""
-        if self.summary is None or self.clock() - self.summary_at > SUMMARY_S:
-            return False
-        return 1 < len(self.summary.hosts) > len(self.entries) / 2
+        """Whether this host's view of the fleet is that of a running one.
+
+        It is once most of the registered hosts are heard, and in any case some time after the
+        start: of a running fleet a part may be lost.
+        """
+        if self.clock() - self.started_at >= START_S:
+            return True
+        heard = 0 if self.summary is None else len(self.summary.hosts)
+        return 1 < heard > len(self.entries) / 2
 
     def must_follow(self, in_touch: bool) -> bool:
         """Whether this host reads the store itself.
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -155,10 +155,14 @@
                 self.deferred.pop(stored.name, None)
             if self.copy.apply(stored, STORE):
                 fresh.append(stored)
-        # Where others have taken over meanwhile, they pass the changes on.
-        if fresh and passes_on and self.must_follow():
+        if fresh and passes_on and self._passes_on():
             self.taken(fresh)
 
+    def _passes_on(self) -> bool:
+        # In a fleet that is starting every host reads for itself; later a few do, and where others
+        # have taken over while a watch waited, they pass its changes on.
+        return self.knows_fleet() and self.must_follow()
+
     def _may_return(self, stored: StoredObject, now: float) -> bool:
         return stored.value is None and now - self.returned_at < LAPSE_GRACE_S
 
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -154,13 +154,14 @@
         assert set(watched) == set(Kind)
         task.cancel()
 
-    async def test_a_host_that_is_no_longer_needed_passes_nothing_on(self):
+    @pytest.mark.parametrize(("must_follow", "knows_fleet"), [(False, True), (True, False)])
+    async def test_a_host_that_others_do_not_need_passes_nothing_on(self, must_follow, knows_fleet):
         passed: list[str] = []
         follower = StoreFollower(
             None,
             ObjectCopy(),
-            lambda: False,
-            lambda: True,
+            lambda: must_follow,
+            lambda: knows_fleet,
             lambda objects: passed.extend(stored.name for stored in objects),
             random.Random(1),
         )
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -214,6 +214,13 @@
         hosts.run(1.0)
         assert all(fleet.is_formed() for fleet in hosts.fleets)
 
+    def test_it_stays_formed_when_most_hosts_are_lost(self):
+        hosts = Hosts(8)
+        hosts.run(3.0)
+        hosts.network.cut.update(list(hosts.entries)[2:])
+        hosts.run(4.0)
+        assert hosts.fleets[0].is_formed()
+
     def test_a_host_that_hears_nobody_follows_it_itself(self):
         assert Hosts(3).fleets[0].must_follow(in_touch=True)
 
