Choose followers among hosts that reach the store, notice silent watches soon, help near servers out

Hosts that joined for want of followers read stale listings only and stopped. Change: hosts tell whether the store answers them, and the three followers are chosen among those; the first one's watches of configuration, servers and drains end after 1.5 s, the second's after 2.5 s; an empty answer of a watch does not move its revision; a host that takes over reads afresh; what a watch brings is passed on in any case.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -107,7 +107,6 @@
     :param host: name of this host.
     :param decoder: decodes stored objects.
     :param region: this host's region.
-    :param data_center: this host's data centre.
     """
 
     __slots__ = (
@@ -134,15 +133,13 @@
         "warm_pairs",
     )
 
-    def __init__(
-        self, host: str, decoder: Decoder, bounds: Bounds, region: str = "", data_center: str = ""
-    ) -> None:
+    def __init__(self, host: str, decoder: Decoder, bounds: Bounds, region: str = "") -> None:
         now = time.monotonic()
         self.decoder = decoder
         self.bounds = bounds
         self.configuration: Configuration | None = None
         self.slow_start = SlowStart(host, bounds.slow_start_overage, bounds.slow_start_slack)
-        self.selector = Selector(self.slow_start, region, data_center)
+        self.selector = Selector(self.slow_start, region)
         self.part = FleetPart(now)
         self.limiters: dict[str, RateLimiter] = {}
         self.budgets: dict[str, RetryBudget] = {}
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -173,21 +173,21 @@
         heard = 0 if self.summary is None else len(self.summary.hosts)
         return 1 < heard > len(self.entries) / 2
 
-    def must_follow(self, in_touch: bool) -> bool:
-        """Whether this host reads the store itself.
+    def follow_place(self) -> int | None:
+        """Return this host's place among those that read the store; ``None`` if others do.
 
-        :param in_touch: the store has answered this host lately.
+        A host that hears nobody is the first. Hosts that the store does not answer are passed
+        over while it answers others.
         """
         now = self.clock()
         if self.summary is None or now - self.summary_at > SUMMARY_S:
-            return True
-        hosts = self.live_hosts(now).values()
-        others = [one.name for one in hosts if one.follows and not one.is_leaving]
-        if len(others) < FOLLOWING_HOSTS and not in_touch:
-            return True
-        able = [one.name for one in hosts if not one.is_leaving]
-        chosen = self.rank_for("follow", able)[:FOLLOWING_HOSTS]
-        return self.own.peer_address in chosen or len(others) < FOLLOWING_HOSTS - 1
+            return 0
+        staying = [one for one in self.live_hosts(now).values() if not one.is_leaving]
+        able = [one.name for one in staying if one.reaches_store]
+        names = able or [one.name for one in staying]
+        chosen = self.rank_for("follow", names)[:FOLLOWING_HOSTS]
+        own = self.own.peer_address
+        return chosen.index(own) if own in chosen else None
 
     def rank_for(self, duty: str, names: t.Iterable[str]) -> list[str]:
         """Return the hosts that may have a duty, the first choice first.
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -14,8 +14,16 @@
 
 # What the copy is told of where an object came from.
 STORE = "store"
-# Longest wait of one watch in seconds: a connection that went silent is noticed that late.
-WATCH_S = 4.0
+# Longest wait of one watch in seconds, by the host's place among those that follow: a watch that
+# went silent is noticed that late. The first host renews its watches within the time in which
+# changes bind; the others cost fewer calls and stand in for it.
+WATCH_S = (1.5, 2.5, 4.0)
+# Kinds whose changes bind within seconds; the others are watched for the longest time.
+PROMPT_KINDS = (Kind.CONFIGURATION, Kind.SERVER, Kind.DRAIN)
+# Time in seconds for which calls have to fail before the store counts as out of reach, and after
+# which a host that makes no calls any more is taken to reach it again.
+UNREACHED_S = 1.0
+RETRY_AFTER_S = 5.0
 # Pause in seconds after a failed call, doubled up to the second figure.
 RETRY_S = 0.1
 RETRY_MAX_S = 0.6
@@ -42,7 +50,8 @@
 class StoreFollower:
     """Keeps the copy up to date while it is this host's turn to follow the store.
 
-    :param must_follow: whether this host reads the store, or gets changes from others.
+    :param place: this host's place among those that read the store; ``None`` if it gets changes
+        from others.
     :param knows_fleet: whether this host hears others.
     :param taken: called with each object that was new to the copy.
     """
@@ -51,9 +60,10 @@
         "answered_at",
         "copy",
         "deferred",
+        "failed_at",
         "failing_since",
         "knows_fleet",
-        "must_follow",
+        "place",
         "returned_at",
         "rng",
         "store",
@@ -64,25 +74,28 @@
         self,
         store: FleetStore,
         copy: ObjectCopy,
-        must_follow: t.Callable[[], bool],
+        place: t.Callable[[], int | None],
         knows_fleet: t.Callable[[], bool],
         taken: t.Callable[[list[StoredObject]], None],
         rng: random.Random,
     ) -> None:
         self.store = store
         self.copy = copy
-        self.must_follow = must_follow
+        self.place = place
         self.knows_fleet = knows_fleet
         self.taken = taken
         self.rng = rng
         self.answered_at = float("-inf")
         self.returned_at = float("-inf")
         self.failing_since: float | None = None
+        self.failed_at = float("-inf")
         self.deferred: dict[str, StoredObject] = {}
 
-    def is_in_touch(self, now: float) -> bool:
-        """Whether the store has answered this host lately."""
-        return now - self.answered_at < WATCH_S + 1.0
+    def reaches_store(self, now: float) -> bool:
+        """Whether the store answers this host, as far as it has asked lately."""
+        if self.failing_since is None or now - self.failing_since < UNREACHED_S:
+            return True
+        return now - self.failed_at > RETRY_AFTER_S
 
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
@@ -113,18 +126,19 @@
 
     async def _follow(self, kind: Kind) -> None:
         pause_s = RETRY_S
-        must_load = may_be_stale = True
+        must_load = True
         while True:
-            if kind in self.copy.loaded and not self.must_follow():
+            is_first = kind not in self.copy.loaded
+            place = self.place()
+            if place is None and not is_first:
                 await asyncio.sleep(IDLE_S)
-                must_load = may_be_stale = True
+                must_load = True
                 continue
             if must_load:
-                failure = await self.load(kind, may_be_stale)
+                failure = await self.load(kind, may_be_stale=is_first)
             else:
-                failure = await self._watch(kind)
+                failure = await self._watch(kind, place or 0)
             must_load = failure is not None
-            may_be_stale = False
             if failure is None:
                 pause_s = RETRY_S
                 self._settle()
@@ -132,15 +146,18 @@
             await asyncio.sleep(pause_s * self.rng.uniform(0.7, 1.3))
             pause_s = min(RETRY_MAX_S, 2.0 * pause_s)
 
-    async def _watch(self, kind: Kind) -> Failure | None:
-        changes = await self.store.watch(kind, self.copy.revisions[kind], WATCH_S)
+    async def _watch(self, kind: Kind, place: int) -> Failure | None:
+        wait_s = WATCH_S[place] if kind in PROMPT_KINDS else WATCH_S[-1]
+        changes = await self.store.watch(kind, self.copy.revisions[kind], wait_s)
         if isinstance(changes, Failure):
             self._note_failure(changes, kind)
             return changes
         self._note_answer()
         self._take(changes.objects)
-        self.copy.advance(kind, changes.revision)
         if changes.objects:
+            # An empty answer may come while the store tells watches nothing. The next watch begins
+            # where the last change was seen, and finds what was missed, or that it is forgotten.
+            self.copy.advance(kind, changes.revision)
             await asyncio.sleep(GATHER_S.get(kind, 0.0))
         return None
 
@@ -155,14 +172,10 @@
                 self.deferred.pop(stored.name, None)
             if self.copy.apply(stored, STORE):
                 fresh.append(stored)
-        if fresh and passes_on and self._passes_on():
+        # In a fleet that is starting every host reads for itself.
+        if fresh and passes_on and self.knows_fleet():
             self.taken(fresh)
 
-    def _passes_on(self) -> bool:
-        # In a fleet that is starting every host reads for itself; later a few do, and where others
-        # have taken over while a watch waited, they pass its changes on.
-        return self.knows_fleet() and self.must_follow()
-
     def _may_return(self, stored: StoredObject, now: float) -> bool:
         return stored.value is None and now - self.returned_at < LAPSE_GRACE_S
 
@@ -187,6 +200,8 @@
 
     def _note_failure(self, failure: Failure, kind: Kind) -> None:
         expired = failure.code is ResultCode.WATCH_EXPIRED
+        if not expired:
+            self.failed_at = time.monotonic()
         if self.failing_since is None and not expired:
             self.failing_since = time.monotonic()
         logger.info(
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -19,14 +19,14 @@
 class HostSight(msgspec.Struct, frozen=True, array_like=True):
     """What others are told of a host.
 
-    :param follows: it reads the store itself and the store answers it.
+    :param reaches_store: the store has answered its last calls, as far as it has made any.
     :param is_strained: it answers later than it should, for want of processor time or link.
     """
 
     name: str
     is_ready: bool
     is_leaving: bool
-    follows: bool
+    reaches_store: bool
     is_strained: bool = False
 
 
--- a/packages/entry/src/radishbridge/entry/steward.py
+++ b/packages/entry/src/radishbridge/entry/steward.py
@@ -76,6 +76,6 @@
         able = [
             sight.name
             for sight in self.fleet.live_hosts(now).values()
-            if sight.follows and not sight.is_leaving
+            if sight.reaches_store and not sight.is_leaving
         ]
         return self.fleet.rank_for("steward", able)[:1] == [self.fleet.own.peer_address]
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -33,11 +33,12 @@
 # Requests for each slot up to which a server that does not share the object helps out. Above,
 # its slots are worth more for its own objects: a run there takes several times as long.
 HELP_LIMIT = 0.4
-# How much more a server of this host's own region, and once more one of its data centre, weighs
-# for a service of large answers: their bytes between regions, and less so between data centres,
-# cost more than a few more runs on servers that do not know an object.
+# How much more a server of this host's own region weighs for a service of large answers: their
+# bytes between regions cost more than a few more runs on servers that do not know an object.
 NEAR_WEIGHT = 24.0
-NEAREST_WEIGHT = 3.0
+# How much fuller, in requests for each slot, the near servers of a large answer may be than the
+# first one elsewhere, which knows the object by the requests of its own region.
+FAR_BIAS = 1.4
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -74,13 +75,11 @@
 
     :param slow_start: bounds on what cold servers get.
     :param region: this host's region.
-    :param data_center: this host's data centre.
     """
 
     __slots__ = (
         "bulky",
         "counts",
-        "data_center",
         "drained",
         "medians",
         "orders",
@@ -92,10 +91,9 @@
         "weights",
     )
 
-    def __init__(self, slow_start: SlowStart, region: str = "", data_center: str = "") -> None:
+    def __init__(self, slow_start: SlowStart, region: str = "") -> None:
         self.slow_start = slow_start
         self.region = region
-        self.data_center = data_center
         self.bulky: set[str] = set()
         self.states: dict[str, ServerState] = {}
         self.drained: frozenset[str] = frozenset()
@@ -194,18 +192,29 @@
         self, alive: list[ServerState], need: Need, median_s: float, now: float
     ) -> ServerState | None:
         limit = MOST_LIMIT - min(RANK_MOST, RANK_STEP * need.rank)
+        biases = {
+            state: _bias(position, state, need, now)
+            for position, state in enumerate(alive[:SHARING])
+        }
+        far = self._far(alive, need)
+        if far is not None:
+            biases[far] = min(FAR_BIAS, biases.get(far, FAR_BIAS))
         sharing = sorted(
-            enumerate(alive[:SHARING]),
-            key=lambda placed: placed[1].occupancy(now)
-            + placed[1].slowness(median_s, now)
-            + _bias(placed[0], placed[1], need, now),
+            biases,
+            key=lambda state: state.occupancy(now) + state.slowness(median_s, now) + biases[state],
         )
-        for _, state in sharing:
+        for state in sharing:
             if state.occupancy(now) < limit and self._admits(state, now):
                 return state
         helping = (state for state in alive[SHARING:] if state.occupancy(now) < HELP_LIMIT)
         return next((state for state in helping if self._admits(state, now)), None)
 
+    def _far(self, alive: list[ServerState], need: Need) -> ServerState | None:
+        # The first server of another region, for a service whose objects stay near.
+        if need.service not in self.bulky:
+            return None
+        return next((state for state in alive if state.server.region != self.region), None)
+
     def _admits(self, state: ServerState, now: float) -> bool:
         if not state.is_cold(now):
             return True
@@ -233,9 +242,8 @@
         return order(f"{pool.service}\0{key}", self._pool(pool), weight)
 
     def _nearness(self, server: Server) -> float:
-        if server.service not in self.bulky or server.region != self.region:
-            return 1.0
-        return NEAR_WEIGHT * (NEAREST_WEIGHT if server.data_center == self.data_center else 1.0)
+        is_near = server.service in self.bulky and server.region == self.region
+        return NEAR_WEIGHT if is_near else 1.0
 
     def _pool(self, key: _PoolKey) -> list[ServerState]:
         pool = self.pools.get(key)
