--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -178,7 +178,7 @@
         )
         assert facts == ("r1", 1.5, "secret", "17")
 
-    @pytest.mark.parametrize("value", ["soon", "", "1s"])
+    @pytest.mark.parametrize("value", ["soon", "", "1s", "nan", "inf", "1e400", "-1"])
     def test_a_malformed_deadline_is_refused(self, dialect, value):
         failure = dialect.read_request({"Request-Deadline-Ms": value})
         assert isinstance(failure, Failure)
