Take silence for slowness, not failure, of a version; count unsent attempts; tell no usual time from a few answers

Cause (read of the change): a second try at a silent server counted as a failed answer of the server's version, so that a good version whose first runs are cold could be taken back; the slow answers of a bad one were cut and not counted. While a first attempt was still connecting, a second one was sent in any case, so that a route of one attempt could be sent to two servers. Change: a cut attempt counts as an answer that took at least so long; attempts that connect count as sent; a usual time needs 30 answers of the service.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -51,7 +51,7 @@
         "crashes",
         "dialect",
         "end",
-        "is_unanswered",
+        "is_silent",
         "pool",
         "started_at",
         "state",
@@ -75,7 +75,7 @@
         self.crashes = crashes
         self.started_at = time.monotonic()
         self.end = AttemptEnd.UNSENT
-        self.is_unanswered = False
+        self.is_silent = False
 
     async def run(self) -> BackendAnswer | Failure:
         """Send the request and return the answer, or why there is none."""
@@ -165,25 +165,29 @@
             self.state.note_success(latency_s, now)
             if self.task.route.has_affinity:
                 self.state.note_object(self.task.key, now)
-        task = self.task
         self.task.earlier_runs = True
-        server = self.state.server
-        self.board.note_answer(task.service, task.route, server, task.key, latency_s, failed)
+        self._tell_board(failed)
 
     def _note_break(self, failure: Failure) -> Failure:
-        now = time.monotonic()
         self._count_failure(failure.reason)
         self.task.earlier_runs = True
-        task, server = self.task, self.state.server
-        self.crashes.note_break(task.fingerprint, server)
-        self.board.note_answer(
-            task.service, task.route, server, task.key, now - self.started_at, True
-        )
+        self.crashes.note_break(self.task.fingerprint, self.state.server)
+        self._tell_board(True)
         return failure
 
+    def note_silence(self) -> None:
+        """Count the server's silence against it; the attempt goes on."""
+        self.is_silent = True
+        self._count_failure("it is silent")
+
     def _note_cancellation(self) -> None:
-        if time.monotonic() >= self.task.deadline and self.end is not AttemptEnd.UNSENT:
-            self.note_unanswered()
+        late = time.monotonic() >= self.task.deadline
+        if self.end is AttemptEnd.UNSENT or not (late or self.is_silent):
+            return
+        if not self.is_silent:
+            self._count_failure("it does not answer")
+        # The time so far is the least that the answer would have taken.
+        self._tell_board(late)
 
     def _count_failure(self, reason: str, weight: int = 1) -> None:
         now = time.monotonic()
@@ -200,14 +204,9 @@
                 },
             )
 
-    def note_unanswered(self) -> None:
-        """Count once that the server has not answered in time, against it and its version."""
-        if self.is_unanswered:
-            return
-        self.is_unanswered = True
-        now = time.monotonic()
-        task, server = self.task, self.state.server
-        self._count_failure("it does not answer")
+    def _tell_board(self, failed: bool) -> None:
+        task = self.task
+        latency_s = time.monotonic() - self.started_at
         self.board.note_answer(
-            task.service, task.route, server, task.key, now - self.started_at, True
+            task.service, task.route, self.state.server, task.key, latency_s, failed
         )
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -57,7 +57,6 @@
     """
 
     __slots__ = (
-        "answered_at",
         "copy",
         "deferred",
         "failed_at",
@@ -85,7 +84,6 @@
         self.knows_fleet = knows_fleet
         self.taken = taken
         self.rng = rng
-        self.answered_at = float("-inf")
         self.returned_at = float("-inf")
         self.failing_since: float | None = None
         self.failed_at = float("-inf")
@@ -196,7 +194,6 @@
             if away_s > LAPSE_AFTER_S:
                 self.returned_at = now
         self.failing_since = None
-        self.answered_at = now
 
     def _note_failure(self, failure: Failure, kind: Kind) -> None:
         expired = failure.code is ResultCode.WATCH_EXPIRED
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -222,11 +222,13 @@
         if not task.route.repeatable:
             return Outcome(attempt, await attempt.run())
         usual_s = self.board.selector.medians.get(task.service, 0.0)
-        return await Hedge(task, usual_s, lambda: self._second(task)).run(attempt)
+        return await Hedge(task, usual_s, self._second).run(attempt)
 
-    def _second(self, task: RequestTask) -> Attempt | None:
-        now = time.monotonic()
-        if task.sends >= task.route.attempts:
+    def _second(self, first: Attempt) -> Attempt | None:
+        task, now = first.task, time.monotonic()
+        # A first attempt that is still connecting will be sent too.
+        sends = task.sends + (first.end is AttemptEnd.UNSENT)
+        if sends >= task.route.attempts:
             return None
         state = self._choose(task, now)
         if state is None or not self.board.budget(task.service, now).take():
--- a/packages/entry/src/radishbridge/entry/hedge.py
+++ b/packages/entry/src/radishbridge/entry/hedge.py
@@ -37,13 +37,13 @@
     """Runs an attempt, and one more once its server has fallen silent.
 
     :param usual_s: time in seconds that the service usually takes; 0 if unknown.
-    :param next_attempt: makes an attempt at another server; ``None`` without room or budget.
+    :param next_attempt: makes an attempt beside a first one; ``None`` without room or budget.
     """
 
     __slots__ = ("next_attempt", "task", "usual_s")
 
     def __init__(
-        self, task: RequestTask, usual_s: float, next_attempt: t.Callable[[], Attempt | None]
+        self, task: RequestTask, usual_s: float, next_attempt: t.Callable[[Attempt], Attempt | None]
     ) -> None:
         self.task = task
         self.usual_s = usual_s
@@ -71,7 +71,7 @@
                 return
             if not first.state.is_silent(self.usual_s, time.monotonic()):
                 continue
-            second = self.next_attempt()
+            second = self.next_attempt(first)
             if second is None:
                 return
             self._note_silence(first, second)
@@ -79,7 +79,7 @@
             return
 
     def _note_silence(self, first: Attempt, second: Attempt) -> None:
-        first.note_unanswered()
+        first.note_silence()
         # Whatever becomes of the second attempt, the first one may have run.
         self.task.earlier_runs = True
         logger.info(
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -39,6 +39,9 @@
 # How much fuller, in requests for each slot, the near servers of a large answer may be than the
 # first one elsewhere, which knows the object by the requests of its own region.
 FAR_BIAS = 1.4
+# Answers of a service that this host needs to tell its usual time: the first ones to come are
+# the fastest.
+MEDIAN_SAMPLES = 30
 # Orders of objects kept; the least lately built ones go first.
 ORDERS_KEPT = 4_096
 
@@ -171,11 +174,15 @@
 
     def update_medians(self) -> None:
         """Take the median speed of each service's servers anew."""
-        speeds: dict[str, list[float]] = {}
+        seen: dict[str, list[ServerState]] = {}
         for state in self.states.values():
             if state.samples:
-                speeds.setdefault(state.server.service, []).append(state.speed_s)
-        self.medians = {service: statistics.median(them) for service, them in speeds.items()}
+                seen.setdefault(state.server.service, []).append(state)
+        self.medians = {
+            service: statistics.median(state.speed_s for state in states)
+            for service, states in seen.items()
+            if sum(state.samples for state in states) >= MEDIAN_SAMPLES
+        }
 
     def choose(self, need: Need, tried: t.Collection[str], now: float) -> ServerState | None:
         """Return a server with room for one more request; ``None`` where there is none."""
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -266,6 +266,16 @@
         first.start(T0 + 9.0)
         assert selector.choose(need(), (), T0 + 9.1) is first
 
+    def test_a_few_answers_tell_no_usual_time(self):
+        # Load pattern: a day begins; the first answers are those of the shortest runs.
+        selector = make_selector(4)
+        for state in selector.states.values():
+            state.note_success(0.01, T0)
+        selector.update_medians()
+        first = selector.choose(need(), (), T0)
+        first.start(T0)
+        assert selector.choose(need(), (), T0 + 0.5) is first
+
     def test_without_a_usual_time_none_is_silent(self):
         selector = make_selector(4)
         first = selector.choose(need(), (), T0)
