--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -171,6 +171,6 @@
             "Seconds since the configuration was proved fresh, -1 for never.",
             lambda: state.fresh_age_s(time.monotonic()),
         )
-        for name in MeshCounters.__slots__:
+        for name in MeshCounters.NAMES:
             text = f"Traffic between hosts since the start: {name.replace('_', ' ')}."
             watch(f"mesh_{name}", text, functools.partial(getattr, self.mesh.counters, name))
--- a/packages/peers/src/radishbridge/peers/link.py
+++ b/packages/peers/src/radishbridge/peers/link.py
@@ -20,10 +20,12 @@
 class MeshCounters:
     """What a mesh has sent, received and dropped since it started.
 
+    ``NAMES`` are those that are plain numbers.
+
     :param sent_bytes_by_type: bytes of the messages of each type, by the type's name.
     """
 
-    __slots__ = (
+    NAMES: t.ClassVar[tuple[str, ...]] = (
         "duplicate",
         "failed_handlers",
         "malformed",
@@ -32,10 +34,10 @@
         "received_bytes",
         "sent",
         "sent_bytes",
-        "sent_bytes_by_type",
         "unknown_sender",
         "unreachable",
     )
+    __slots__ = (*NAMES, "sent_bytes_by_type")
 
     def __init__(self) -> None:
         self.sent = 0
