--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,9 +11,16 @@
 
 from soak.world import World
 
+CALLERS = 20
+
 
 async def run(
-    seed: int, seconds: float, hosts: int, directory: pathlib.Path, timed: bool = True
+    seed: int,
+    seconds: float,
+    hosts: int,
+    directory: pathlib.Path,
+    timed: bool = True,
+    callers: int = CALLERS,
 ) -> list[str]:
     """Run one seed and return the broken promises.
 
@@ -21,7 +28,7 @@
     """
     world = World(seed, hosts, directory, timed)
     async with world.running():
-        broken = await world.play(seconds)
+        broken = await world.play(seconds, callers)
     outcomes = world.ledger.outcomes
     served = sum(one.status == 200 for one in outcomes)
     print(f"seed {seed}: {len(outcomes)} requests, {served} served, {len(broken)} broken promises")
@@ -38,11 +45,14 @@
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=CALLERS)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.runs):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        broken = asyncio.run(run(seed, options.seconds, options.hosts, directory))
+        broken = asyncio.run(
+            run(seed, options.seconds, options.hosts, directory, callers=options.callers)
+        )
         if broken:
             print(f"logs and notes of seed {seed}: {directory}")
         failed += bool(broken)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -220,7 +220,7 @@
         if len(good) > 4:
             self._later(self._revoke(self.rng.choice(good)))
 
-    async def play(self, seconds: float) -> list[str]:
+    async def play(self, seconds: float, caller_count: int) -> list[str]:
         """Inject faults for a time, wait for the recovery, and return broken promises."""
         faults = [
             self.stop_host,
@@ -239,7 +239,7 @@
             self.revoke_key,
         ]
         callers = Callers(self.hosts, self.keys, self.ledger, self.seed)
-        calling = asyncio.create_task(callers.run(20))
+        calling = asyncio.create_task(callers.run(caller_count))
         await asyncio.sleep(CONTACT_S)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
