Compare the metric of the revision with the revisions around it

Change: the metric has to lie between the revisions read before and after it, which is as strict about a wrong one. Ruled out: a stale or wrong metric (it held a later revision).

--- a/tests/test_host_daemon.py
+++ b/tests/test_host_daemon.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -87,7 +88,10 @@
             "mesh_malformed",
         ):
             assert f"radishbridge_{name}" in metrics
-        assert f"radishbridge_config_revision {float(status.revision)}" in metrics
+        after = msgspec.json.decode((await _get(caller, f"{base}/v1/status"))[1], type=HostStatus)
+        (revision,) = re.findall(r"^radishbridge_config_revision (\S+)$", metrics, re.MULTILINE)
+        # Hosts write to the store while the test runs, so that the revision grows between reads.
+        assert status.revision <= float(revision) <= after.revision
 
     async def test_hosts_hear_each_other(self, fleet: Fleet, caller: aiohttp.ClientSession) -> None:
         url = f"http://{fleet.hosts[0].admin_address}/v1/status"
