Log what tells apart why a server works for a caller that has left

Change: each request notes the attempts sent although the caller's connection had ended (asked of the kernel, as the event loop may not have read the close yet), and each attempt given up before its answer with its age and the bytes that the server had not acknowledged; both as counters too. The functions that ask the kernel lie in host/sockets.py, beside the reset that was in host/exchange.py. No logic changes.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -16,7 +16,8 @@
 from radishbridge.entry.board import Board
 from radishbridge.entry.crashes import CrashWatch
 from radishbridge.entry.protocol import AnswerFacts, Dialect
-from radishbridge.entry.task import RequestTask
+from radishbridge.entry.task import Abandoned, RequestTask
+from radishbridge.host.sockets import is_closed_by_peer
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
@@ -53,6 +54,7 @@
         "end",
         "is_silent",
         "pool",
+        "sent_at",
         "started_at",
         "state",
         "task",
@@ -74,6 +76,7 @@
         self.board = board
         self.crashes = crashes
         self.started_at = time.monotonic()
+        self.sent_at = self.started_at
         self.end = AttemptEnd.UNSENT
         self.is_silent = False
 
@@ -96,9 +99,15 @@
             self._count_failure(connection.reason, FAILURES_TO_EJECT)
             return connection
         self.end = AttemptEnd.MAY_HAVE_RUN
+        self.sent_at = time.monotonic()
         self.task.sends += 1
+        self.task.sends_after_close += is_closed_by_peer(self.task.request.transport)
         self.task.may_have_run = True
-        answer = await self._exchange(connection)
+        try:
+            answer = await self._exchange(connection)
+        except asyncio.CancelledError:
+            self._note_abandoned(connection)
+            raise
         if isinstance(answer, Failure):
             return self._note_break(answer)
         return self._judge(answer, connection)
@@ -180,6 +189,12 @@
         self.is_silent = True
         self._count_failure("it is silent")
 
+    def _note_abandoned(self, connection: BackendConnection) -> None:
+        running_ms = round((time.monotonic() - self.sent_at) * 1000.0)
+        self.task.abandoned.append(
+            Abandoned(self.state.server.name, running_ms, connection.unacknowledged)
+        )
+
     def _note_cancellation(self) -> None:
         late = time.monotonic() >= self.task.deadline
         if self.end is AttemptEnd.UNSENT or not (late or self.is_silent):
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from radishbridge.host.sockets import unacknowledged_bytes
 from radishbridge.records import Failure, ResultCode
 
 # A new connection takes one round trip, at most some 50 ms between regions; the rest is for a
@@ -54,7 +55,8 @@
 class BackendConnection(asyncio.Protocol):
     """One connection to a backend server.
 
-    :param sent: a request may have reached the server on this connection.
+    :param unacknowledged: bytes that the server had not acknowledged when its request was
+        abandoned; ``None`` before that, or where the kernel does not say.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "spoiled",
         "status",
         "transport",
+        "unacknowledged",
         "waiter",
     )
 
@@ -79,6 +82,7 @@
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[BackendAnswer | Failure] | None = None
         self.spoiled = False
+        self.unacknowledged: int | None = None
         self.idle_since = time.monotonic()
         self.announced_idle_s = IDLE_S
         self.parser = httptools.HttpResponseParser(self)
@@ -134,6 +138,7 @@
         try:
             return await self.waiter
         except asyncio.CancelledError:
+            self.unacknowledged = unacknowledged_bytes(self.transport)
             self.close()
             raise
 
--- a/packages/entry/src/radishbridge/entry/journal.py
+++ b/packages/entry/src/radishbridge/entry/journal.py
@@ -23,7 +23,17 @@
 class RequestJournal:
     """Notes each finished request in the log and the metrics."""
 
-    __slots__ = ("left_out", "registry", "requests", "seconds", "seen", "tokens", "updated_at")
+    __slots__ = (
+        "abandoned",
+        "left_out",
+        "registry",
+        "requests",
+        "seconds",
+        "seen",
+        "sent_after_close",
+        "tokens",
+        "updated_at",
+    )
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.registry = registry
@@ -40,6 +50,17 @@
             buckets=BUCKETS_S,
             registry=registry,
         )
+        self.abandoned = Counter(
+            "radishbridge_attempts_abandoned",
+            "Attempts given up while their server had the request.",
+            ["delivered"],
+            registry=registry,
+        )
+        self.sent_after_close = Counter(
+            "radishbridge_sent_after_close",
+            "Attempts sent although the caller's connection had ended.",
+            registry=registry,
+        )
         self.seen = 0
         self.left_out = 0
         self.tokens = LINES_AT_ONCE
@@ -51,6 +72,9 @@
         route = task.route.name
         self.requests.labels(route, task.code.name).inc()
         self.seconds.labels(route).observe(took_s)
+        self.sent_after_close.inc(task.sends_after_close)
+        for one in task.abandoned:
+            self.abandoned.labels(one.delivered).inc()
         if not self._is_due(task, took_s, now):
             self.left_out += 1
             return
@@ -65,6 +89,8 @@
             "configuration": task.version,
             "service": task.service,
             "tried": task.tried,
+            "sent_after_close": task.sends_after_close,
+            "abandoned": task.abandoned,
             "status": task.status,
             "code": int(task.code),
             "reason": task.reason,
--- a/packages/entry/src/radishbridge/entry/task.py
+++ b/packages/entry/src/radishbridge/entry/task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as t
+
 from aiohttp import web
 
 from radishbridge.entry.protocol import RequestFacts
@@ -20,15 +22,38 @@
 )
 
 
+class Abandoned(t.NamedTuple):
+    """An attempt that was given up while its server had the request.
+
+    :param server: name of the server.
+    :param running_ms: time since the request was sent.
+    :param unacknowledged: bytes that the server had not acknowledged; ``None`` if unknown.
+    """
+
+    server: str
+    running_ms: int
+    unacknowledged: int | None
+
+    @property
+    def delivered(self) -> str:
+        """Whether all of the request has reached the server: ``yes``, ``no`` or ``unknown``."""
+        if self.unacknowledged is None:
+            return "unknown"
+        return "no" if self.unacknowledged else "yes"
+
+
 class RequestTask:
     """One request and what has become of it.
 
     :param arrived_at: monotonic time in seconds.
+    :param abandoned: attempts whose server was left before it answered.
+    :param sends_after_close: attempts sent although the caller's connection had ended.
     :param earlier_runs: an attempt that has ended ran, or may have.
     :param may_have_run: an attempt ran, or may have; the present one counts once it is sent.
     """
 
     __slots__ = (
+        "abandoned",
         "arrived_at",
         "body",
         "code",
@@ -45,6 +70,7 @@
         "retry_after_s",
         "route",
         "sends",
+        "sends_after_close",
         "service",
         "status",
         "tried",
@@ -68,6 +94,8 @@
         self.fingerprint = b""
         self.tried: list[str] = []
         self.sends = 0
+        self.sends_after_close = 0
+        self.abandoned: list[Abandoned] = []
         self.earlier_runs = False
         self.may_have_run = False
         self.retry_after_s = 0.0
--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
-from radishbridge.host.exchange import reset
 from radishbridge.host.problem import problem_response
+from radishbridge.host.sockets import reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 
 MAX_HEADERS = 100
--- a/packages/host/src/radishbridge/host/exchange.py
+++ b/packages/host/src/radishbridge/host/exchange.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
-import socket
-import struct
-
 from aiohttp import web
 
 from radishbridge.host.bodies import RequestBody
 from radishbridge.host.deadline import Deadline
+from radishbridge.host.sockets import reset
 from radishbridge.records import Execution, Failure, LimitSettings, ResultCode, Route, Service
 from radishbridge.routing import ServiceRoute
 
-_NO_LINGER = struct.pack("ii", 1, 0)
 _NO_TARGET = ServiceRoute("", Service(path_prefix="", backends=[]), Route(prefix=""))
 
 
@@ -72,12 +68,3 @@
         self.cut_off = True
         if self.request.transport is not None:
             reset(self.request.transport)
-
-
-def reset(transport: asyncio.Transport) -> None:
-    """Drop a connection so that its other end sees an error and not a clean end."""
-    # Without this option the kernel ends the connection in order, although bytes are missing.
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-    transport.abort()
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -7,7 +7,7 @@
 import pytest
 
 from radishbridge.entry.backends import BackendAnswer, BackendPool, request_head
-from radishbridge.host.exchange import reset as reset_connection
+from radishbridge.host.sockets import reset as reset_connection
 from radishbridge.records import Failure, ResultCode
 
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\ngood"
--- a/tests/test_entry_front.py
+++ b/tests/test_entry_front.py
@@ -280,6 +280,20 @@
         assert (line["status"], line["code"], line["configuration"]) == (401, 102, 1)
         assert "bad" not in str(line["reason"])
 
+    async def test_given_up_since_the_caller_left(self, caplog):
+        caplog.set_level(logging.INFO)
+        async with running(stall) as (world, _):
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await world.ask(Request_Id="left")
+            async with asyncio.timeout(5.0):
+                while not self.lines(caplog, "left"):
+                    await asyncio.sleep(0.01)
+        (line,) = self.lines(caplog, "left")
+        assert (line["code"], line["sent_after_close"]) == (123, 0)
+        ((server, _, unacknowledged),) = line["abandoned"]
+        assert (server, unacknowledged) == ("server-0", 0)
+
 
 class TestLeaving:
     async def test_answers_close_their_connections(self):
