--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,127 @@
+"""Backend servers that send bytes without end: the host ends it, soon and with little memory."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from entry_world import World, running, stall
+from steering_world import make_route, make_server
+
+from radishbridge.entry.backends import ANSWER_BYTES_MAX, BackendPool, request_head
+from radishbridge.records import Failure, ResultCode
+
+# Longest wait of a caller in seconds, much longer than it takes to send what is too much.
+PATIENCE_S = 10.0
+# What a server may send before the host closes: the largest answer, and what is under way.
+SENT_BYTES_MAX = ANSWER_BYTES_MAX + 16 * 1_048_576
+# A head is small; socket buffers on this machine hold some megabytes.
+HEAD_SENT_BYTES_MAX = 12 * 1_048_576
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_HEADS = {
+    "one value": (OK + b"X: ", b"a" * 65_536),
+    "lines": (OK, b"X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" * 1_600),
+    "empty lines": (b"", b"\r\n" * 32_768),
+    "informational heads": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2_000),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" * 1_600),
+    "chunk extension": (CHUNKED + b"5;", b"a" * 65_536),
+    "no answer at all": (b"\x00\x01", b"a" * 65_536),
+}
+ENDLESS_BODIES = {
+    "chunks": (CHUNKED, b"10000\r\n" + b"a" * 65_536 + b"\r\n"),
+    "no length": (OK + b"\r\n", b"a" * 65_536),
+    "a length of many terabytes": (OK + b"Content-Length: 99999999999999\r\n\r\n", b"a" * 65_536),
+}
+
+
+class EndlessServer:
+    """Sends a beginning and then the same bytes until its caller closes."""
+
+    def __init__(self, first: bytes, rest: bytes) -> None:
+        self.first = first
+        self.rest = rest
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.first)
+            while not writer.is_closing():
+                writer.write(self.rest)
+                self.sent_bytes += len(self.rest)
+                await writer.drain()
+        self.closed.set()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(first: bytes, rest: bytes):
+    endless = EndlessServer(first, rest)
+    server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    yield endless, f"{host}:{port}"
+    server.close()
+
+
+async def exchange(address: str) -> object:
+    pool = BackendPool()
+    connection = await pool.open(address)
+    assert not isinstance(connection, Failure)
+    async with asyncio.timeout(PATIENCE_S):
+        return await connection.exchange(request_head("GET", "/", [], None), b"", False)
+
+
+class TestExchange:
+    @pytest.mark.parametrize(("first", "rest"), ENDLESS_HEADS.values(), ids=ENDLESS_HEADS)
+    async def test_a_head_without_end_is_ended_early(self, first, rest):
+        async with serving(first, rest) as (server, address):
+            result = await exchange(address)
+            assert isinstance(result, Failure)
+            assert result.code is ResultCode.BACKEND_FAILED
+            async with asyncio.timeout(PATIENCE_S):
+                await server.closed.wait()
+            assert server.sent_bytes < HEAD_SENT_BYTES_MAX
+
+    @pytest.mark.parametrize(("first", "rest"), ENDLESS_BODIES.values(), ids=ENDLESS_BODIES)
+    async def test_a_body_without_end_is_ended_at_the_largest_answer(self, first, rest):
+        async with serving(first, rest) as (server, address):
+            result = await exchange(address)
+            assert isinstance(result, Failure)
+            assert result.code is ResultCode.BACKEND_FAILED
+            async with asyncio.timeout(PATIENCE_S):
+                await server.closed.wait()
+            assert server.sent_bytes < SENT_BYTES_MAX
+
+    async def test_an_answer_in_many_small_chunks_is_whole(self):
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CHUNKED + b"1\r\na\r\n" * 300_000 + b"0\r\n\r\n")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        answer = await exchange(f"{host}:{port}")
+        assert not isinstance(answer, Failure)
+        assert len(getattr(answer, "body", b"")) == 300_000
+        server.close()
+
+
+class TestCaller:
+    """What a caller sees whose server sends without end."""
+
+    async def ask(self, world: World, address: str) -> int:
+        world.board.selector.put(make_server(0, address=address), 0.0)
+        async with asyncio.timeout(PATIENCE_S):
+            return (await world.ask())[0]
+
+    @pytest.mark.parametrize("kind", ["lines", "informational heads"])
+    async def test_it_is_answered_long_before_its_deadline(self, kind):
+        route = make_route(repeatable=False, timeout_s=600.0)
+        async with serving(*ENDLESS_HEADS[kind]) as (_, address):
+            async with running(stall, route=route) as (world, _):
+                assert await self.ask(world, address) == 502
