Notice a caller that leaves behind bytes that nothing reads

What callers saw: a caller with 33 or more requests waiting on its connection, or a long body behind its request, left, and its request ran on to its deadline. Cause: the HTTP library stops reading a connection while much waits on it, and learns of a close by reading. Class: a close that is only noticed in the order of the bytes before it. The users' callers neither pipeline nor send such bodies: not likely what they saw.

--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -10,11 +10,14 @@
 from aiohttp.http_exceptions import LineTooLong
 
 from radishbridge.host.problem import problem_response
-from radishbridge.host.sockets import reset
+from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 
 MAX_HEADERS = 100
 LINGER_S = 2.0
+# Pause in seconds between two looks at connections that are not read: a caller that has left is
+# noticed well within half a second.
+LOOK_S = 0.1
 BAD_REQUEST = 400
 
 logger = logging.getLogger(__name__)
@@ -47,6 +50,19 @@
         super().connection_lost(exc)
         self.on_lost(self)
 
+    @property
+    def is_left(self) -> bool:
+        """Whether the caller has left behind bytes that are not read while it is answered."""
+        transport = self.transport
+        if transport is None or transport.is_reading():
+            return False
+        return is_closed_by_peer(transport)
+
+    def drop(self) -> None:
+        """End the connection and cancel what is being answered."""
+        if self.transport is not None:
+            reset(self.transport)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -89,6 +105,7 @@
             "max_headers": MAX_HEADERS,
             "max_line_size": limits.header_bytes,
         }
+        self.answering: set[CallerConnection] = set()
         self.by_workspace: dict[str, int] = {}
         self.open = 0
 
@@ -97,15 +114,29 @@
         self.open += 1
         return CallerConnection(self, asyncio.get_running_loop())
 
+    async def watch(self) -> None:
+        """Drop the connections of callers that left while nothing reads their connection.
+
+        The library stops to read a connection on which more requests or a long body wait
+        behind the one that is being answered, and would learn of a close only afterwards.
+        """
+        while True:
+            await asyncio.sleep(LOOK_S)
+            for connection in [one for one in self.answering if one.is_left]:
+                logger.info("caller left behind unread bytes", extra={"open": self.open})
+                connection.drop()
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         if not isinstance(connection, CallerConnection):
             return await self.handler(request)
         connection.handling += 1
+        self.answering.add(connection)
         try:
             return await self.handler(request)
         finally:
             connection.handling -= 1
+            self.answering.discard(connection)
 
     def claim(self, request: web.BaseRequest, workspace: str, limit: int) -> Failure | None:
         """Count a request's connection for a workspace.
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -15,6 +15,7 @@
 
 from radishbridge.entry import BackendPool, Board, Bounds, Front, RequestJournal
 from radishbridge.host.connections import CallerServer
+from radishbridge.host.tasks import start_task
 from radishbridge.platform.headers import PlatformDialect
 from radishbridge.records import LimitSettings
 from radishbridge.steering import Configuration, RouteRule, ServiceRule, WorkspaceRule
@@ -126,7 +127,9 @@
         journal = RequestJournal(CollectorRegistry())
         rates = OwnRates(board)
         front = Front(board, PlatformDialect(), pool, rates, journal, limits, random.Random(1))
-        address = await _listen(stack, CallerServer(front.handle, limits))
+        server = CallerServer(front.handle, limits)
+        start_task(stack, server.watch())
+        address = await _listen(stack, server)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         yield World(front, board, session, f"http://{address}"), backends
 
