Drop what is held up on the way to a server when its request is given up

What callers saw: work went on, or began, for callers that had left while the link between a host and a server was cut. Cause: an abandoned connection was closed in order. The kernel then goes on to deliver the bytes of the request that the server has not acknowledged, with the close behind them; TCP_USER_TIMEOUT of 1.5 s ended the connection before the close got through, also after the cut. The server ran a request to its end that nobody waited for. Class: a close is a message too: it may be late or lost, and must not deliver what it is meant to take back. Change: what the server has not acknowledged is dropped by a reset; what has arrived is ended by an orderly close that the kernel repeats for 15 s. In one place, BackendConnection.abandon.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from radishbridge.host.sockets import unacknowledged_bytes
+from radishbridge.host.sockets import reset, unacknowledged_bytes
 from radishbridge.records import Failure, ResultCode
 
 # A new connection takes one round trip, at most some 50 ms between regions; the rest is for a
@@ -33,6 +33,9 @@
 KEEPALIVE_PROBES = 2
 # Time in milliseconds after which sent data without acknowledgement ends a connection.
 USER_TIMEOUT_MS = 1_500
+# The same in milliseconds for the close of an abandoned connection: it still gets through after a
+# cut of some seconds, and ends work that a server would otherwise go on with to the deadline.
+CLOSE_TIMEOUT_MS = 15_000
 # Largest answer that is held in memory, in bytes; answers here have up to some hundred KB.
 ANSWER_BYTES_MAX = 16 * 1_048_576
 FIRST_FINAL_STATUS = 200
@@ -138,8 +141,7 @@
         try:
             return await self.waiter
         except asyncio.CancelledError:
-            self.unacknowledged = unacknowledged_bytes(self.transport)
-            self.close()
+            self.abandon()
             raise
 
     def may_serve(self, now: float, longest_s: float) -> bool:
@@ -154,6 +156,24 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def abandon(self) -> None:
+        """Close the connection so that the server neither starts nor goes on with its request.
+
+        What the server has not acknowledged may be held up on the way; an orderly close would
+        have the kernel deliver it later. A reset drops it. What has arrived is ended by an orderly
+        close, which unlike a reset the kernel repeats until it is acknowledged.
+        """
+        assert self.transport is not None
+        self.unacknowledged = unacknowledged_bytes(self.transport)
+        if self.unacknowledged:
+            self.spoiled = True
+            reset(self.transport)
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CLOSE_TIMEOUT_MS)
+        self.close()
+
     # The parser calls the methods below.
 
     def on_message_begin(self) -> None:
--- a/tests/test_callers_gone.py
+++ b/tests/test_callers_gone.py
@@ -14,7 +14,12 @@
 from in_process import Harness, until
 from steering_world import make_route
 
-from radishbridge.entry.backends import BackendConnection, BackendPool, request_head
+from radishbridge.entry.backends import (
+    CLOSE_TIMEOUT_MS,
+    BackendConnection,
+    BackendPool,
+    request_head,
+)
 from radishbridge.records import Failure
 from radishbridge.steering import RetryBudget
 
@@ -163,27 +168,36 @@
     """Load pattern: callers leave while the link to a server is cut."""
 
     @contextlib.asynccontextmanager
-    async def abandoned(
-        self, address: str, body: bytes
-    ) -> t.AsyncIterator[tuple[BackendConnection, socket.socket]]:
+    async def exchanging(self, address: str, body: bytes) -> t.AsyncIterator[BackendConnection]:
         pool = BackendPool()
         connection = await pool.open(address)
         assert not isinstance(connection, Failure)
-        assert connection.transport is not None
-        sock = connection.transport.get_extra_info("socket")
-        exchange = asyncio.create_task(
-            connection.exchange(request_head("POST", "/", [], len(body)), body, False)
-        )
+        head = request_head("POST", "/", [], len(body))
+        exchange = asyncio.create_task(connection.exchange(head, body, False))
         await asyncio.sleep(0.05)
+        yield connection
         exchange.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await exchange
-        yield connection, sock
         pool.close()
 
     async def test_what_was_held_up_does_not_reach_it_later(self):
         server = HeldUpServer()
-        async with self.abandoned(server.address, b"x" * BODY_BYTES):
-            await asyncio.sleep(0.05)
-            assert await asyncio.to_thread(server.receive_all) < BODY_BYTES
+        async with self.exchanging(server.address, b"x" * BODY_BYTES):
+            pass
+        assert await asyncio.to_thread(server.receive_all) < BODY_BYTES
         server.listener.close()
+
+    async def test_the_close_of_what_has_arrived_outlasts_a_cut(self):
+        async def serve(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with self.exchanging(f"{host}:{port}", b"x") as connection:
+            sock = connection.transport.get_extra_info("socket")
+            connection.abandon()
+            assert connection.unacknowledged == 0
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == CLOSE_TIMEOUT_MS
+        server.close()
