End an answer that is over a bound instead of reading on to the deadline

Cause: heads, informational answers, trailers and framing had no bound, and a body over its bound was dropped but read on. Class: a bound that limits what is kept but not what is waited for. Change: bytes that are not body have one bound (64 KB, and 8 bytes for each byte of body, for chunks of one byte); over it, or over the largest answer, the connection is closed at once and the attempt fails.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -38,6 +38,10 @@
 CLOSE_TIMEOUT_MS = 15_000
 # Largest answer that is held in memory, in bytes; answers here have up to some hundred KB.
 ANSWER_BYTES_MAX = 16 * 1_048_576
+# Bytes of an answer that are not its body: heads, trailers and the framing of chunks. The first
+# figure is twice what common servers let a head have, the second is for chunks of one byte.
+HEAD_BYTES_MAX = 65_536
+FRAMING_PER_BODY_BYTE = 8
 FIRST_FINAL_STATUS = 200
 _KEEPALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -72,6 +76,7 @@
         "keeps",
         "loop",
         "parser",
+        "received",
         "size",
         "spoiled",
         "status",
@@ -94,6 +99,7 @@
         self.headers: HeaderList = []
         self.body: list[bytes] = []
         self.size = 0
+        self.received = 0
         self.complete = False
         self.keeps = False
 
@@ -117,7 +123,10 @@
             if not self.complete:
                 self._fail(f"not an answer: {type(error).__name__}")
                 return
-        if self.complete and self.status >= FIRST_FINAL_STATUS:
+        excess = self._excess(len(data))
+        if excess:
+            self._fail(excess)
+        elif self.complete and self.status >= FIRST_FINAL_STATUS:
             self._deliver()
 
     def eof_received(self) -> bool:
@@ -203,8 +212,7 @@
         if self.complete:
             return
         self.size += len(body)
-        if self.size <= ANSWER_BYTES_MAX:
-            self.body.append(body)
+        self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Note the end of an answer."""
@@ -220,9 +228,20 @@
         self.headers = []
         self.body = []
         self.size = 0
+        self.received = 0
         self.complete = False
         self.keeps = False
 
+    def _excess(self, received: int) -> str:
+        # An answer over a bound may have no end at all: what is left of it is not waited for.
+        self.received += received
+        if self.size > ANSWER_BYTES_MAX:
+            return "the answer is too large"
+        framing = self.received - self.size
+        if framing > HEAD_BYTES_MAX + FRAMING_PER_BODY_BYTE * self.size:
+            return "the answer's head or framing is too large"
+        return ""
+
     def _is_unframed(self) -> bool:
         names = {name.lower() for name, _ in self.headers}
         return not names & {b"content-length", b"transfer-encoding"}
@@ -235,10 +254,7 @@
             self.close()
         if waiter is None or waiter.done():
             return
-        if self.size > ANSWER_BYTES_MAX:
-            waiter.set_result(Failure(ResultCode.BACKEND_FAILED, "the answer is too large"))
-        else:
-            waiter.set_result(BackendAnswer(self.status, self.headers, b"".join(self.body)))
+        waiter.set_result(BackendAnswer(self.status, self.headers, b"".join(self.body)))
 
     def _fail(self, reason: str) -> None:
         waiter, self.waiter = self.waiter, None
