Drop what is held up towards a server in the host with records of its own too

Cause: the client library closes a connection in order and first writes what waits, 200 KB of body in the test. Change: the way to abandon a connection moves to host/sockets.py and serves both request paths.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from radishbridge.host.sockets import reset, unacknowledged_bytes
+from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
 
 # A new connection takes one round trip, at most some 50 ms between regions; the rest is for a
@@ -33,9 +33,6 @@
 KEEPALIVE_PROBES = 2
 # Time in milliseconds after which sent data without acknowledgement ends a connection.
 USER_TIMEOUT_MS = 1_500
-# The same in milliseconds for the close of an abandoned connection: it still gets through after a
-# cut of some seconds, and ends work that a server would otherwise go on with to the deadline.
-CLOSE_TIMEOUT_MS = 15_000
 # Largest answer that is held in memory, in bytes; answers here have up to some hundred KB.
 ANSWER_BYTES_MAX = 16 * 1_048_576
 # Bytes of an answer that are not its body: heads, trailers and the framing of chunks. The first
@@ -166,22 +163,10 @@
             self.transport.abort()
 
     def abandon(self) -> None:
-        """Close the connection so that the server neither starts nor goes on with its request.
-
-        What the server has not acknowledged may be held up on the way; an orderly close would
-        have the kernel deliver it later. A reset drops it. What has arrived is ended by an orderly
-        close, which unlike a reset the kernel repeats until it is acknowledged.
-        """
-        assert self.transport is not None
-        self.unacknowledged = unacknowledged_bytes(self.transport)
-        if self.unacknowledged:
-            self.spoiled = True
-            reset(self.transport)
-            return
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None and sock.fileno() >= 0:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CLOSE_TIMEOUT_MS)
-        self.close()
+        """Give the request under way up and close the connection."""
+        self.spoiled = True
+        if self.transport is not None:
+            self.unacknowledged = abandon(self.transport)
 
     # The parser calls the methods below.
 
--- a/packages/host/src/radishbridge/host/backends.py
+++ b/packages/host/src/radishbridge/host/backends.py
@@ -11,6 +11,8 @@
 from aiohttp.typedefs import LooseHeaders
 from multidict import CIMultiDict
 
+from radishbridge.host.sockets import abandon
+
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 10.0
 READ_BUFFER_BYTES = 65_536
@@ -108,6 +110,7 @@
 
         A connection on which this fails or is cancelled is closed.
         """
+        transport = connection.transport
         try:
             if connection.protocol is not None:
                 connection.protocol.set_response_params(
@@ -126,6 +129,8 @@
                 answer.close()
                 raise
         except BaseException:
+            if isinstance(transport, asyncio.Transport):
+                abandon(transport)
             connection.close()
             raise
 
--- a/packages/host/src/radishbridge/host/sockets.py
+++ b/packages/host/src/radishbridge/host/sockets.py
@@ -9,6 +9,10 @@
 import struct
 import termios
 
+# Time in milliseconds for which the kernel repeats the close of an abandoned connection: it still
+# gets through after a cut of some seconds, and ends work that would go on to its deadline.
+CLOSE_TIMEOUT_MS = 15_000
+
 _NO_LINGER = struct.pack("ii", 1, 0)
 _ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _BYTES = struct.Struct("i")
@@ -56,3 +60,23 @@
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     transport.abort()
+
+
+def abandon(transport: asyncio.Transport) -> int | None:
+    """Close a connection so that its other end neither starts nor goes on with a request.
+
+    What the other end has not acknowledged may be held up on the way; an orderly close would have
+    the kernel deliver it later. A reset drops it. What has arrived is ended by an orderly close,
+    which unlike a reset the kernel repeats until it is acknowledged.
+
+    :return: bytes that had not been acknowledged; ``None`` where the kernel does not say.
+    """
+    unacknowledged = unacknowledged_bytes(transport)
+    if unacknowledged:
+        reset(transport)
+        return unacknowledged
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CLOSE_TIMEOUT_MS)
+    transport.abort()
+    return unacknowledged
--- a/tests/test_callers_gone.py
+++ b/tests/test_callers_gone.py
@@ -11,15 +11,11 @@
 
 import pytest
 from entry_world import World, reply, running, shed, stall
-from in_process import Harness, until
+from in_process import WITH_KEY, Harness, until
 from steering_world import make_route
 
-from radishbridge.entry.backends import (
-    CLOSE_TIMEOUT_MS,
-    BackendConnection,
-    BackendPool,
-    request_head,
-)
+from radishbridge.entry.backends import BackendConnection, BackendPool, request_head
+from radishbridge.host.sockets import CLOSE_TIMEOUT_MS
 from radishbridge.records import Failure
 from radishbridge.steering import RetryBudget
 
@@ -188,6 +184,18 @@
         assert await asyncio.to_thread(server.receive_all) < BODY_BYTES
         server.listener.close()
 
+    async def test_nor_from_a_host_with_records_of_its_own(self):
+        server = HeldUpServer()
+        async with Harness() as host:
+            host.add_address("held-up", server.address)
+            url, body = host.url("/catalogue/once/1"), b"x" * BODY_BYTES
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await host.caller.post(url, data=body, headers=WITH_KEY)
+            await until(lambda: not host.forwarder.in_flight)
+            assert await asyncio.to_thread(server.receive_all) < BODY_BYTES
+        server.listener.close()
+
     async def test_the_close_of_what_has_arrived_outlasts_a_cut(self):
         async def serve(reader, writer):
             await reader.read()
