End a store's answer at a bound

What operators see: a store (or what answers at its address) that sends a body without end fills a host's memory until the call's time is up. Cause: the client read the whole body, whatever its size; the class of fault of endless answers, looked for elsewhere. Ruled out: other hosts (ZMQ_MAXMSGSIZE is set); heads of the store (the library bounds lines and their number). Change: one function reads answers up to 64 MB for both clients of a store; over it the call fails with STORE_UNAVAILABLE, a write with WRITE_UNCLEAR.

--- a/packages/store/src/radishbridge/store/__init__.py
+++ b/packages/store/src/radishbridge/store/__init__.py
@@ -7,7 +7,7 @@
 from radishbridge.store.exchange import DigestExchange
 from radishbridge.store.feed import ReplicaFeed, StoreContact
 from radishbridge.store.freshness import Evidence, Freshness, Proof, Witness
-from radishbridge.store.http import HttpStore, send_once
+from radishbridge.store.http import HttpStore, read_bounded, send_once
 from radishbridge.store.leases import Lease, LeaseSettings, LeaseValue
 from radishbridge.store.protocol import (
     HostEntry,
@@ -46,6 +46,7 @@
     "StoredObject",
     "WatchEvent",
     "Witness",
+    "read_bounded",
     "send_once",
     "steady_clock",
     "write_resolved",
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -18,6 +18,8 @@
 VALUE_LIMIT_BYTES = 1_048_576
 # A line holds one value and its envelope.
 LINE_LIMIT_BYTES = 2 * VALUE_LIMIT_BYTES
+# Largest answer that is read, in bytes: half of what a host may use for control.
+ANSWER_BYTES_MAX = 64 * 1_048_576
 
 
 class HttpStore:
@@ -70,7 +72,7 @@
                 timeout=self._read_timeout,
                 middlewares=(send_once,),
             ) as answer:
-                return _written(answer.status, await answer.read())
+                return _written(answer.status, await read_bounded(answer))
         except aiohttp.ClientConnectorError as error:
             return Failure(ResultCode.STORE_UNAVAILABLE, str(error.os_error))
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -103,7 +105,7 @@
     ) -> bytes | Failure:
         try:
             async with self.session.get(self.url + path, params=params, timeout=timeout) as answer:
-                body = await answer.read()
+                body = await read_bounded(answer)
         except (TimeoutError, aiohttp.ClientError) as error:
             return Failure(ResultCode.STORE_UNAVAILABLE, type(error).__name__)
         return body if answer.status == 200 else _status_failure(answer.status)
@@ -130,6 +132,20 @@
         raise aiohttp.ClientPayloadError(str(error)) from error
 
 
+async def read_bounded(answer: aiohttp.ClientResponse) -> bytes:
+    """Return an answer's body; one over the bound may have no end and is not read on.
+
+    :raises aiohttp.ClientPayloadError: the answer is too large.
+    """
+    body = bytearray()
+    async for part in answer.content.iter_any():
+        body += part
+        if len(body) > ANSWER_BYTES_MAX:
+            answer.close()
+            raise aiohttp.ClientPayloadError("the answer is too large")
+    return bytes(body)
+
+
 async def _lines(content: aiohttp.StreamReader) -> t.AsyncIterator[bytes]:
     # The reader's own line iterator fails on lines above its buffer's limit of 128 KiB.
     pending = bytearray()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,12 +5,18 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 from entry_world import World, running, stall
 from steering_world import make_route, make_server
 
+from radishbridge.entry import Kind
 from radishbridge.entry.backends import ANSWER_BYTES_MAX, BackendPool, request_head
+from radishbridge.platform import store as platform_store
+from radishbridge.platform.store import PlatformStore
 from radishbridge.records import Failure, ResultCode
+from radishbridge.store import HttpStore
+from radishbridge.store import http as store_http
 
 # Longest wait of a caller in seconds, much longer than it takes to send what is too much.
 PATIENCE_S = 10.0
@@ -37,6 +43,14 @@
 }
 
 
+LISTINGS = {
+    "own api": lambda session, address: (
+        HttpStore(session, f"http://{address}", PATIENCE_S).list(["service"])
+    ),
+    "platform": lambda session, address: PlatformStore(session, address).list(Kind.SERVER),
+}
+
+
 class EndlessServer:
     """Sends a beginning and then the same bytes until its caller closes."""
 
@@ -125,3 +139,21 @@
         async with serving(*ENDLESS_HEADS[kind]) as (_, address):
             async with running(stall, route=route) as (world, _):
                 assert await self.ask(world, address) == 502
+
+
+class TestStore:
+    """A store whose answer has no end; the caller would wait as long as its call may take."""
+
+    FIRST = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+
+    @pytest.mark.parametrize("over", LISTINGS)
+    async def test_its_answer_is_ended_at_the_bound(self, over, monkeypatch):
+        monkeypatch.setattr(store_http, "ANSWER_BYTES_MAX", 1_048_576)
+        monkeypatch.setattr(platform_store, "CALL_S", PATIENCE_S)
+        async with serving(self.FIRST, b" " * 65_536) as (server, address):
+            async with aiohttp.ClientSession() as session:
+                result = await LISTINGS[over](session, address)
+                assert isinstance(result, Failure)
+                assert result.reason == "ClientPayloadError"
+            async with asyncio.timeout(PATIENCE_S):
+                await server.closed.wait()
