--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -193,7 +193,12 @@
         for name, limiter in self.limiters.items():
             limiter.total = summary.demands.get(name, 0.0)
         for service, by_region in summary.home_bound.items():
-            self.selector.update_weights(service, by_region)
+            if self.selector.update_weights(service, by_region):
+                weights = self.selector.weights[service].weights
+                logger.info(
+                    "region weights",
+                    extra={"service": service, "weights": weights, "home_bound": by_region},
+                )
         self.selector.update_medians()
         for crash in summary.crashes:
             self.poison.note_crash(crash.fingerprint, crash.server, now)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -163,14 +163,19 @@
             state.server.name for state in self.usable(service) if state.server.version == version
         ]
 
-    def update_weights(self, service: str, home_bound: t.Mapping[str, float]) -> None:
-        """Take over how many slots home-bound requests need in each region."""
+    def update_weights(self, service: str, home_bound: t.Mapping[str, float]) -> bool:
+        """Take over how many slots home-bound requests need in each region.
+
+        :return: whether a region's weight changed.
+        """
         slots: dict[str, int] = {}
         for state in self.usable(service):
             region = state.server.region
             slots[region] = slots.get(region, 0) + state.server.slots
-        if self.weights.setdefault(service, RegionWeights()).update(slots, home_bound):
+        changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound)
+        if changed:
             self.orders.clear()
+        return changed
 
     def update_medians(self) -> None:
         """Take the median speed of each service's servers anew."""
