Give room in a region back step by step

Cause, as far as traced: the log of region weights shows oberbayern's weight of two services rise 0.25 -> 0.5 -> 0.75 within 1.5 s of 30.0 s, on all hosts alike; a weight may even go through all its steps in one update. Ruled out: a single host's view (three hosts changed within 0.1 s of each other). Change: a service's regions give room back one step of one region in 2.5 s; room is taken away at once as before. Conclusion: a fault shown by a test.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -193,7 +193,7 @@
         for name, limiter in self.limiters.items():
             limiter.total = summary.demands.get(name, 0.0)
         for service, by_region in summary.home_bound.items():
-            if self.selector.update_weights(service, by_region):
+            if self.selector.update_weights(service, by_region, now):
                 weights = self.selector.weights[service].weights
                 logger.info(
                     "region weights",
--- a/packages/steering/src/radishbridge/steering/placement.py
+++ b/packages/steering/src/radishbridge/steering/placement.py
@@ -20,6 +20,9 @@
 FULL_OF_HOME_BOUND = 0.9
 # Steps of a region's weight: few, since each change of weight moves objects to cold servers.
 WEIGHT_STEPS = 4
+# Pause in seconds between two steps by which regions give room back. The movement between regions
+# is bounded over windows of two seconds; the rest is for the spread between hosts.
+GIVE_BACK_PAUSE_S = 2.5
 
 
 def unit_hash(*parts: str) -> float:
@@ -49,28 +52,48 @@
 class RegionWeights:
     """How much room each region of a service has for requests without home regions.
 
-    Weights change by whole steps and only past half a step more, so that they rest while the
-    traffic that decides them swings a little.
+    Load pattern: home-bound requests that fill a region end at once. Weights change by whole steps
+    and only past half a step more, so that they rest while the traffic that decides them swings a
+    little. A region takes room away at once, as home-bound requests have no other place. It gives
+    room back step by step, one region at a time, so that few objects move at once.
     """
 
-    __slots__ = ("weights",)
+    __slots__ = ("gave_back_at", "weights")
 
     def __init__(self) -> None:
         self.weights: dict[str, float] = {}
+        self.gave_back_at = float("-inf")
 
-    def update(self, slots: t.Mapping[str, int], home_bound: t.Mapping[str, float]) -> bool:
+    def update(
+        self, slots: t.Mapping[str, int], home_bound: t.Mapping[str, float], now: float
+    ) -> bool:
         """Take over what is there and what is bound to it.
 
         :param slots: slots of a region's usable servers.
         :param home_bound: mean slots that requests with this region as their only home take up.
         :return: whether a weight changed.
         """
-        changed = False
-        for region, count in slots.items():
-            load = home_bound.get(region, 0.0) / max(1, count)
-            room = max(0.0, 1.0 - load / FULL_OF_HOME_BOUND)
-            held = self.weights.get(region, 1.0)
-            if abs(room - held) * WEIGHT_STEPS > 1.0:
-                self.weights[region] = round(room * WEIGHT_STEPS) / WEIGHT_STEPS
-                changed = changed or self.weights[region] != held
-        return changed
+        rooms = {
+            region: _room(count, home_bound.get(region, 0.0)) for region, count in slots.items()
+        }
+        due = {
+            region: room
+            for region, room in rooms.items()
+            if abs(room - self._held(region)) * WEIGHT_STEPS > 1.0
+        }
+        less = {region: room for region, room in due.items() if room < self._held(region)}
+        for region, room in less.items():
+            self.weights[region] = round(room * WEIGHT_STEPS) / WEIGHT_STEPS
+        more = max(due.keys() - less.keys(), key=lambda one: (due[one], one), default=None)
+        if more is None or now - self.gave_back_at < GIVE_BACK_PAUSE_S:
+            return bool(less)
+        self.gave_back_at = now
+        self.weights[more] = self._held(more) + 1.0 / WEIGHT_STEPS
+        return True
+
+    def _held(self, region: str) -> float:
+        return self.weights.get(region, 1.0)
+
+
+def _room(slots: int, home_bound: float) -> float:
+    return max(0.0, 1.0 - home_bound / max(1, slots) / FULL_OF_HOME_BOUND)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -163,7 +163,7 @@
             state.server.name for state in self.usable(service) if state.server.version == version
         ]
 
-    def update_weights(self, service: str, home_bound: t.Mapping[str, float]) -> bool:
+    def update_weights(self, service: str, home_bound: t.Mapping[str, float], now: float) -> bool:
         """Take over how many slots home-bound requests need in each region.
 
         :return: whether a region's weight changed.
@@ -172,7 +172,7 @@
         for state in self.usable(service):
             region = state.server.region
             slots[region] = slots.get(region, 0) + state.server.slots
-        changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound)
+        changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound, now)
         if changed:
             self.orders.clear()
         return changed
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -40,7 +40,7 @@
 
     def test_requests_without_homes_leave_a_region_that_home_bound_ones_fill(self):
         selector = make_selector(8)
-        selector.update_weights("catalogue", {"east": 15.0})
+        selector.update_weights("catalogue", {"east": 15.0}, T0)
         regions = {
             selector.choose(need(str(number)), (), T0).server.region for number in range(200)
         }
@@ -48,11 +48,33 @@
 
     def test_weights_rest_while_the_load_swings_a_little(self):
         selector = make_selector(8)
-        selector.update_weights("catalogue", {"east": 7.0})
+        selector.update_weights("catalogue", {"east": 7.0}, T0)
         held = dict(selector.weights["catalogue"].weights)
-        selector.update_weights("catalogue", {"east": 8.0})
+        selector.update_weights("catalogue", {"east": 8.0}, T0)
         assert selector.weights["catalogue"].weights == held
 
+    def test_few_objects_move_at_once_when_a_regions_home_bound_load_ends(self):
+        selector = make_selector(0)
+        for number in range(9):
+            region = ("east", "west", "north")[number % 3]
+            selector.put(make_server(number, region=region), T0)
+        selector.update_weights("catalogue", {"east": 15.0}, T0)
+        keys = [str(number) for number in range(1000)]
+
+        def regions() -> list[str]:
+            return [selector.choose(need(key), (), T0).server.region for key in keys]
+
+        placed = [regions()]
+        for half_seconds in range(40):
+            selector.update_weights("catalogue", {"east": 0.0}, T0 + 0.5 * half_seconds)
+            placed.append(regions())
+        moved = [
+            sum(one != other for one, other in zip(before, after, strict=True))
+            for before, after in zip(placed, placed[4:], strict=False)
+        ]
+        assert max(moved) <= 150
+        assert placed[-1].count("east") > 250
+
     def test_objects_of_large_answers_mostly_stay_in_the_region(self):
         selector = make_selector(8)
         selector.region = "east"
