Let callers of the soak leave, and check that nothing goes on for them

Cause: the soak had no caller that leaves and no check of work after a caller's close (postmortem, why tests missed it). Change: 15 in 100 requests are left within 0.3 s; no more than 3 may begin or still run at a server half a second later, on hosts and links that were not disturbed for 3 s. Servers note when they stop.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,9 @@
 LOOKUP_S = 1.0
 HOST_NAME = "one.example"
 OBJECTS = 40
+# Part of the requests whose caller leaves, and after how many seconds at most.
+LEAVING = 0.15
+LEAVES_WITHIN_S = 0.3
 
 
 class Key(t.NamedTuple):
@@ -88,13 +91,20 @@
         }
         sent_at = time.monotonic()
         status, whole = 0, True
+        leaves_at = None
+        if rng.random() < LEAVING:
+            leaves_at = asyncio.get_running_loop().time() + rng.uniform(0.0, LEAVES_WITHIN_S)
+        leaving = asyncio.timeout_at(leaves_at)
         try:
-            async with session.request(
-                "POST" if unsafe else "GET",
-                f"http://{front}{path}",
-                headers=headers,
-                data=b"x" * 300 if unsafe else None,
-            ) as answer:
+            async with (
+                leaving,
+                session.request(
+                    "POST" if unsafe else "GET",
+                    f"http://{front}{path}",
+                    headers=headers,
+                    data=b"x" * 300 if unsafe else None,
+                ) as answer,
+            ):
                 body = await answer.read()
                 status = answer.status
                 whole = self._is_whole(request_id, answer, body)
@@ -113,6 +123,7 @@
                 time.monotonic(),
                 status,
                 whole,
+                leaving.expired(),
             )
         )
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,8 @@
 CONTACT_S = 3.0
 # A rate's window in seconds, its overage and its slack.
 QUOTA_S, QUOTA_OVERAGE, QUOTA_SLACK = 5.0, 0.1, 20
+# Time in seconds after a caller's close in which servers stop, and how many may be later.
+GONE_S, GONE_SLACK = 0.5, 3
 # Part of the requests that have to be served once nothing is disturbed any more.
 RECOVERED = 0.25
 
@@ -57,6 +59,7 @@
         _late_keys(ledger, ended, keys),
         _over_rate(ledger, rates),
         _drained(ledger, ended, drains),
+        _gone(ledger, ended),
         _recovered(ledger, calm_from),
     )
     return [*found, *(bound_in_time if timed else ())]
@@ -130,6 +133,25 @@
                 yield f"DRAIN {run.request_id} ran at {drain.server} {run.at - drain.at:.2f} s late"
 
 
+def _gone(ledger: Ledger, ended: t.Mapping[str, Outcome]) -> t.Iterator[str]:
+    late = []
+    for seen in (*ledger.runs, *ledger.ends):
+        outcome = ended.get(seen.request_id)
+        if outcome is None or not outcome.left or seen.at < outcome.ended_at + GONE_S:
+            continue
+        start = outcome.sent_at - CONTACT_S
+        calm = (ledger.is_calm(what, start, seen.at) for what in (outcome.host, link(seen.server)))
+        if all(calm):
+            late.append(f"{seen.request_id} at {seen.server} {seen.at - outcome.ended_at:.2f} s")
+    if len(late) > GONE_SLACK:
+        yield f"GONE {len(late)} begun or still run after the caller's close, the first {late[0]}"
+
+
+def link(server: str) -> str:
+    """Return the name under which the disturbances of a server's link are noted."""
+    return f"link to {server}"
+
+
 def _denied(ledger: Ledger, keys: t.Mapping[str, Key]) -> t.Iterator[str]:
     denied = [
         one
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -16,11 +16,20 @@
     at: float
 
 
+class End(t.NamedTuple):
+    """A backend server answered a request, or stopped to work on it."""
+
+    request_id: str
+    server: str
+    at: float
+
+
 class Outcome(t.NamedTuple):
     """How one request ended at its caller.
 
     :param status: 0 where the connection ended without an answer.
     :param whole: a success carries the bytes and the proof of the server that ran it.
+    :param left: the caller closed its connection before the answer.
     """
 
     request_id: str
@@ -33,6 +42,7 @@
     ended_at: float
     status: int
     whole: bool
+    left: bool = False
 
 
 class Span(t.NamedTuple):
@@ -54,6 +64,7 @@
 
     def __init__(self) -> None:
         self.runs: list[Run] = []
+        self.ends: list[End] = []
         self.outcomes: list[Outcome] = []
         self.answers: dict[str, bytes] = {}
         self.disturbed: dict[str, list[Span]] = {}
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from soak.ledger import Ledger, Run
+from soak.ledger import End, Ledger, Run
 from soak.proxy import Proxy
 
 SLOTS = 4
@@ -80,6 +80,7 @@
                 return await self._run(request, request_id)
         finally:
             self.running -= 1
+            self.ledger.ends.append(End(request_id, self.name, time.monotonic()))
 
     async def _run(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
         tenant = request.headers.get("Tenant", "")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,7 +14,7 @@
 
 from radishbridge_standin.processes import free_ports
 from soak.callers import HOST_NAME, Callers, Key
-from soak.checks import Drain, check
+from soak.checks import Drain, check, link
 from soak.hosts import CONTACT_S, GRACE_S, Host
 from soak.ledger import Ledger
 from soak.proxy import Way
@@ -203,9 +203,11 @@
 
     def disturb_link(self) -> None:
         """Silence, cut one way, reset or slow the link to a server."""
-        proxy = self.rng.choice(self.servers).proxy
+        server = self.rng.choice(self.servers)
+        proxy = server.proxy
         kind = self.rng.choice(["silent", "one way", "reset", "slow"])
         for_s = self.rng.uniform(0.5, 4.0)
+        self.ledger.disturb(link(server.name), for_s + CONTACT_S)
         if kind == "reset":
             proxy.reset()
         elif kind == "slow":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from soak.__main__ import run
 from soak.callers import Key
 from soak.checks import Drain, check
-from soak.ledger import Ledger, Outcome, Run
+from soak.ledger import End, Ledger, Outcome, Run, Span
 
 KEYS = {"good": Key("good", "school"), "old": Key("old", "school", revoked_at=10.0)}
 RATES = {"school": (10.0, 10.0)}
@@ -73,6 +73,31 @@
         ledger.disturbed["host-0"] = [ledger.disturbed["host-0"][0]._replace(start=41.0, end=44.0)]
         assert check(ledger, KEYS, RATES, [Drain("i-1", 40.0)], 80.0) == []
 
+    @pytest.mark.parametrize(
+        ("late_s", "count", "link_disturbed", "found"),
+        [
+            (0.6, 4, False, ["GONE"]),
+            (0.6, 3, False, []),
+            (0.4, 4, False, []),
+            (0.6, 4, True, []),
+        ],
+    )
+    @pytest.mark.parametrize("begins", [True, False])
+    def test_work_after_the_caller_left(self, late_s, count, link_disturbed, found, begins):
+        ledger = Ledger()
+        ids = [str(number) for number in range(count)]
+        ledger.outcomes = [outcome(one, left=True, status=0) for one in ids]
+        ledger.outcomes.append(outcome("last", sent_at=90.0))
+        at = 50.1 + late_s
+        if begins:
+            ledger.runs = [ran(one, at=at) for one in ids]
+        else:
+            ledger.ends = [End(one, "i-2", at) for one in ids]
+        if link_disturbed:
+            ledger.disturbed["link to i-2"] = [Span(48.0, 49.0)]
+        broken = check(ledger, KEYS, RATES, [], 80.0)
+        assert [text.split()[0] for text in broken] == found
+
     def test_in_ci_bounds_in_time_are_left_out(self):
         ledger = Ledger()
         ledger.runs = [ran(at=45.0, server="i-1")]
