Bound what unfinished answers take up together

What operators see: a server that sends bodies without end to 40 requests at once takes 630 MB of a host, which has 200 to 552. Cause: each answer had a bound of 16 MB, all of them together had none. Class: a bound for one that is none for many; found while asking what endless answers still cost. Change: entry/memory.py counts the bytes of unfinished answers over all connections.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from radishbridge.entry.memory import AnswerMemory
 from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
 
@@ -59,6 +60,7 @@
 class BackendConnection(asyncio.Protocol):
     """One connection to a backend server.
 
+    :param memory: what unfinished answers take up over all connections.
     :param unacknowledged: bytes that the server had not acknowledged when its request was
         abandoned; ``None`` before that, or where the kernel does not say.
     """
@@ -72,6 +74,7 @@
         "is_head",
         "keeps",
         "loop",
+        "memory",
         "parser",
         "received",
         "size",
@@ -82,8 +85,9 @@
         "waiter",
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: AnswerMemory) -> None:
         self.loop = loop
+        self.memory = memory
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[BackendAnswer | Failure] | None = None
         self.spoiled = False
@@ -197,6 +201,7 @@
         if self.complete:
             return
         self.size += len(body)
+        self.memory.take(len(body))
         self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -211,17 +216,23 @@
         self.is_head = is_head
         self.status = 0
         self.headers = []
-        self.body = []
-        self.size = 0
+        self._forget_body()
         self.received = 0
         self.complete = False
         self.keeps = False
 
+    def _forget_body(self) -> None:
+        self.memory.give_back(self.size)
+        self.body = []
+        self.size = 0
+
     def _excess(self, received: int) -> str:
         # An answer over a bound may have no end at all: what is left of it is not waited for.
         self.received += received
         if self.size > ANSWER_BYTES_MAX:
             return "the answer is too large"
+        if not self.memory.has_room(self.size):
+            return "large answers take up the memory for them"
         framing = self.received - self.size
         if framing > HEAD_BYTES_MAX + FRAMING_PER_BODY_BYTE * self.size:
             return "the answer's head or framing is too large"
@@ -237,13 +248,14 @@
         self._read_keep_alive()
         if not self.keeps:
             self.close()
-        if waiter is None or waiter.done():
-            return
-        waiter.set_result(BackendAnswer(self.status, self.headers, b"".join(self.body)))
+        if waiter is not None and not waiter.done():
+            waiter.set_result(BackendAnswer(self.status, self.headers, b"".join(self.body)))
+        self._forget_body()
 
     def _fail(self, reason: str) -> None:
         waiter, self.waiter = self.waiter, None
         self.close()
+        self._forget_body()
         if waiter is not None and not waiter.done():
             waiter.set_result(Failure(ResultCode.BACKEND_FAILED, reason))
 
@@ -259,9 +271,10 @@
 class BackendPool:
     """Opens connections to backend servers and keeps idle ones for a while."""
 
-    __slots__ = ("idle", "loop", "opened")
+    __slots__ = ("idle", "loop", "memory", "opened")
 
-    def __init__(self) -> None:
+    def __init__(self, memory: AnswerMemory | None = None) -> None:
+        self.memory = memory or AnswerMemory()
         self.loop = asyncio.get_running_loop()
         self.idle: dict[str, collections.deque[BackendConnection]] = {}
         self.opened = 0
@@ -310,7 +323,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self.loop.create_connection(
-                    lambda: BackendConnection(self.loop), host, int(port)
+                    lambda: BackendConnection(self.loop, self.memory), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             return Failure(ResultCode.BACKEND_REFUSED, f"no connection: {type(error).__name__}")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,7 +11,8 @@
 from steering_world import make_route, make_server
 
 from radishbridge.entry import Kind
-from radishbridge.entry.backends import ANSWER_BYTES_MAX, BackendPool, request_head
+from radishbridge.entry.backends import ANSWER_BYTES_MAX, BackendAnswer, BackendPool, request_head
+from radishbridge.entry.memory import USUAL_BYTES, AnswerMemory
 from radishbridge.platform import store as platform_store
 from radishbridge.platform.store import PlatformStore
 from radishbridge.records import Failure, ResultCode
@@ -81,8 +82,22 @@
     server.close()
 
 
-async def exchange(address: str) -> object:
-    pool = BackendPool()
+@contextlib.asynccontextmanager
+async def serving_once(answer: bytes):
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    yield f"{host}:{port}"
+    server.close()
+
+
+async def exchange(address: str, memory: AnswerMemory | None = None) -> object:
+    pool = BackendPool(memory)
     connection = await pool.open(address)
     assert not isinstance(connection, Failure)
     async with asyncio.timeout(PATIENCE_S):
@@ -108,18 +123,43 @@
         assert await self.sent_until_closed(first, rest) < SENT_BYTES_MAX
 
     async def test_an_answer_in_many_small_chunks_is_whole(self):
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(CHUNKED + b"1\r\na\r\n" * 300_000 + b"0\r\n\r\n")
-            await writer.drain()
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        answer = await exchange(f"{host}:{port}")
-        assert not isinstance(answer, Failure)
-        assert len(getattr(answer, "body", b"")) == 300_000
-        server.close()
+        async with serving_once(CHUNKED + b"1\r\na\r\n" * 300_000 + b"0\r\n\r\n") as address:
+            answer = await exchange(address)
+        assert isinstance(answer, BackendAnswer)
+        assert len(answer.body) == 300_000
+
+
+class PeakMemory(AnswerMemory):
+    """Notes the most that was held."""
+
+    peak = 0
+
+    def take(self, size: int) -> None:
+        super().take(size)
+        self.peak = max(self.peak, self.held)
+
+
+class TestManyAtOnce:
+    """Load pattern: a server sends bodies without end to all its requests."""
+
+    MOST = 4 * 1_048_576
+
+    async def test_together_they_keep_to_the_memory_of_a_host(self):
+        memory = PeakMemory(self.MOST)
+        async with serving(*ENDLESS_BODIES["chunks"]) as (_, address):
+            results = await asyncio.gather(*(exchange(address, memory) for _ in range(12)))
+        assert all(isinstance(result, Failure) for result in results)
+        assert memory.held == 0
+        # Each may come in up to the size of a usual answer, and one read of the socket more.
+        assert memory.peak < self.MOST + 12 * (USUAL_BYTES + 262_144)
+
+    async def test_a_usual_answer_still_comes_in(self):
+        memory = AnswerMemory(0)
+        memory.take(1)
+        async with serving_once(CHUNKED + b"4\r\ngood\r\n0\r\n\r\n") as address:
+            answer = await exchange(address, memory)
+        assert isinstance(answer, BackendAnswer)
+        assert memory.held == 1
 
 
 class TestCaller:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -13,6 +13,7 @@
 
 from radishbridge.entry import FleetMessage, Kind, StoredObject
 from radishbridge.entry.backends import BackendAnswer, BackendConnection
+from radishbridge.entry.memory import AnswerMemory
 from radishbridge.platform.headers import PlatformDialect
 from radishbridge.platform.objects import PlatformDecoder
 from radishbridge.platform.settings import PlatformSettings, read_settings
@@ -194,7 +195,7 @@
 
 async def feed(parts: t.Iterable[bytes]) -> tuple[BackendAnswer | Failure | None, bool]:
     """Return what a request gets from bytes of a server, and whether the connection stays."""
-    connection = BackendConnection(asyncio.get_running_loop())
+    connection = BackendConnection(asyncio.get_running_loop(), AnswerMemory())
     pipe = Pipe()
     connection.connection_made(pipe)
     exchange = asyncio.create_task(connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"", False))
