Pass an answer on that bytes without end follow in the same read

Cause: the bound was asked before the whole answer was handed over. Change: a whole answer is passed on first; its connection is closed as before.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -124,11 +124,12 @@
             if not self.complete:
                 self._fail(f"not an answer: {type(error).__name__}")
                 return
+        if self.complete and self.status >= FIRST_FINAL_STATUS:
+            self._deliver()
+            return
         excess = self._excess(len(data))
         if excess:
             self._fail(excess)
-        elif self.complete and self.status >= FIRST_FINAL_STATUS:
-            self._deliver()
 
     def eof_received(self) -> bool:
         """End an answer that has no length where the server closes in order."""
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -235,3 +236,9 @@
         result, _ = asyncio.run(feed([GOOD_ANSWER + extra]))
         assert isinstance(result, BackendAnswer)
         assert result.body == b"good"
+
+    @pytest.mark.parametrize("follows", [b"\0" * 200_000, b"HTTP/1.1 200 OK\r\nX: y\r\n" * 9_000])
+    async def test_an_answer_that_bytes_without_end_follow_is_passed_on(self, follows):
+        result, stays = await feed([GOOD_ANSWER + follows])
+        assert isinstance(result, BackendAnswer)
+        assert (result.body, stays) == (b"good", False)
