--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -109,6 +109,7 @@
         try:
             result = await self._answer(task)
             response = self._response(task, result)
+            # Where a caller has closed its half only, it sees a reset and not a refusal.
             if task.code is ResultCode.CALLER_GONE and request.transport is not None:
                 reset(request.transport)
             if self.leaving:
