--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -8,11 +8,13 @@
 import typing as t
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from radishbridge.entry import FleetMessage, Kind, StoredObject
 from radishbridge.entry.backends import BackendAnswer, BackendConnection
+from radishbridge.entry.memory import AnswerMemory
 from radishbridge.platform.headers import PlatformDialect
 from radishbridge.platform.objects import PlatformDecoder
 from radishbridge.platform.settings import PlatformSettings, read_settings
@@ -194,7 +196,7 @@
 
 async def feed(parts: t.Iterable[bytes]) -> tuple[BackendAnswer | Failure | None, bool]:
     """Return what a request gets from bytes of a server, and whether the connection stays."""
-    connection = BackendConnection(asyncio.get_running_loop())
+    connection = BackendConnection(asyncio.get_running_loop(), AnswerMemory())
     pipe = Pipe()
     connection.connection_made(pipe)
     exchange = asyncio.create_task(connection.exchange(b"GET / HTTP/1.1\r\n\r\n", b"", False))
@@ -234,3 +236,9 @@
         result, _ = asyncio.run(feed([GOOD_ANSWER + extra]))
         assert isinstance(result, BackendAnswer)
         assert result.body == b"good"
+
+    @pytest.mark.parametrize("follows", [b"\0" * 200_000, b"HTTP/1.1 200 OK\r\nX: y\r\n" * 9_000])
+    async def test_an_answer_that_bytes_without_end_follow_is_passed_on(self, follows):
+        result, stays = await feed([GOOD_ANSWER + follows])
+        assert isinstance(result, BackendAnswer)
+        assert (result.body, stays) == (b"good", False)
