--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -293,7 +293,8 @@
                 late.append(kind)
                 self.differs_since[kind] = now
         if late:
-            logger.info("copy differs", extra={"peer": peer, "kinds": [one.value for one in late]})
+            revisions = {kind.value: self.copy.revisions[kind] for kind in late}
+            logger.info("copy differs", extra={"peer": peer, "revisions": revisions})
             self.mesh.send(peer, CopyRequest(kinds=late))
 
     def _on_changed(self, peer: Peer, message: ObjectsChanged) -> None:
