An answer that ends in its head is a failure

Callers saw: an interim head (100, 103) as the final answer, with no final one after it, where a server wrote one and then closed, alone or after half of a final head; a signed 101 was passed on as an answer. Cause: the end of a connection ends an answer that has no length, and the status and headers for that were those of the last head that came, interim or not, with the next head perhaps half read. Ruled out: bodies, chunks and trailers that are cut short, heads without an interim one, packets of one byte: right before. Change: the status counts from the end of a head to the beginning of the next, and only a final one makes an answer; a change of protocol fails the request at once.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -41,6 +41,7 @@
 HEAD_BYTES_MAX = 65_536
 FRAMING_PER_BODY_BYTE = 8
 FIRST_FINAL_STATUS = 200
+SWITCHING_PROTOCOLS = 101
 _KEEPALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -124,16 +125,19 @@
             if not self.complete:
                 self._fail(f"not an answer: {type(error).__name__}")
                 return
-        if self.complete and self.status >= FIRST_FINAL_STATUS:
+        if self.complete and self._has_final_head():
             self._deliver()
             return
+        if self.status == SWITCHING_PROTOCOLS:
+            self._fail("the server changed the protocol unasked")
+            return
         excess = self._excess(len(data))
         if excess:
             self._fail(excess)
 
     def eof_received(self) -> bool:
         """End an answer that has no length where the server closes in order."""
-        if self.waiter is not None and self.status and self._is_unframed():
+        if self.waiter is not None and self._has_final_head() and self._is_unframed():
             self.keeps = False
             self._deliver()
         return False
@@ -177,10 +181,11 @@
 
     def on_message_begin(self) -> None:
         """Note bytes that follow a whole answer."""
-        if self.complete and self.status >= FIRST_FINAL_STATUS:
+        if self.complete and self._has_final_head():
             self.spoiled = True
             return
         self.headers = []
+        self.status = 0
         self.complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -193,7 +198,7 @@
         if self.complete:
             return
         self.status = self.parser.get_status_code()
-        if self.is_head and self.status >= FIRST_FINAL_STATUS:
+        if self.is_head and self._has_final_head():
             self.complete = True
             self.spoiled = True
 
@@ -239,6 +244,10 @@
             return "the answer's head or framing is too large"
         return ""
 
+    def _has_final_head(self) -> bool:
+        # The status is that of the last head that came whole; interim heads precede the answer.
+        return self.status >= FIRST_FINAL_STATUS
+
     def _is_unframed(self) -> bool:
         names = {name.lower() for name, _ in self.headers}
         return not names & {b"content-length", b"transfer-encoding"}
--- /dev/null
+++ b/tests/test_answers_cut_short.py
@@ -0,0 +1,87 @@
+"""Answers that end before they are whole."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+from entry_world import running
+from raw_server import GOOD, SIGNED, RawConnection, raw_server
+from steering_world import make_route, make_server
+
+# Longest wait of a caller in seconds, beyond the route's timeout.
+PATIENCE_S = 4.0
+HEAD = "HTTP/1.1 200 OK\r\n" + SIGNED
+INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+BROKEN_ANSWERS = {
+    "an interim head alone": "HTTP/1.1 100 Continue\r\n\r\n",
+    "an interim head that names the request": f"HTTP/1.1 103 Early Hints\r\n{SIGNED}\r\n",
+    "an interim head, then half a head": "HTTP/1.1 100 Continue\r\n\r\n" + HEAD,
+    "early hints, then half a head": INTERIM + HEAD,
+    "early hints, then half a status line": INTERIM + "HTTP/1.1 2",
+    "an interim head, then a cut body": INTERIM + HEAD + "Content-Length: 10\r\n\r\n12345",
+    "a status line": "HTTP/1.1 200 OK\r\n",
+    "half a status line": "HTTP/1.1 20",
+    "a head without its end": HEAD,
+    "a head cut in a name": HEAD + "Content-Le",
+    "a head cut in a length": HEAD + "Content-Length: 1",
+    "a head cut in its last line end": HEAD + "Content-Length: 10\r\n\r",
+    "a body cut short": HEAD + "Content-Length: 10\r\n\r\n12345",
+    "a chunked body cut short": HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+    "a chunk cut short": HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n12",
+    "a last chunk cut short": HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n",
+    "trailers cut short": HEAD + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\nX: a",
+    "a change of protocol": "HTTP/1.1 101 Switching Protocols\r\n" + SIGNED + "\r\n",
+}
+WHOLE_ANSWERS = {
+    "no length, ended by the connection": (HEAD + "\r\ngood", b"good"),
+    "no length and no body": (HEAD + "\r\n", b""),
+    "after interim heads": (INTERIM + INTERIM + GOOD, b"good"),
+    "no content": ("HTTP/1.1 204 No Content\r\n" + SIGNED + "\r\n", b""),
+}
+
+
+async def ask_raw(text: str, piece: int, method: str = "GET") -> tuple[int, bytes]:
+    """Return status and body of a caller whose server writes a text in pieces and closes."""
+
+    async def script(connection: RawConnection, request_id: str) -> None:
+        whole = text.replace("{id}", request_id)
+        for start in range(0, len(whole), piece):
+            connection.write(whole[start : start + piece])
+            await connection.writer.drain()
+            await asyncio.sleep(0.0)
+        connection.writer.close()
+
+    async with raw_server(script) as raw:
+        async with running(route=make_route(timeout_s=3.0, attempts=1)) as (world, _):
+            world.board.selector.put(make_server(0, address=raw.address), time.monotonic())
+            async with asyncio.timeout(PATIENCE_S):
+                status, body, _ = await world.ask(method=method)
+            return status, body
+
+
+class TestAnswerThatEndsInItsHead:
+    """A server stops within an answer and closes: what came is not the whole answer."""
+
+    @pytest.mark.parametrize("piece", [1, 65_536])
+    @pytest.mark.parametrize("text", BROKEN_ANSWERS.values(), ids=BROKEN_ANSWERS.keys())
+    async def test_the_caller_is_told_of_a_failure(self, text, piece):
+        try:
+            status, _ = await ask_raw(text, piece)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            status = 0
+            print(f"no final answer: {error!r}")
+        assert status == 502
+
+    @pytest.mark.parametrize("piece", [1, 65_536])
+    @pytest.mark.parametrize(("text", "expected"), WHOLE_ANSWERS.values(), ids=WHOLE_ANSWERS.keys())
+    async def test_a_whole_answer_is_passed_on(self, text, expected, piece):
+        status, body = await ask_raw(text, piece)
+        assert status in (200, 204)
+        assert body == expected
+
+    @pytest.mark.parametrize("text", [HEAD + "\r\n", HEAD + "Content-Length: 10\r\n\r\n"])
+    async def test_an_answer_to_head_is_whole_with_its_head(self, text):
+        assert (await ask_raw(text, 1, "HEAD"))[0] == 200
