A refusal counts for the request that it names, and for no other

Cause: an answer without an id was believed if it was a refusal. Besides, whether a request may have run was a flag of the whole request, which the refusal of one attempt cleared for those before it. Ruled out: refusals with another request's id were told apart before; requests without an id of their own still match refusals without one. Change: an answer has to carry its request's id; one that does not breaks the attempt, which may have run. Whether a request may have run follows from the state of each of its attempts.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
 import time
 
@@ -16,7 +15,7 @@
 from radishbridge.entry.board import Board
 from radishbridge.entry.crashes import CrashWatch
 from radishbridge.entry.protocol import AnswerFacts, Dialect
-from radishbridge.entry.task import Abandoned, RequestTask
+from radishbridge.entry.task import Abandoned, AttemptEnd, RequestTask
 from radishbridge.host.sockets import is_closed_by_peer
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerState
@@ -33,16 +32,6 @@
 _CALLER_GONE = Failure(ResultCode.CALLER_GONE, "the caller left before the request was sent")
 
 
-class AttemptEnd(enum.Enum):
-    """What is known of the request at the backend server."""
-
-    UNSENT = "unsent"
-    NOT_RUN = "not run"
-    MAY_HAVE_RUN = "may have run"
-    FAILED = "failed"
-    ANSWERED = "answered"
-
-
 class Attempt:
     """One request sent to one backend server.
 
@@ -84,6 +73,7 @@
 
     async def run(self) -> BackendAnswer | Failure:
         """Send the request and return the answer, or why there is none."""
+        self.task.attempts.append(self)
         self.task.tried.append(self.state.server.name)
         self.state.start(self.started_at)
         try:
@@ -106,7 +96,6 @@
         self.end = AttemptEnd.MAY_HAVE_RUN
         self.sent_at = time.monotonic()
         self.task.sends += 1
-        self.task.may_have_run = True
         try:
             answer = await self._exchange(connection)
         except asyncio.CancelledError:
@@ -134,18 +123,16 @@
     ) -> BackendAnswer | Failure:
         facts = self.dialect.read_answer(answer.status, answer.headers)
         now = time.monotonic()
-        own = facts.request_id == self.task.facts.request_id
-        refused = facts.not_run or facts.misdirected
-        if not own and not (refused and not facts.request_id):
+        if facts.request_id != self.task.facts.request_id:
+            # Nor is a refusal without an id believed: it may be an earlier request's, once more.
             connection.close()
-            return self._note_break(
-                Failure(ResultCode.BACKEND_FAILED, "the answer belongs to another request")
-            )
+            named = "belongs to another request" if facts.request_id else "names no request"
+            return self._note_break(Failure(ResultCode.BACKEND_FAILED, f"the answer {named}"))
         self.state.note_heard(now)
         if facts.load is not None:
             self.state.note_load(facts.load, now)
         self.pool.put(self.state.server.address, connection)
-        if refused:
+        if facts.not_run or facts.misdirected:
             return self._note_refusal(facts, now)
         success = FIRST_SUCCESS <= answer.status < FIRST_REDIRECT
         if success and (not facts.is_signed or facts.is_encoded):
@@ -161,7 +148,6 @@
 
     def _note_refusal(self, facts: AnswerFacts, now: float) -> Failure:
         self.end = AttemptEnd.NOT_RUN
-        self.task.may_have_run = self.task.earlier_runs
         if facts.misdirected:
             self._count_failure("another server has the address", FAILURES_TO_EJECT)
             return Failure(ResultCode.BACKEND_REFUSED, "another server has the address")
@@ -178,12 +164,10 @@
             self.state.note_success(latency_s, now)
             if self.task.route.has_affinity:
                 self.state.note_object(self.task.key, now)
-        self.task.earlier_runs = True
         self._tell_board(failed)
 
     def _note_break(self, failure: Failure) -> Failure:
         self._count_failure(failure.reason)
-        self.task.earlier_runs = True
         self.crashes.note_break(self.task.fingerprint, self.state.server)
         self._tell_board(True)
         return failure
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -12,14 +12,14 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from radishbridge.entry.attempt import Attempt, AttemptEnd
+from radishbridge.entry.attempt import Attempt
 from radishbridge.entry.backends import BackendAnswer, BackendPool
 from radishbridge.entry.board import Board
 from radishbridge.entry.crashes import CrashWatch
 from radishbridge.entry.hedge import Hedge, Outcome
 from radishbridge.entry.journal import RequestJournal
 from radishbridge.entry.protocol import Dialect, RequestFacts
-from radishbridge.entry.task import RequestTask
+from radishbridge.entry.task import AttemptEnd, RequestTask
 from radishbridge.host.bodies import RequestBody
 from radishbridge.host.headers import HOP_BY_HOP
 from radishbridge.host.sockets import is_closed_by_peer, reset
--- a/packages/entry/src/radishbridge/entry/hedge.py
+++ b/packages/entry/src/radishbridge/entry/hedge.py
@@ -12,9 +12,9 @@
 import time
 import typing as t
 
-from radishbridge.entry.attempt import Attempt, AttemptEnd
+from radishbridge.entry.attempt import Attempt
 from radishbridge.entry.backends import BackendAnswer
-from radishbridge.entry.task import RequestTask
+from radishbridge.entry.task import AttemptEnd, RequestTask
 from radishbridge.records import Failure
 
 # Shortest pause in seconds between two looks at whether a server is silent.
@@ -80,8 +80,6 @@
 
     def _note_silence(self, first: Attempt, second: Attempt) -> None:
         first.note_silence()
-        # Whatever becomes of the second attempt, the first one may have run.
-        self.task.earlier_runs = True
         logger.info(
             "server silent, sent elsewhere too",
             extra={
--- a/packages/entry/src/radishbridge/entry/task.py
+++ b/packages/entry/src/radishbridge/entry/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing as t
 
 from aiohttp import web
@@ -22,6 +23,25 @@
 )
 
 
+class AttemptEnd(enum.Enum):
+    """What is known of a request at one backend server."""
+
+    UNSENT = "unsent"
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    FAILED = "failed"
+    ANSWERED = "answered"
+
+
+_RUNS = frozenset({AttemptEnd.MAY_HAVE_RUN, AttemptEnd.FAILED, AttemptEnd.ANSWERED})
+
+
+class Ending(t.Protocol):
+    """An attempt, as far as its request has to know it."""
+
+    end: AttemptEnd
+
+
 class Abandoned(t.NamedTuple):
     """An attempt that was given up while its server had the request.
 
@@ -47,22 +67,20 @@
 
     :param arrived_at: monotonic time in seconds.
     :param abandoned: attempts whose server was left before it answered.
-    :param earlier_runs: an attempt that has ended ran, or may have.
-    :param may_have_run: an attempt ran, or may have; the present one counts once it is sent.
+    :param attempts: all attempts, ended or not.
     """
 
     __slots__ = (
         "abandoned",
         "arrived_at",
+        "attempts",
         "body",
         "code",
         "deadline",
-        "earlier_runs",
         "facts",
         "fingerprint",
         "homes",
         "key",
-        "may_have_run",
         "rank",
         "reason",
         "request",
@@ -93,13 +111,17 @@
         self.tried: list[str] = []
         self.sends = 0
         self.abandoned: list[Abandoned] = []
-        self.earlier_runs = False
-        self.may_have_run = False
+        self.attempts: list[Ending] = []
         self.retry_after_s = 0.0
         self.status = 0
         self.code = ResultCode.OK
         self.reason = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt ran, or may have; it counts once it is sent."""
+        return any(attempt.end in _RUNS for attempt in self.attempts)
+
     def truthful(self, failure: Failure) -> Failure:
         """Return a failure that neither denies nor claims a run without ground."""
         info = failure.info
