Bytes that belong to no request are not taken for an answer (host with its own records)

Callers saw, on the product's own request path: 503, "not run", for a request that a server was running, where it wrote an earlier refusal once more on the kept connection; and the answer of another request, where a second answer came while the connection idled. The same class as in packages/entry; answers of this interface carry no id. Cause: the library keeps what comes on an idle connection for the next request, and a connection served on after a refusal. Change: a connection on which bytes wait is closed before it is used; one that carried a refusal is not used again. Not covered: a second answer, no refusal, that comes after the next request was sent; without ids nothing tells it apart.

--- a/packages/host/src/radishbridge/host/attempt.py
+++ b/packages/host/src/radishbridge/host/attempt.py
@@ -48,7 +48,6 @@
         """Send the request and pass the answer on; cancellation closes the connection."""
         try:
             async with await self._send(client) as answer:
-                self._note_answer(answer)
                 if self.outcome.shed:
                     return Failure(ResultCode.BACKEND_REFUSED, "the backend server shed it")
                 return await relay_answer(self.exchange, answer)
@@ -78,7 +77,14 @@
             connection.release()
             raise CallerGoneError
         self.sent = True
-        return await client.send(request, connection)
+        protocol = connection.protocol
+        answer = await client.send(request, connection)
+        self._note_answer(answer)
+        if self.outcome.shed and protocol is not None:
+            # Nothing tells whose refusal it is: once more on this connection, it would pass for
+            # that of the next request.
+            protocol.close()
+        return answer
 
     def _note_answer(self, answer: aiohttp.ClientResponse) -> None:
         shed = answer.status == SHED_STATUS and answer.headers.get(NOT_RUN_HEADER) == "1"
--- a/packages/host/src/radishbridge/host/backends.py
+++ b/packages/host/src/radishbridge/host/backends.py
@@ -100,8 +100,15 @@
         return request
 
     async def connect(self, request: BackendRequest) -> aiohttp.connector.Connection:
-        """Take an idle connection or open a new one."""
-        return await self.connector.connect(request, [], _TIMEOUT)
+        """Take an idle connection or open a new one.
+
+        One on which bytes came while it idled is closed: they belong to no request.
+        """
+        while True:
+            connection = await self.connector.connect(request, [], _TIMEOUT)
+            if connection.protocol is None or not connection.protocol.should_close:
+                return connection
+            connection.close()
 
     async def send(
         self, request: BackendRequest, connection: aiohttp.connector.Connection
