A host's copy of the store knows up to which revision it is whole, and is told what it lacks by any host

Of servers, hosts stayed at revisions 20 to 283 while the store was at 575, and asked for a copy up to 21 times in vain. A host that starts reads a listing that may be old; nothing but digests told it of what it lacked, and - an equal digest of another late host hid that a third one was ahead; - a copy sent by a host that does not read the store had no revision up to which it was whole, so that removals were not seen; - messages of hosts that the list of hosts lacks were dropped, so that those left out could not tell the others; - reports to the summing hosts said nothing of the reporter's copy. Class: a host acts on a copy whose age it does not know.

Ruled out: repeats that take no token (admissions alone exceed the rate); new hosts' quarter of a burst (no host started in the window).

Change: changes are passed on with the revisions that they span; copies that got all of them are whole up to the last, reports and summaries carry revisions, the newest one heard counts, and an unknown object older than the copy is one that was deleted. Hosts that the list lacks are listened to. Removals held back after the store's return take effect in time, whether or not the host still follows the store.

Tests, failing before: TestSplitFleet (4 sizes), a server that left is dropped by a host that missed the message (2), a late host's summary does not hide another's lead, a removed server does not come back, held-back removals at a host that follows no more, spans of revisions. After: passed.

--- a/packages/entry/src/radishbridge/entry/copy.py
+++ b/packages/entry/src/radishbridge/entry/copy.py
@@ -1,10 +1,15 @@
-"""Each host's copy of the store's objects, which only moves forward."""
+"""Each host's copy of the store's objects, which only moves forward.
+
+Of each kind a copy knows the revision of the store up to which it is whole. So it can tell a change
+that it missed from one that never was, whoever it hears of it from.
+"""
 
 from __future__ import annotations
 
 import typing as t
 import zlib
 
+from radishbridge.entry.messages import CopyState
 from radishbridge.entry.protocol import Kind, Listing, StoredObject
 
 At = tuple[Kind, str]
@@ -13,6 +18,7 @@
 class ObjectCopy:
     """The objects of all kinds, each at the highest version seen.
 
+    :param revisions: revision up to which the copy holds all changes of a kind.
     :param listeners: called with each object that is new to the copy, and where it came from.
     """
 
@@ -38,6 +44,8 @@
         """
         at = (stored.kind, stored.name)
         held = self.held.get(at)
+        if held is None and self._was_deleted(stored):
+            return False
         if held is not None and held.version >= stored.version:
             return False
         self.held[at] = stored
@@ -63,6 +71,18 @@
         self.revisions[kind] = max(self.revisions[kind], revision)
         self.loaded.add(kind)
 
+    def extend(self, kind: Kind, after: int, revision: int) -> None:
+        """Note that the copy was given all changes of a kind after one revision up to another."""
+        if kind in self.loaded and after <= self.revisions[kind]:
+            self.advance(kind, revision)
+
+    def _was_deleted(self, stored: StoredObject) -> bool:
+        return stored.kind in self.loaded and stored.version <= self.revisions[stored.kind]
+
+    def state(self) -> CopyState:
+        """Return what other hosts are told of this copy."""
+        return CopyState(dict(self.revisions), dict(self.digests))
+
     def listing(self, kind: Kind) -> Listing:
         """Return all live objects of a kind, for another host."""
         objects = [
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -9,14 +9,18 @@
 
 import asyncio
 import logging
+import re
 import time
 import typing as t
 
+import msgspec
+
 from radishbridge.entry.capacity import well_equipped
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.messages import (
     CopyAnswer,
     CopyRequest,
+    CopyState,
     Crash,
     FleetReport,
     FleetSummary,
@@ -49,11 +53,17 @@
 # Silence in seconds after which a host's entry is removed from the store: it may still be cut
 # off before, and registers again if it comes back after.
 REMOVE_SILENT_S = 120.0
-# Digests have to differ for this long before objects are asked for: changes are under way.
+# Copies have to differ for this long, in seconds, before objects are asked for: changes are under
+# way. A question and its answer take up to 0.3 s more, and changes of servers bind within 2.5 s.
 DIFFERS_S = 0.5
+# Most hosts that are listened to although they are not in this host's copy of the list of hosts.
+STRANGERS_MAX = 16
 # Most hosts that a start without a store asks for their copy.
 SEEDS_ASKED = 3
 
+# Names of entry hosts are their addresses.
+_ADDRESS = re.compile(r"\d+(?:\.\d+){3}:\d+")
+
 logger = logging.getLogger(__name__)
 
 
@@ -86,11 +96,13 @@
         "make_report",
         "make_sight",
         "mesh",
+        "newest",
         "own",
         "part",
         "reports",
         "seeds",
         "started_at",
+        "strangers",
         "summary",
         "summary_at",
     )
@@ -123,6 +135,9 @@
         self.summary_at = float("-inf")
         self.started_at = self.clock()
         self.differs_since: dict[Kind, float] = {}
+        self.newest: dict[Kind, int] = dict.fromkeys(Kind, 0)
+        self.strangers: dict[str, HostAddress] = {}
+        mesh.on_stranger = self._meet
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
         mesh.subscribe(ObjectsChanged, self._on_changed)
@@ -136,10 +151,25 @@
         self.entries = {**entries, self.own.peer_address: self.own}
         for name in self.entries:
             self.last_seen.setdefault(name, now)
-        known = {name: _address(entry) for name, entry in self.entries.items()}
-        self.mesh.update_directory([*known.values(), *self._unknown_seeds()])
+        for name in self.strangers.keys() & self.entries.keys():
+            del self.strangers[name]
+        self._update_directory()
         self.part.hosts = max(1, len(self.possible_hosts(now)))
 
+    def _update_directory(self) -> None:
+        known = (_address(entry) for entry in self.entries.values())
+        self.mesh.update_directory([*known, *self._unknown_seeds(), *self.strangers.values()])
+
+    def _meet(self, name: str) -> None:
+        # A host that this copy lacks is heard, since it may be what tells this host of its lack.
+        if not _ADDRESS.fullmatch(name):
+            return
+        if len(self.strangers) >= STRANGERS_MAX:
+            del self.strangers[next(iter(self.strangers))]
+        logger.info("heard a host that is not registered here", extra={"host": name})
+        self.strangers[name] = HostAddress(name=name, region="", data_center="", address=name)
+        self._update_directory()
+
     def possible_hosts(self, now: float) -> list[str]:
         """Return the hosts that may be running: all that are registered and not long silent."""
         return [
@@ -198,9 +228,12 @@
         able = well_equipped(known, ENOUGH_FOR_DUTIES)
         return rank(duty, (entry.peer_address for entry in able))
 
-    def pass_on(self, objects: list[StoredObject]) -> None:
-        """Send changes read from the store to all other hosts."""
-        self._send_all(ObjectsChanged(objects=objects))
+    def pass_on(self, objects: list[StoredObject], after: int = 0, revision: int = 0) -> None:
+        """Send changes of a kind read from the store to all other hosts.
+
+        :param after: they are all changes after this revision up to ``revision``.
+        """
+        self._send_all(ObjectsChanged(objects=objects, after=after, revision=revision))
 
     def ask_seeds(self) -> None:
         """Ask other hosts for their copy, for a start without the store."""
@@ -219,7 +252,7 @@
 
     def step(self, now: float) -> None:
         """Send one report, and one sum if this host sums up."""
-        report = self.make_report()
+        report = msgspec.structs.replace(self.make_report(), copy_state=self.copy.state())
         self.reports[self.own.peer_address] = HeardReport(report, now)
         targets = self._summing(now)
         for name in targets:
@@ -231,7 +264,7 @@
             if now - heard.at <= HEARD_S and name in self.entries
         }
         if self.own.peer_address in targets or len(heard) > 1:
-            summary = sum_up(heard, self.copy.digests)
+            summary = sum_up(heard, self.copy.state())
             self._take_summary(summary, now)
             # While a fleet starts, each host has heard itself alone and need not tell all others.
             # Later this is how hosts that lost each other meet again.
@@ -260,6 +293,8 @@
         now = self.clock()
         self.reports[peer.name] = HeardReport(message, now)
         self.hearings[peer.name] = self.last_seen[peer.name] = now
+        if message.copy_state is not None:
+            self._compare(peer.name, message.copy_state, now)
 
     def _on_summary(self, peer: Peer, message: FleetSummary) -> None:
         now = self.clock()
@@ -268,7 +303,7 @@
         stale = now - self.summary_at > REPORT_LARGE_S + REPORT_S
         if stale or len(message.hosts) >= held or self._is_first(peer.name, now):
             self._take_summary(message, now)
-        self._compare(peer.name, message, now)
+        self._compare(peer.name, message.copy_state, now)
 
     def _is_first(self, name: str, now: float) -> bool:
         return self._summing(now)[:1] == [name]
@@ -284,22 +319,36 @@
         for listener in self.listeners:
             listener(summary)
 
-    def _compare(self, peer: str, summary: FleetSummary, now: float) -> None:
-        late: list[Kind] = []
-        for kind, digest in summary.digests.items():
-            if digest == self.copy.digests[kind] and kind in self.copy.loaded:
-                self.differs_since.pop(kind, None)
-            elif now - self.differs_since.setdefault(kind, now) > DIFFERS_S:
-                late.append(kind)
-                self.differs_since[kind] = now
+    def _compare(self, peer: str, other: CopyState, now: float) -> None:
+        late = [kind for kind in Kind if self._is_late(kind, other, now)]
         if late:
-            revisions = {kind.value: self.copy.revisions[kind] for kind in late}
-            logger.info("copy differs", extra={"peer": peer, "revisions": revisions})
+            revisions = {
+                kind.value: (self.copy.revisions[kind], self.newest[kind]) for kind in late
+            }
+            logger.info("copy differs", extra={"peer": peer, "own_and_newest": revisions})
             self.mesh.send(peer, CopyRequest(kinds=late))
 
+    def _is_late(self, kind: Kind, other: CopyState, now: float) -> bool:
+        # Whether this copy has lacked something for a while that another one has.
+        theirs, own = other.revisions.get(kind, 0), self.copy.revisions[kind]
+        self.newest[kind] = max(self.newest[kind], theirs)
+        equal = other.digests.get(kind) == self.copy.digests[kind]
+        lacks = theirs > own or (theirs == own and not equal) or kind not in self.copy.loaded
+        if not lacks:
+            # An older copy proves nothing, even if it equals this one.
+            if theirs == self.newest[kind]:
+                self.differs_since.pop(kind, None)
+            return False
+        if now - self.differs_since.setdefault(kind, now) <= DIFFERS_S:
+            return False
+        self.differs_since[kind] = now
+        return True
+
     def _on_changed(self, peer: Peer, message: ObjectsChanged) -> None:
         for stored in message.objects:
             self.copy.apply(stored, peer.name)
+        if message.objects and message.revision:
+            self.copy.extend(message.objects[0].kind, message.after, message.revision)
 
     def _on_copy_request(self, peer: Peer, message: CopyRequest) -> None:
         for kind in message.kinds:
@@ -307,6 +356,9 @@
                 self.mesh.send(peer.name, CopyAnswer(kind=kind, listing=self.copy.listing(kind)))
 
     def _on_copy_answer(self, peer: Peer, message: CopyAnswer) -> None:
+        is_older = message.listing.revision < self.copy.revisions[message.kind]
+        if is_older and message.kind in self.copy.loaded:
+            return
         gone = self.copy.missing(message.kind, message.listing)
         for stored in (*message.listing.objects, *gone):
             self.copy.apply(stored, peer.name)
@@ -316,8 +368,11 @@
         return (seed for name, seed in self.seeds.items() if name not in self.entries)
 
 
-def sum_up(reports: t.Mapping[str, FleetReport], digests: t.Mapping[Kind, int]) -> FleetSummary:
-    """Return the sum of reports, given by host."""
+def sum_up(reports: t.Mapping[str, FleetReport], copy_state: CopyState) -> FleetSummary:
+    """Return the sum of reports, given by host.
+
+    :param copy_state: of the summing host's copy.
+    """
     demands: dict[str, float] = {}
     home_bound: dict[str, dict[str, float]] = {}
     evidence: dict[str, Evidence] = {}
@@ -335,7 +390,7 @@
         home_bound=home_bound,
         evidence=evidence,
         crashes=list(crashes),
-        digests=dict(digests),
+        copy_state=copy_state,
     )
 
 
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -53,7 +53,8 @@
     :param place: this host's place among those that read the store; ``None`` if it gets changes
         from others.
     :param knows_fleet: whether this host hears others.
-    :param taken: called with each object that was new to the copy.
+    :param taken: called with changes of a kind, some of them new to the copy, and the two
+        revisions between which they are all changes; 0 and 0 where they are not all.
     """
 
     __slots__ = (
@@ -75,7 +76,7 @@
         copy: ObjectCopy,
         place: t.Callable[[], int | None],
         knows_fleet: t.Callable[[], bool],
-        taken: t.Callable[[list[StoredObject]], None],
+        taken: t.Callable[[list[StoredObject], int, int], None],
         rng: random.Random,
     ) -> None:
         self.store = store
@@ -100,6 +101,7 @@
         async with asyncio.TaskGroup() as group:
             for kind in Kind:
                 group.create_task(self._follow(kind))
+            group.create_task(self._settle_in_time())
 
     async def load(self, kind: Kind, may_be_stale: bool = False) -> Failure | None:
         """Take over a listing of a kind; the watch after a stale one brings what it lacks."""
@@ -110,7 +112,9 @@
         self._note_answer()
         # What a host reads as it starts is news to itself alone.
         is_first = kind not in self.copy.loaded
-        self._take([*listing.objects, *self.copy.missing(kind, listing)], passes_on=not is_first)
+        after = self.copy.revisions[kind]
+        objects = [*listing.objects, *self.copy.missing(kind, listing)]
+        self._take(objects, after, listing.revision, passes_on=not is_first)
         self.copy.advance(kind, listing.revision)
         if is_first and kind is not Kind.HOST:
             await self._await_fleet()
@@ -139,19 +143,19 @@
             must_load = failure is not None
             if failure is None:
                 pause_s = RETRY_S
-                self._settle()
                 continue
             await asyncio.sleep(pause_s * self.rng.uniform(0.7, 1.3))
             pause_s = min(RETRY_MAX_S, 2.0 * pause_s)
 
     async def _watch(self, kind: Kind, place: int) -> Failure | None:
         wait_s = WATCH_S[place] if kind in PROMPT_KINDS else WATCH_S[-1]
-        changes = await self.store.watch(kind, self.copy.revisions[kind], wait_s)
+        after = self.copy.revisions[kind]
+        changes = await self.store.watch(kind, after, wait_s)
         if isinstance(changes, Failure):
             self._note_failure(changes, kind)
             return changes
         self._note_answer()
-        self._take(changes.objects)
+        self._take(changes.objects, after, changes.revision)
         if changes.objects:
             # An empty answer may come while the store tells watches nothing. The next watch begins
             # where the last change was seen, and finds what was missed, or that it is forgotten.
@@ -159,23 +163,40 @@
             await asyncio.sleep(GATHER_S.get(kind, 0.0))
         return None
 
-    def _take(self, objects: t.Iterable[StoredObject], passes_on: bool = True) -> None:
+    def _take(
+        self,
+        objects: t.Collection[StoredObject],
+        after: int = 0,
+        revision: int = 0,
+        passes_on: bool = True,
+    ) -> None:
         now = time.monotonic()
-        fresh: list[StoredObject] = []
+        taken: list[StoredObject] = []
         for stored in objects:
-            if stored.kind is Kind.SERVER and self._may_return(stored, now):
+            if self._may_return(stored, now):
                 self.deferred[stored.name] = stored
                 continue
             if stored.kind is Kind.SERVER:
                 self.deferred.pop(stored.name, None)
-            if self.copy.apply(stored, STORE):
-                fresh.append(stored)
+            taken.append(stored)
+        fresh = [stored for stored in taken if self.copy.apply(stored, STORE)]
         # In a fleet that is starting every host reads for itself.
-        if fresh and passes_on and self.knows_fleet():
-            self.taken(fresh)
+        if not (fresh and passes_on and self.knows_fleet()):
+            return
+        if len(taken) < len(objects) or not revision:
+            self.taken(fresh, 0, 0)
+        else:
+            self.taken([stored for stored in taken if stored.version > after], after, revision)
 
     def _may_return(self, stored: StoredObject, now: float) -> bool:
-        return stored.value is None and now - self.returned_at < LAPSE_GRACE_S
+        is_removal = stored.kind is Kind.SERVER and stored.value is None
+        return is_removal and now - self.returned_at < LAPSE_GRACE_S
+
+    async def _settle_in_time(self) -> None:
+        # Whether or not this host still follows the store by then.
+        while True:
+            await asyncio.sleep(IDLE_S)
+            self._settle()
 
     def _settle(self) -> None:
         now = time.monotonic()
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -30,6 +30,17 @@
     is_strained: bool = False
 
 
+class CopyState(msgspec.Struct, frozen=True, array_like=True):
+    """What a host's copy of the store holds, to find what another copy lacks.
+
+    :param revisions: revisions of the store up to which the copy is whole, by kind.
+    :param digests: digests of its objects, by kind.
+    """
+
+    revisions: dict[Kind, int]
+    digests: dict[Kind, int]
+
+
 class FleetReport(msgspec.Struct, kw_only=True, tag="report"):
     """What one host tells the hosts that sum up.
 
@@ -37,6 +48,7 @@
     :param home_bound: slots that requests with one home region take up, by service and region.
     :param evidence: outcomes by service under a version move, counted since the order.
     :param crashes: those of the last seconds.
+    :param copy_state: of the sender's copy; the summing host may be late itself.
     """
 
     sight: HostSight
@@ -44,13 +56,14 @@
     home_bound: dict[str, dict[str, float]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
+    copy_state: CopyState | None = None
 
 
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
     """What all hosts together do, from their reports of the last second.
 
     :param hosts: those that were heard.
-    :param digests: digests of the sender's copy by kind, to find what the receiver misses.
+    :param copy_state: of the sender's copy.
     """
 
     hosts: list[HostSight]
@@ -58,13 +71,19 @@
     home_bound: dict[str, dict[str, float]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
-    digests: dict[Kind, int]
+    copy_state: CopyState
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
-    """Objects that a host has just read from the store, passed on."""
+    """Objects of one kind that a host has just read from the store, passed on.
+
+    :param after: the objects are all that changed after this revision of the store,
+    :param revision: up to this one; 0 where they are not all.
+    """
 
     objects: list[StoredObject]
+    after: int = 0
+    revision: int = 0
 
 
 class CopyRequest(msgspec.Struct, kw_only=True, tag="copy-request"):
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -54,6 +54,8 @@
     :param message_type: union of the messages that are understood.
     :param keeps_standing: connect to the data centre's hosts and relays before there is a message;
         otherwise a connection opens with the first message and stays while it is used.
+    :param on_stranger: called with the name of a sender that the directory lacks, whose message is
+        dropped.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "keeps_standing",
         "links",
         "message_type",
+        "on_stranger",
         "sequences",
         "settings",
         "tasks",
@@ -90,6 +93,7 @@
         self.keeps_standing = keeps_standing
         self.host = host
         self.message_type = message_type
+        self.on_stranger: t.Callable[[str], None] | None = None
         self.address = address
         self.settings = settings
         self.heartbeat = heartbeat
@@ -228,6 +232,8 @@
             return
         if envelope.sender not in self.view.peers:
             self.counters.unknown_sender += 1
+            if self.on_stranger is not None:
+                self.on_stranger(envelope.sender)
             return
         peer = self.view.accept(envelope, self.clock())
         if peer is None:
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -71,7 +71,7 @@
 
 async def follow(store, until, place=lambda: 0) -> ObjectCopy:
     copy = ObjectCopy()
-    follower = StoreFollower(store, copy, place, lambda: True, lambda _: None, random.Random(1))
+    follower = StoreFollower(store, copy, place, lambda: True, lambda *_: None, random.Random(1))
     task = asyncio.create_task(follower.run())
     async with asyncio.timeout(20.0):
         while not until(copy):
@@ -116,7 +116,7 @@
             copy,
             lambda: 0,
             lambda: True,
-            lambda objects: passed.extend(stored.name for stored in objects),
+            lambda objects, *_: passed.extend(stored.name for stored in objects),
             random.Random(1),
         )
         task = asyncio.create_task(follower.run())
@@ -138,7 +138,7 @@
         store.watch = note
         copy = ObjectCopy()
         follower = StoreFollower(
-            store, copy, lambda: True, lambda: False, lambda _: None, random.Random(1)
+            store, copy, lambda: True, lambda: False, lambda *_: None, random.Random(1)
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(1.2)
@@ -159,7 +159,7 @@
             ObjectCopy(),
             lambda: 0,
             lambda: False,
-            lambda objects: passed.extend(stored.name for stored in objects),
+            lambda objects, *_: passed.extend(stored.name for stored in objects),
             random.Random(1),
         )
         follower._take([server("a", 1)])
@@ -203,17 +203,57 @@
     )
     def test_a_host_whose_calls_fail_does_not_reach_the_store(self, failed_s, silent_s, reaches):
         follower = StoreFollower(
-            None, ObjectCopy(), lambda: 0, lambda: True, lambda _: None, random.Random(1)
+            None, ObjectCopy(), lambda: 0, lambda: True, lambda *_: None, random.Random(1)
         )
         follower.failing_since = 100.0 - failed_s
         follower.failed_at = 100.0 - silent_s
         assert follower.reaches_store(100.0) is reaches
 
+    async def test_changes_are_passed_on_with_the_revisions_that_they_span(self):
+        store = ScriptedStore(
+            [listing(3, server("a", 1)), listing(9, server("b", 4), server("c", 8))],
+            [listing(4, server("b", 4)), AWAY],
+        )
+        spans: list[tuple[set[str], int, int]] = []
+        copy = ObjectCopy()
+        follower = StoreFollower(
+            store,
+            copy,
+            lambda: 0,
+            lambda: True,
+            lambda objects, after, to: spans.append(({one.name for one in objects}, after, to)),
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5.0):
+            while copy.revisions[Kind.SERVER] < 9:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        # The listing after the failure lacks "a", which is a change as well.
+        assert spans == [({"b"}, 3, 4), ({"c", "a"}, 4, 9)]
+
+    async def test_removals_held_back_take_effect_at_a_host_that_follows_no_more(self):
+        copy = ObjectCopy()
+        place = [0]
+        store = ScriptedStore([listing(3, server("a", 1))], [listing(7, server("a", 7, None))])
+        follower = StoreFollower(
+            store, copy, lambda: place[0], lambda: True, lambda *_: None, random.Random(1)
+        )
+        follower.returned_at = asyncio.get_running_loop().time()
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(8.0):
+            while not follower.deferred:
+                await asyncio.sleep(0.01)
+            place[0] = None
+            while names(copy):
+                await asyncio.sleep(0.05)
+        task.cancel()
+
     async def test_entries_that_lapsed_with_the_store_get_time_to_return(self):
         # Load pattern: the store was away for longer than entries live, all servers are well.
         copy = ObjectCopy()
         follower = StoreFollower(
-            None, copy, lambda: True, lambda: False, lambda _: None, random.Random(1)
+            None, copy, lambda: True, lambda: False, lambda *_: None, random.Random(1)
         )
         follower._take([server("a", 1), server("b", 2)])
         follower.failing_since = 0.0
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -21,8 +21,10 @@
     nearby_hosts,
 )
 from radishbridge.entry.capacity import StrainGauge
-from radishbridge.entry.fleet import FOLLOWING_HOSTS, SUMMING_HOSTS, sum_up
+from radishbridge.entry.fleet import FOLLOWING_HOSTS, STRANGERS_MAX, SUMMING_HOSTS, sum_up
 from radishbridge.entry.messages import (
+    CopyAnswer,
+    CopyState,
     Crash,
     FleetMessage,
     FleetReport,
@@ -32,6 +34,8 @@
 from radishbridge.peers import Peer
 from radishbridge.steering import Configuration, Evidence, FleetPart, WorkspaceRule
 
+EMPTY = CopyState({}, {})
+
 
 def entry(number: int) -> HostEntry:
     return HostEntry(
@@ -88,11 +92,16 @@
         self.hosts = list(hosts)
 
     def send(self, host: str, message: msgspec.Struct) -> bool:
+        if host not in {one.name for one in self.hosts}:
+            return False
         coded = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=FleetMessage)
         self.network.sent.append((self.name, host, coded))
         return True
 
     def take(self, sender: str, message: msgspec.Struct) -> None:
+        if sender not in {host.name for host in self.hosts}:
+            self.on_stranger(sender)
+            return
         for handler in self.handlers[type(message)]:
             handler(Peer(sender, "", ""), message)
 
@@ -144,7 +153,7 @@
             "h1", demands={"a": 1.0}, home_bound={"s": {"east": 2.0}}, crashes=[Crash(b"x", "1")]
         )
         other = report("h2", demands={"a": 2.0, "b": 1.0}, home_bound={"s": {"east": 1.0}})
-        total = sum_up({"h1": one, "h2": other}, dict.fromkeys(Kind, 0))
+        total = sum_up({"h1": one, "h2": other}, EMPTY)
         assert total.demands == {"a": 3.0, "b": 1.0}
         assert total.home_bound == {"s": {"east": 3.0}}
         assert total.crashes == [Crash(b"x", "1")]
@@ -154,7 +163,7 @@
         seen = Evidence()
         seen.add("r", True, 0.1, True, False)
         reports = {name: report(name, evidence={"s": seen}) for name in ("h1", "h2")}
-        assert sum_up(reports, {}).evidence["s"].new["r"].failures == 2
+        assert sum_up(reports, EMPTY).evidence["s"].new["r"].failures == 2
         assert seen.new["r"].failures == 1
 
 
@@ -238,7 +247,9 @@
         hosts = Hosts(8)
         first = hosts.fleets[0]
         assert not first.is_formed()
-        first._take_summary(sum_up({n: report(n) for n in list(hosts.entries)[:3]}, {}), hosts.now)
+        first._take_summary(
+            sum_up({n: report(n) for n in list(hosts.entries)[:3]}, EMPTY), hosts.now
+        )
         assert not first.is_formed()
         hosts.run(1.0)
         assert all(fleet.is_formed() for fleet in hosts.fleets)
@@ -277,6 +288,65 @@
         hosts.run(2.0)
         assert late.copy.digests == hosts.fleets[0].copy.digests
 
+    def late_pair(self, hosts: Hosts) -> None:
+        """Let a server join at revision 120 and leave at 150, which the last host misses."""
+        for fleet in hosts.fleets:
+            for kind in Kind:
+                fleet.copy.advance(kind, 100)
+        first, *others = hosts.fleets
+        for after, change in ((100, self.change(120)), (120, self.removal(150))):
+            first.copy.apply(change, "store")
+            first.copy.advance(Kind.SERVER, change.version)
+            first.pass_on([change], after, change.version)
+            hosts.network.deliver()
+            hosts.network.cut = {others[-1].own.peer_address}
+        hosts.network.cut = set()
+
+    def removal(self, version: int) -> StoredObject:
+        return StoredObject(kind=Kind.SERVER, name="a", version=version, value=None)
+
+    def holds(self, fleet: Fleet) -> bool:
+        return bool(fleet.copy.listing(Kind.SERVER).objects)
+
+    @pytest.mark.parametrize("hosts_count", [3, 8])
+    def test_a_server_that_left_is_dropped_by_a_host_that_missed_the_message(self, hosts_count):
+        # Whoever it asks: most hosts do not read the store.
+        hosts = Hosts(hosts_count)
+        self.late_pair(hosts)
+        late = hosts.fleets[-1]
+        assert self.holds(late)
+        # The host that read the store is gone, before anyone asked it.
+        hosts.network.cut = {hosts.fleets[0].own.peer_address}
+        hosts.run(2.0)
+        assert not self.holds(late)
+
+    def test_a_summary_of_a_late_host_does_not_hide_that_another_one_is_ahead(self):
+        hosts = Hosts(4)
+        self.late_pair(hosts)
+        late, ahead = hosts.fleets[-1], hosts.fleets[1]
+        behind = late.copy.state()
+        for step in range(8):
+            late._compare("a late host", behind, hosts.now + step * 0.2)
+            late._compare(ahead.own.peer_address, ahead.copy.state(), hosts.now + step * 0.2 + 0.1)
+        hosts.network.deliver()
+        hosts.network.deliver()
+        assert not self.holds(late)
+
+    def test_a_removed_server_does_not_come_back_from_an_old_copy(self):
+        # A host that starts has no memory of what was removed before.
+        hosts = Hosts(2)
+        started, old = hosts.fleets
+        for fleet, revision in ((started, 150), (old, 130)):
+            for kind in Kind:
+                fleet.copy.advance(kind, 100)
+            old.copy.apply(self.change(120), "store")
+            fleet.copy.advance(Kind.SERVER, revision)
+        answer = CopyAnswer(kind=Kind.SERVER, listing=old.copy.listing(Kind.SERVER))
+        old.mesh.send(started.own.peer_address, answer)
+        old.mesh.send(started.own.peer_address, ObjectsChanged(objects=[self.change(120)]))
+        hosts.network.deliver()
+        assert not self.holds(started)
+
     def test_a_repeated_change_is_taken_once(self):
         hosts = Hosts(2)
         taken = []
@@ -288,6 +358,49 @@
         assert taken == [hosts.fleets[0].own.peer_address]
 
 
+class TestSplitFleet:
+    """Hosts registered late: most of the fleet does not know them, and is known to them."""
+
+    def split(self, count: int, known_to_all: int) -> Hosts:
+        hosts = Hosts(count)
+        for number, fleet in enumerate(hosts.fleets):
+            self.follow_copy(fleet)
+            size = known_to_all if number < known_to_all else count
+            fleet.update_hosts({entry(one).peer_address: entry(one) for one in range(size)})
+            for one in range(size):
+                fleet.copy.apply(self.registration(one), "store")
+            for kind in Kind:
+                fleet.copy.advance(kind, 100 + size)
+        return hosts
+
+    def registration(self, number: int) -> StoredObject:
+        name = entry(number).peer_address
+        value = str(number).encode()
+        return StoredObject(kind=Kind.HOST, name=name, version=101 + number, value=value)
+
+    def follow_copy(self, fleet: Fleet) -> None:
+        def update(stored, source):
+            numbers = (int(one.value) for one in fleet.copy.listing(Kind.HOST).objects)
+            fleet.update_hosts({entry(one).peer_address: entry(one) for one in numbers})
+
+        fleet.copy.listeners.append(update)
+
+    @pytest.mark.parametrize(("count", "known_to_all"), [(12, 10), (20, 3), (3, 2), (58, 52)])
+    def test_it_grows_together_so_that_rates_are_not_used_twice(self, count, known_to_all):
+        hosts = self.split(count, known_to_all)
+        hosts.run(3.0)
+        parts = [fleet.part for fleet in hosts.fleets]
+        assert {(part.hosts, part.heard) for part in parts} == {(count, count)}
+        shares = [part.share(2.0, 2.0 * count, hosts.now) for part in parts]
+        assert sum(shares) == pytest.approx(1.0)
+
+    def test_few_unregistered_hosts_are_listened_to(self):
+        fleet = Hosts(2).fleets[0]
+        for number in range(50):
+            fleet.mesh.take(f"192.0.2.{number}:7000", report())
+        assert len(fleet.mesh.hosts) == 2 + STRANGERS_MAX
+
+
 class TestSmallRates:
     """Load pattern: many hosts, each of which sees a small workspace now and then."""
 
@@ -460,7 +573,7 @@
         [
             report(evidence={"s": Evidence()}, crashes=[Crash(b"\xff", "a")]),
             ObjectsChanged(objects=[StoredObject(kind=Kind.MOVE, name="m", version=2, value=None)]),
-            sum_up({"h": report()}, dict.fromkeys(Kind, 7)),
+            sum_up({"h": report()}, CopyState(dict.fromkeys(Kind, 8), dict.fromkeys(Kind, 7))),
         ],
     )
     def test_they_survive_the_wire(self, message):
--- a/tests/test_peers_mesh.py
+++ b/tests/test_peers_mesh.py
@@ -226,6 +226,13 @@
         receiver.receive(frame(1, sender="host-9"))
         assert receiver.counters.unknown_sender == 1
 
+    def test_tells_of_an_unknown_host(self, receiver: ZmqMesh) -> None:
+        strangers: list[str] = []
+        receiver.on_stranger = strangers.append
+        for sender in ("host-9", "host-1"):
+            receiver.receive(frame(1, sender=sender))
+        assert strangers == ["host-9"]
+
     def test_a_failing_handler_does_not_stop_the_others(self, receiver: ZmqMesh) -> None:
         def fail(peer: Peer, message: PeerMessage) -> None:
             raise ValueError("handler")
