Equal copies agree on the newer revision; hosts that the list lacks are met one by one

Change: a copy with the same digest as a newer one holds all changes up to there. One unknown host is met every 0.2 s.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -56,8 +56,11 @@
 # Copies have to differ for this long, in seconds, before objects are asked for: changes are under
 # way. A question and its answer take up to 0.3 s more, and changes of servers bind within 2.5 s.
 DIFFERS_S = 0.5
-# Most hosts that are listened to although they are not in this host's copy of the list of hosts.
-STRANGERS_MAX = 16
+# Most hosts that are listened to although this host's copy of the list of hosts lacks them, and the
+# pause in seconds before one more is: a single one tells all that the copy lacks, and in a fleet
+# that starts all hosts are unknown for some 0.3 s.
+STRANGERS_MAX = 8
+MEET_S = 0.2
 # Most hosts that a start without a store asks for their copy.
 SEEDS_ASKED = 3
 
@@ -96,6 +99,7 @@
         "make_report",
         "make_sight",
         "mesh",
+        "met_at",
         "newest",
         "own",
         "part",
@@ -136,6 +140,7 @@
         self.started_at = self.clock()
         self.differs_since: dict[Kind, float] = {}
         self.newest: dict[Kind, int] = dict.fromkeys(Kind, 0)
+        self.met_at = float("-inf")
         self.strangers: dict[str, HostAddress] = {}
         mesh.on_stranger = self._meet
         mesh.subscribe(FleetReport, self._on_report)
@@ -162,8 +167,10 @@
 
     def _meet(self, name: str) -> None:
         # A host that this copy lacks is heard, since it may be what tells this host of its lack.
-        if not _ADDRESS.fullmatch(name):
+        now = self.clock()
+        if now - self.met_at < MEET_S or not _ADDRESS.fullmatch(name):
             return
+        self.met_at = now
         if len(self.strangers) >= STRANGERS_MAX:
             del self.strangers[next(iter(self.strangers))]
         logger.info("heard a host that is not registered here", extra={"host": name})
@@ -333,7 +340,12 @@
         theirs, own = other.revisions.get(kind, 0), self.copy.revisions[kind]
         self.newest[kind] = max(self.newest[kind], theirs)
         equal = other.digests.get(kind) == self.copy.digests[kind]
-        lacks = theirs > own or (theirs == own and not equal) or kind not in self.copy.loaded
+        if equal and kind in self.copy.loaded:
+            # What changed up to the other one's revision is in this copy as well.
+            self.copy.advance(kind, theirs)
+            own = self.copy.revisions[kind]
+        differs = theirs >= own and not equal
+        lacks = differs or kind not in self.copy.loaded
         if not lacks:
             # An older copy proves nothing, even if it equals this one.
             if theirs == self.newest[kind]:
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -24,6 +24,7 @@
 from radishbridge.entry.fleet import FOLLOWING_HOSTS, STRANGERS_MAX, SUMMING_HOSTS, sum_up
 from radishbridge.entry.messages import (
     CopyAnswer,
+    CopyRequest,
     CopyState,
     Crash,
     FleetMessage,
@@ -332,6 +333,20 @@
         hosts.network.deliver()
         assert not self.holds(late)
 
+    def test_equal_copies_agree_on_the_newer_revision_without_a_question(self):
+        # The follower has read the store anew and found no change.
+        hosts = Hosts(3)
+        for fleet in hosts.fleets:
+            for kind in Kind:
+                fleet.copy.advance(kind, 100)
+        asked: list[CopyRequest] = []
+        for fleet in hosts.fleets:
+            fleet.mesh.subscribe(CopyRequest, lambda peer, message: asked.append(message))
+        hosts.fleets[0].copy.advance(Kind.SERVER, 130)
+        hosts.run(2.0)
+        assert {fleet.copy.revisions[Kind.SERVER] for fleet in hosts.fleets} == {130}
+        assert not asked
+
     def test_a_removed_server_does_not_come_back_from_an_old_copy(self):
         # A host that starts has no memory of what was removed before.
         hosts = Hosts(2)
@@ -394,10 +409,18 @@
         shares = [part.share(2.0, 2.0 * count, hosts.now) for part in parts]
         assert sum(shares) == pytest.approx(1.0)
 
-    def test_few_unregistered_hosts_are_listened_to(self):
+    def test_hosts_of_a_fleet_that_starts_are_not_all_met_at_once(self):
         fleet = Hosts(2).fleets[0]
         for number in range(50):
             fleet.mesh.take(f"192.0.2.{number}:7000", report())
+        assert len(fleet.mesh.hosts) == 3
+
+    def test_few_unregistered_hosts_are_listened_to(self):
+        hosts = Hosts(2)
+        fleet = hosts.fleets[0]
+        for number in range(50):
+            hosts.now += 1.0
+            fleet.mesh.take(f"192.0.2.{number}:7000", report())
         assert len(fleet.mesh.hosts) == 2 + STRANGERS_MAX
 
 
