A host's bucket begins empty, and all buckets together hold the burst

Callers saw: a workspace could get more than its limit (QUOTA), wherever its rate is divided among hosts. Cause: tokens came from nothing. A host that starts held a quarter of its part of a burst, again at each start; each bucket held at least one token beside its part, 123 to 147 over 58 hosts where the burst is 116; and time without requests counted at the part that came after it (123 tokens where 25 were earned). Class: a limit holds only if each token has one host that may hand it out. Change: a bucket begins empty, at the time from which the host knows the rate; it holds one token and a part of the rest of the burst; each sum settles what was earned at the part before it. With it `FleetPart.reach`: one place says which part of the fleet a host may speak for.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -107,6 +107,7 @@
     :param host: name of this host.
     :param decoder: decodes stored objects.
     :param region: this host's region.
+    :param earning_from: monotonic time from which this host earns tokens of a workspace's rate.
     """
 
     __slots__ = (
@@ -117,6 +118,7 @@
         "crashes",
         "decoder",
         "drains",
+        "earning_from",
         "entries",
         "home_meters",
         "is_leaving",
@@ -142,6 +144,7 @@
         self.selector = Selector(self.slow_start, region)
         self.part = FleetPart(now)
         self.limiters: dict[str, RateLimiter] = {}
+        self.earning_from: dict[str, float] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.drains: dict[str, DrainOrder] = {}
         self.entries: dict[str, HostEntry] = {}
@@ -191,6 +194,7 @@
         """Take over what all hosts together do."""
         now = time.monotonic()
         for name, limiter in self.limiters.items():
+            limiter.refill(self.part, now)
             limiter.total = summary.demands.get(name, 0.0)
         for service, by_region in summary.home_bound.items():
             if self.selector.update_weights(service, by_region, now):
@@ -238,7 +242,8 @@
             rule = self.configuration.workspaces.get(workspace) if self.configuration else None
             rate, burst = (rule.rate_per_s, rule.burst) if rule else (0.0, 0.0)
             share = self.part.share(0.0, 0.0, now)
-            limiter = self.limiters[workspace] = RateLimiter(rate, burst, share, now)
+            since = self.earning_from.get(workspace, now)
+            limiter = self.limiters[workspace] = RateLimiter(rate, burst, share, since)
         return limiter
 
     def budget(self, service: str, now: float) -> RetryBudget:
@@ -353,6 +358,9 @@
         if held is not None and held.version >= configuration.version:
             return
         self.configuration = configuration
+        now = time.monotonic()
+        for name in configuration.workspaces:
+            self.earning_from.setdefault(name, now)
         self.selector.rules = configuration.services
         for name, limiter in self.limiters.items():
             rule = configuration.workspaces.get(name)
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -9,7 +9,7 @@
 
 import math
 
-# Part of a host's allowance that its bucket holds when the host starts.
+# Part of the burst that a host has when it begins to hand out a whole rate.
 START_FILL = 0.25
 # Time constant of the moving average of demand in seconds.
 DEMAND_S = 0.8
@@ -69,22 +69,26 @@
         self.heard = 1
         self.heard_at = now
 
+    def reach(self, now: float) -> float:
+        """Return the part of all hosts, 0 to 1, that this one hears, itself included."""
+        silent_s = now - self.heard_at
+        if silent_s > CUT_OFF_S:
+            return 0.0
+        heard = self.heard if silent_s <= SUMMARY_FRESH_S else 1
+        return min(1.0, heard / max(1, self.hosts))
+
     def share(self, own: float, total: float, now: float) -> float:
         """Return the part of a rate, 0 to 1.
 
         :param own: this host's demand when it last reported.
         :param total: demand of all hosts in the last summary.
         """
-        silent_s = now - self.heard_at
-        if silent_s > CUT_OFF_S:
-            return 0.0
-        even = 1.0 / max(1, self.hosts)
-        if silent_s > SUMMARY_FRESH_S:
-            return even
-        heard = min(self.heard, self.hosts)
+        reach = self.reach(now)
+        if now - self.heard_at > SUMMARY_FRESH_S:
+            return reach
         own += BASE_DEMAND_PER_S
-        total = max(total + BASE_DEMAND_PER_S * heard, own)
-        return heard * even * own / total
+        total = max(total + BASE_DEMAND_PER_S * min(self.heard, self.hosts), own)
+        return reach * own / total
 
 
 class WholeRate:
@@ -129,11 +133,13 @@
 
     :param rate_per_s: requests a second of all hosts together.
     :param burst: requests of all hosts together at once.
+    :param since: monotonic time from which this host has had its part, and earns tokens.
     """
 
     __slots__ = (
         "burst",
         "demand",
+        "hosts",
         "rate_per_s",
         "reported",
         "share",
@@ -142,15 +148,16 @@
         "updated_at",
     )
 
-    def __init__(self, rate_per_s: float, burst: float, share: float, now: float) -> None:
+    def __init__(self, rate_per_s: float, burst: float, share: float, since: float) -> None:
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self.demand = DemandMeter(now)
+        self.demand = DemandMeter(since)
+        self.hosts = 1
         self.reported = 0.0
         self.total = 0.0
         self.share = share
-        self.tokens = START_FILL * max(burst, rate_per_s) * share
-        self.updated_at = now
+        self.tokens = 0.0
+        self.updated_at = since
 
     def set_rate(self, rate_per_s: float, burst: float) -> None:
         """Put a changed rate in force."""
@@ -160,8 +167,11 @@
 
     @property
     def most_tokens(self) -> float:
-        """Tokens that may gather at this host."""
-        return max(1.0, self.burst * self.share)
+        """Tokens that may gather at this host: one for its next request, and a part of the rest.
+
+        Over all hosts that is the burst, unless hosts outnumber it.
+        """
+        return 1.0 + max(0.0, self.burst - self.hosts) * self.share
 
     def admit(self, part: FleetPart, now: float) -> bool:
         """Spend one token if there is one."""
@@ -176,11 +186,17 @@
 
     def refill(self, part: FleetPart, now: float) -> None:
         """Add the tokens of the time since the last refill."""
+        earned = self.rate_per_s * self.share * max(0.0, now - self.updated_at)
         self.share = part.share(self.reported, self.total, now)
-        earned = self.rate_per_s * self.share * (now - self.updated_at)
-        self.updated_at = now
+        self.hosts = part.hosts
+        self.updated_at = max(self.updated_at, now)
         self.tokens = min(self.most_tokens, self.tokens + earned)
 
+    def empty(self, now: float) -> None:
+        """Begin anew without tokens: until now others handed out this rate."""
+        self.tokens = 0.0
+        self.updated_at = max(self.updated_at, now)
+
     def wait_s(self) -> float:
         """Return the seconds until a token will be there at the present share."""
         earning = self.rate_per_s * self.share
--- a/tests/test_steering_limits.py
+++ b/tests/test_steering_limits.py
@@ -91,6 +91,47 @@
         assert part.share(5.0, 5.0, T0 + 26.0) == 0.0
 
 
+class TestTokensFromNothing:
+    """Load pattern: one workspace sends many times its rate while hosts start and callers move."""
+
+    def test_hosts_that_start_hold_no_second_burst(self):
+        fleet = Fleet(24, rate=10.0, burst=100.0)
+        starts = iter([0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 9.0])
+        due = next(starts)
+
+        def arrivals(at):
+            nonlocal due
+            if at >= due:
+                due = next(starts)
+                share = fleet.parts[0].share(0.0, 0.0, T0 + at)
+                fleet.limiters = [RateLimiter(10.0, 100.0, share, T0 + at) for _ in range(24)]
+            return [20.0] * 24
+
+        times = fleet.play(5.0, arrivals, lambda _: list(range(24)))
+        assert len(times) <= 10.0 * 5.0 + 100.0
+
+    @pytest.mark.parametrize("busy", [1, 5, 20])
+    def test_the_buckets_of_all_hosts_hold_the_burst_and_not_more(self, busy):
+        fleet = Fleet(58, rate=100.0, burst=116.0)
+        arrivals = [100.0 / busy if host < busy else 0.0 for host in range(58)]
+        fleet.play(4.0, lambda _: arrivals, lambda _: list(range(58)))
+        fleet.exchange(T0 + 4.0, list(range(58)))
+        for limiter, part in zip(fleet.limiters, fleet.parts, strict=True):
+            limiter.refill(part, T0 + 4.0)
+        assert sum(limiter.most_tokens for limiter in fleet.limiters) <= 116.0 + 1e-6
+
+    def test_time_counts_at_the_part_that_was_in_force(self):
+        part = FleetPart(T0)
+        part.hosts = part.heard = 4
+        limiter = RateLimiter(100.0, 400.0, 0.25, T0)
+        limiter.refill(part, T0)
+        limiter.reported = limiter.total = 90.0
+        part.heard_at = T0 + 1.0
+        limiter.refill(part, T0 + 1.0)
+        assert limiter.share > 0.9
+        assert limiter.tokens == pytest.approx(25.0, abs=0.1)
+
+
 class TestRetryBudget:
     """Load pattern: an overloaded service sheds, and repeats overload the next server."""
 
