A server that leaves while a connection to it opens gets no request

Cause: a server is chosen before a connection to it opens, and nothing looked again; the same in packages/host. Class: a host acts on knowledge whose age it does not know. Change: the server is looked at again right before the request is sent; the attempt then counts as not sent, and another server is chosen, or the request is refused as not run. Before: 11 of 11 cases of tests/test_servers_that_leave.py failed, in both request paths; after: passed.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -23,6 +23,8 @@
 
 logger = logging.getLogger(__name__)
 
+_LEFT = Failure(ResultCode.NO_BACKEND, "the backend server left while a connection opened")
+
 SERVER_ERROR = 500
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
@@ -96,6 +98,9 @@
         if objection is not None:
             self.pool.put(server.address, connection)
             return objection
+        if not self.board.selector.takes_requests(self.state):
+            connection.close()
+            return _LEFT
         self.end = AttemptEnd.MAY_HAVE_RUN
         self.sent_at = time.monotonic()
         self.task.sends += 1
--- a/packages/host/src/radishbridge/host/attempt.py
+++ b/packages/host/src/radishbridge/host/attempt.py
@@ -26,21 +26,21 @@
 class Attempt:
     """One request sent to one backend server.
 
-    :param objection: tells why the request must not be sent now; ``None`` where it may.
+    :param obstacle: tells why the request must not be sent now; ``None`` where it may.
     :param sent: the request, or a part of it, may have reached the backend server.
     :param outcome: what the router learns of the backend server.
     """
 
-    __slots__ = ("exchange", "objection", "outcome", "permit", "sent", "started_at")
+    __slots__ = ("exchange", "obstacle", "outcome", "permit", "sent", "started_at")
 
     def __init__(
         self,
         exchange: Exchange,
         permit: Permit,
-        objection: t.Callable[[Exchange], Failure | None],
+        obstacle: t.Callable[[Exchange, Permit], Failure | None],
     ) -> None:
         self.exchange = exchange
-        self.objection = objection
+        self.obstacle = obstacle
         self.permit = permit
         self.sent = False
         self.started_at = time.monotonic()
@@ -86,10 +86,10 @@
         if is_closed_by_peer(exchange.request.transport):
             connection.release()
             raise CallerGoneError
-        objection = self.objection(exchange)
-        if objection is not None:
+        obstacle = self.obstacle(exchange, self.permit)
+        if obstacle is not None:
             connection.release()
-            return objection
+            return obstacle
         self.sent = True
         protocol = connection.protocol
         answer = await client.send(request, connection)
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -24,6 +24,7 @@
 NEW_SAMPLE = 0.05
 
 _LEAVING = Failure(ResultCode.HOST_LEAVING, "the host stops before the request would be answered")
+_LEFT = Failure(ResultCode.NO_BACKEND, "the backend server left while a connection opened")
 
 logger = logging.getLogger(__name__)
 
@@ -152,7 +153,7 @@
             permit = self.router.choose(target, tried, time.monotonic())
             if isinstance(permit, Failure):
                 return exchange.truthful(permit if failure is None else failure)
-            attempt = Attempt(exchange, permit, self._objection)
+            attempt = Attempt(exchange, permit, self._obstacle)
             answer = await self._attempt(attempt, permit)
             if not isinstance(answer, Failure):
                 return answer
@@ -179,6 +180,11 @@
             )
         return answer
 
+    def _obstacle(self, exchange: Exchange, permit: Permit) -> Failure | None:
+        # A server may leave while a connection to it opens.
+        objection = self._objection(exchange)
+        return objection if self.router.is_valid(permit) else objection or _LEFT
+
     def _objection(self, exchange: Exchange) -> Failure | None:
         usual_s = self.usual_s.get(exchange.target.name, 0.0)
         if self.stop.leaves_time(time.monotonic(), exchange.deadline.at, usual_s):
--- a/packages/routing/src/radishbridge/routing/protocol.py
+++ b/packages/routing/src/radishbridge/routing/protocol.py
@@ -68,6 +68,9 @@
     ) -> Permit | Failure:
         """Take a slot at a backend server that was not tried yet, or ``NO_BACKEND``."""
 
+    def is_valid(self, permit: Permit) -> bool:
+        """Whether a permit's backend server still takes requests."""
+
     def release(self, permit: Permit, outcome: AttemptOutcome, now: float) -> None:
         """Give a slot back and note how the attempt ended."""
 
--- a/packages/routing/src/radishbridge/routing/router.py
+++ b/packages/routing/src/radishbridge/routing/router.py
@@ -68,12 +68,16 @@
             return Failure(ResultCode.NO_BACKEND, f"no free slot in service {target.name}")
         return Permit(target.name, server.backend, now)
 
+    def is_valid(self, permit: Permit) -> bool:
+        """Whether a permit's backend server still takes requests."""
+        return self._permitted(permit) is not None
+
     def release(self, permit: Permit, outcome: AttemptOutcome, now: float) -> None:
         """Give a slot back and eject the server if it keeps failing."""
-        pool = self.pools.get(permit.service)
-        server = None if pool is None else pool.servers.get(permit.backend.name)
-        if pool is None or server is None or server.backend.address != permit.backend.address:
+        server = self._permitted(permit)
+        if server is None:
             return
+        pool = self.pools[permit.service]
         server.in_flight = max(0, server.in_flight - 1)
         server.note(outcome)
         if server.should_eject and not server.ejected_until and pool.eject(server, now):
@@ -91,6 +95,12 @@
             *(_candidate(backend, 0, self._exclusion(target, backend)) for backend in others),
         ]
 
+    def _permitted(self, permit: Permit) -> ServerState | None:
+        pool = self.pools.get(permit.service)
+        server = None if pool is None else pool.servers.get(permit.backend.name)
+        same = server is not None and server.backend.address == permit.backend.address
+        return server if same else None
+
     def _update_service(self, record: Record) -> None:
         if isinstance(record.body, Service):
             self.services[record.name] = record.body
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -265,11 +265,18 @@
             ]
         return pool
 
+    def takes_requests(self, state: ServerState) -> bool:
+        """Whether a server that was chosen before may still be sent a request."""
+        held = self.states.get(state.server.name)
+        return held is state and self._is_in_use(state.server)
+
+    def _is_in_use(self, server: Server) -> bool:
+        return not server.draining and server.data_center not in self.drained
+
     def _belongs(self, server: Server, key: _PoolKey) -> bool:
         return (
             server.service == key.service
-            and not server.draining
-            and server.data_center not in self.drained
+            and self._is_in_use(server)
             and (key.homes is None or server.region in key.homes)
             and (key.versions is None or server.version in key.versions)
             and (key.names is None or server.name in key.names)
--- /dev/null
+++ b/tests/test_servers_that_leave.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import time
+
+import msgspec
+import pytest
+from entry_world import reply, running
+from in_process import WITH_KEY, Harness
+from steering_world import make_route
+
+from radishbridge.entry import BackendPool
+from radishbridge.host.backends import BackendClient
+from radishbridge.records import Drain
+
+
+def _drain(world, state) -> None:
+    world.board.selector.put(msgspec.structs.replace(state.server, draining=True), time.monotonic())
+
+
+def _remove(world, state) -> None:
+    world.board.selector.remove(state.server.name)
+
+
+def _empty_data_center(world, state) -> None:
+    world.board.selector.set_drained([state.server.data_center])
+
+
+def _start_again(world, state) -> None:
+    # Under the same name, so that nothing is left of what was known of it.
+    _remove(world, state)
+    world.board.selector.put(msgspec.structs.replace(state.server, incarnation=2), time.monotonic())
+
+
+class TestRequestAtAServerThatLeaves:
+    """A connection takes time to open; the server may be known to leave by then."""
+
+    @pytest.mark.parametrize("leave", [_drain, _remove, _empty_data_center, _start_again])
+    @pytest.mark.parametrize("repeatable", [True, False])
+    async def test_it_goes_elsewhere(self, leave, repeatable, monkeypatch):
+        route = make_route(repeatable=repeatable)
+        async with running(reply(), reply(), route=route) as (world, backends):
+            take, left = BackendPool.take, []
+
+            async def slow_take(pool, address, runs_once):
+                connection = await take(pool, address, runs_once)
+                if not left:
+                    states = world.board.selector.states.values()
+                    left.extend(one for one in states if one.server.address == address)
+                    leave(world, left[0])
+                return connection
+
+            monkeypatch.setattr(BackendPool, "take", slow_take)
+            assert (await world.ask())[0] == 200
+            number = int(left[0].server.name.rpartition("-")[2])
+            assert not backends[number].seen
+            assert len(backends[1 - number].seen) == 1
+
+    async def test_where_no_other_serves_it_is_refused_and_has_not_run(self, monkeypatch):
+        route = make_route(repeatable=False)
+        async with running(reply(), route=route) as (world, (backend,)):
+            take = BackendPool.take
+
+            async def slow_take(pool, address, runs_once):
+                connection = await take(pool, address, runs_once)
+                _remove(world, next(iter(world.board.selector.states.values())))
+                return connection
+
+            monkeypatch.setattr(BackendPool, "take", slow_take)
+            status, _, headers = await world.ask()
+            assert status == 503
+            assert "Retry-After" in headers
+            assert not backend.seen
+
+
+class TestRequestAtAServerThatLeavesOfAHostWithItsOwnRecords:
+    @pytest.mark.parametrize("path", ["/catalogue/a", "/catalogue/once/a"])
+    async def test_it_goes_elsewhere(self, path, monkeypatch):
+        async with Harness() as host:
+            servers = [await host.add_backend(), await host.add_backend()]
+            connect, left = BackendClient.connect, []
+
+            async def slow_connect(client, request):
+                connection = await connect(client, request)
+                if not left:
+                    left.extend(
+                        one for one in host.backends if one.address == request.url.authority
+                    )
+                    drain = Drain(scope="backend", target=left[0].name)
+                    host.write("drain", "leaving", drain)
+                return connection
+
+            monkeypatch.setattr(BackendClient, "connect", slow_connect)
+            async with host.caller.get(host.url(path), headers=WITH_KEY) as answer:
+                assert answer.status == 200
+            assert left
+            assert [one.requests for one in servers if one.name == left[0].name] == [0]
