--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -332,7 +332,15 @@
             revisions = {
                 kind.value: (self.copy.revisions[kind], self.newest[kind]) for kind in late
             }
-            logger.info("copy differs", extra={"peer": peer, "own_and_newest": revisions})
+            logger.info(
+                "copy differs",
+                extra={
+                    "peer": peer,
+                    "own_and_newest": revisions,
+                    # Copies that are whole up to one revision hold the same: one of them is wrong.
+                    "same_revision": any(own == newest for own, newest in revisions.values()),
+                },
+            )
             self.mesh.send(peer, CopyRequest(kinds=late))
 
     def _is_late(self, kind: Kind, other: CopyState, now: float) -> bool:
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -110,6 +110,17 @@
             self._note_failure(listing, kind)
             return listing
         self._note_answer()
+        logger.info(
+            "listed",
+            extra={
+                "kind": kind.value,
+                "may_be_stale": may_be_stale,
+                "objects": len(listing.objects),
+                "revision": listing.revision,
+                "newest_object": max((stored.version for stored in listing.objects), default=0),
+                "held_before": self.copy.revisions[kind],
+            },
+        )
         # What a host reads as it starts is news to itself alone.
         is_first = kind not in self.copy.loaded
         after = self.copy.revisions[kind]
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+import contextlib
+import random
+import typing as t
+
+import aiohttp
+import pytest
+from aiohttp import web
+from soak.store import Store
+
+from radishbridge.entry import Kind, ObjectCopy
+from radishbridge.platform.objects import KIND_NAMES
+from radishbridge.platform.store import PlatformStore
+
+HOSTS = KIND_NAMES[Kind.HOST]
+
+
+@contextlib.asynccontextmanager
+async def running() -> t.AsyncIterator[tuple[Store, PlatformStore]]:
+    """Run a stand-in of the platform's store and a client of it."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = Store(random.Random(1))
+        runner = web.AppRunner(store.application(), shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield store, PlatformStore(session, f"{host}:{port}")
+
+
+class TestObjectThatComesBack:
+    """A host unregisters, starts again and registers, while another one follows an old revision."""
+
+    @pytest.mark.parametrize("others", [0, 3])
+    async def test_it_is_there_in_the_copy_of_a_host_that_reads_all_changes_at_once(self, others):
+        async with running() as (store, client):
+            copy = ObjectCopy()
+            await store.put(HOSTS, "a", spec={})
+            listing = await client.list(Kind.HOST)
+            for stored in listing.objects:
+                copy.apply(stored, "store")
+            copy.advance(Kind.HOST, listing.revision)
+            await store.remove(HOSTS, "a")
+            await store.put(HOSTS, "a", spec={})
+            for number in range(others):
+                await store.put(HOSTS, f"other-{number}", spec={})
+            changes = await client.watch(Kind.HOST, listing.revision, 1.0)
+            for stored in changes.objects:
+                copy.apply(stored, "store")
+            assert copy.held[Kind.HOST, "a"].value is not None
+            assert len(copy.listing(Kind.HOST).objects) == 1 + others
+
+    async def test_one_that_left_in_the_end_is_gone(self):
+        async with running() as (store, client):
+            copy = ObjectCopy()
+            await store.put(HOSTS, "a", spec={})
+            await store.remove(HOSTS, "a")
+            await store.put(HOSTS, "a", spec={})
+            await store.remove(HOSTS, "a")
+            for stored in (await client.watch(Kind.HOST, 0, 1.0)).objects:
+                copy.apply(stored, "store")
+            assert copy.listing(Kind.HOST).objects == []
