A host that came back registers once, not a hundred times a second

Cause: a copy that is older than the entry says that the entry is gone, which was taken for a removal by others. Class: a host acts on a copy whose age it does not know. Change: `Registration`, a part of its own, gives the copy the time in which changes bind before it looks. Before: the loop had no pause (read from the code and seen in the log; the class and its tests are new); after: one call in the test that replays it.

--- a/packages/entry/src/radishbridge/entry/__init__.py
+++ b/packages/entry/src/radishbridge/entry/__init__.py
@@ -26,6 +26,7 @@
     StoredObject,
 )
 from radishbridge.entry.ratedesk import RateDesk
+from radishbridge.entry.registration import Registration
 from radishbridge.entry.steward import Steward
 
 __all__ = [
@@ -47,6 +48,7 @@
     "MoveReport",
     "ObjectCopy",
     "RateDesk",
+    "Registration",
     "RequestFacts",
     "RequestJournal",
     "Steward",
--- /dev/null
+++ b/tests/test_registration.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing as t
+
+from fleet_world import entry
+from in_process import until
+
+from radishbridge.entry import Kind, ObjectCopy, Registration, StoredObject, registration
+from radishbridge.records import Failure, ResultCode
+
+AWAY = Failure(ResultCode.STORE_UNAVAILABLE, "no answer")
+OWN = entry(1).peer_address
+
+
+def host(version: int, value: bytes | None = b"x") -> StoredObject:
+    return StoredObject(kind=Kind.HOST, name=OWN, version=version, value=value)
+
+
+class CountingStore:
+    """Counts registrations; the first ones fail."""
+
+    def __init__(self, failures: int = 0) -> None:
+        self.calls = 0
+        self.failures = failures
+
+    async def register(self, registered):
+        assert registered.peer_address == OWN
+        self.calls += 1
+        return AWAY if self.calls <= self.failures else None
+
+
+@contextlib.contextmanager
+def registering(store, copy) -> t.Iterator[None]:
+    task = asyncio.create_task(Registration(store, copy, lambda: entry(1)).run())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+class TestRegistration:
+    async def test_a_store_that_is_away_is_asked_again(self, monkeypatch):
+        monkeypatch.setattr(registration, "RETRY_S", 0.0)
+        store = CountingStore(failures=3)
+        with registering(store, ObjectCopy()):
+            await until(lambda: store.calls == 4)
+
+    async def test_a_host_that_reads_that_it_is_gone_does_not_call_the_store_without_pause(
+        self, monkeypatch
+    ):
+        # It has come back, and its copy is still the one of before.
+        monkeypatch.setattr(registration, "TAKEN_OVER_S", 3600.0)
+        store, copy = CountingStore(), ObjectCopy()
+        copy.apply(host(5, None), "store")
+        with registering(store, copy):
+            for _ in range(100):
+                await asyncio.sleep(0)
+        assert store.calls == 1
+
+    async def test_a_host_whose_entry_is_removed_registers_again(self, monkeypatch):
+        monkeypatch.setattr(registration, "TAKEN_OVER_S", 0.0)
+        monkeypatch.setattr(registration, "LOOK_S", 0.0)
+        store, copy = CountingStore(), ObjectCopy()
+        copy.apply(host(5), "store")
+        with registering(store, copy):
+            for _ in range(100):
+                await asyncio.sleep(0)
+            assert store.calls == 1
+            copy.apply(host(6, None), "store")
+            await until(lambda: store.calls > 1)
