Hosts that are stopped and started in turn do not stop the handing out of small rates

And a slice that nobody had asked for yet counted as new after any change of the holders, although its host had held it all along. Change: hosts agree on the size of their fleet, the most hosts that one of them has known in the last minute, told with reports and sums. A host opens the slices that it holds when holders change, so that they go on.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -61,6 +61,9 @@
 # that starts all hosts are unknown for some 0.3 s.
 STRANGERS_MAX = 8
 MEET_S = 0.2
+# Time in seconds for which the largest number of registered hosts counts: hosts that are stopped
+# and started in turn are missing from the list for some 10 s each.
+SIZE_HELD_S = 60.0
 # Most hosts that a start without a store asks for their copy.
 SEEDS_ASKED = 3
 
@@ -103,6 +106,8 @@
         "newest",
         "own",
         "part",
+        "peak",
+        "peak_at",
         "reports",
         "seeds",
         "started_at",
@@ -131,6 +136,8 @@
         self.make_report = make_report
         self.seeds = {seed.name: seed for seed in seeds if seed.name != own.peer_address}
         self.entries: dict[str, HostEntry] = {own.peer_address: own}
+        self.peak = 1
+        self.peak_at = float("-inf")
         self.reports: dict[str, HeardReport] = {}
         self.hearings: dict[str, float] = {}
         self.last_seen: dict[str, float] = {}
@@ -259,7 +266,9 @@
 
     def step(self, now: float) -> None:
         """Send one report, and one sum if this host sums up."""
-        report = msgspec.structs.replace(self.make_report(), copy_state=self.copy.state())
+        report = msgspec.structs.replace(
+            self.make_report(), copy_state=self.copy.state(), size=self._note_size(now)
+        )
         self.reports[self.own.peer_address] = HeardReport(report, now)
         targets = self._summing(now)
         for name in targets:
@@ -279,6 +288,20 @@
                 self._send_all(summary)
         self.part.hosts = max(1, len(self.possible_hosts(now)))
 
+    @property
+    def size(self) -> int:
+        """Number of hosts that this fleet is made for; the hosts agree on it within a second.
+
+        It stays as it is while hosts are stopped and started in turn.
+        """
+        return self.peak if self.summary is None else self.summary.size
+
+    def _note_size(self, now: float) -> int:
+        count = len(self.entries)
+        if count >= self.peak or now - self.peak_at > SIZE_HELD_S:
+            self.peak, self.peak_at = count, now
+        return self.peak
+
     def _summing(self, now: float) -> list[str]:
         starting = now - self.started_at < START_S
         names = [
@@ -411,6 +434,7 @@
         evidence=evidence,
         crashes=list(crashes),
         copy_state=copy_state,
+        size=max((report.size for report in reports.values()), default=1),
     )
 
 
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -49,6 +49,7 @@
     :param evidence: outcomes by service under a version move, counted since the order.
     :param crashes: those of the last seconds.
     :param copy_state: of the sender's copy; the summing host may be late itself.
+    :param size: most hosts that the sender has known as registered lately.
     """
 
     sight: HostSight
@@ -57,12 +58,14 @@
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState | None = None
+    size: int = 1
 
 
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
     """What all hosts together do, from their reports of the last second.
 
     :param hosts: those that were heard.
+    :param size: the largest of their sizes.
     :param copy_state: of the sender's copy.
     """
 
@@ -72,6 +75,7 @@
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState
+    size: int = 1
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
--- a/packages/entry/src/radishbridge/entry/ratedesk.py
+++ b/packages/entry/src/radishbridge/entry/ratedesk.py
@@ -167,9 +167,9 @@
         return configuration.workspaces.get(workspace) if configuration else None
 
     def _is_divided(self, rule: WorkspaceRule) -> bool:
-        # Hosts agree on which are registered, but not on which are heard.
+        # Hosts agree on the size of the fleet, but not on which of it they hear.
         name = rule.name
-        divided = is_divided(rule.burst, len(self.fleet.entries))
+        divided = is_divided(rule.burst, self.fleet.size)
         if self.divided.setdefault(name, divided) is not divided:
             self.divided[name] = divided
             self._begin_anew(name)
@@ -225,20 +225,13 @@
         return await self._ask(piece, holder)
 
     def _hand_out(self, piece: Piece, way: Way) -> float | None:
-        now = self.clock()
         rule = self._rule(piece.workspace)
         if rule is None or self._is_divided(rule) or piece.number >= _slice_count(rule):
             return EMPTY_MAX_S
         if self._holder(piece) != self.fleet.own.peer_address:
             return EMPTY_MAX_S
-        rate, burst = (whole / _slice_count(rule) for whole in (rule.rate_per_s, rule.burst))
-        held = self.slices.get(piece)
-        if held is None:
-            since = max(self.changed_at + TAKE_OVER_S, self.board.earning_from.get(rule.name, now))
-            held = self.slices[piece] = RateSlice(rate, burst, since)
-        elif (held.rate_per_s, held.burst) != (rate, burst):
-            held.set_rate(rate, burst)
-        admitted = held.take(self.board.part, now)
+        held = self._slice(rule, piece)
+        admitted = held.take(self.board.part, self.clock())
         self.ledger.note(piece.workspace, way, admitted)
         return None if admitted else held.wait_s()
 
@@ -285,14 +278,39 @@
         )
         if names == self.names:
             return
+        # What this host has handed out so far goes on without a pause.
+        if self.names:
+            self._open_slices()
         self.names = names
         self.changed_at = now
         self.holders.clear()
         for piece in [one for one in self.slices if self._holder(one) != own]:
             del self.slices[piece]
+        self._open_slices()
         if not all_divided:
             self._greet_holders()
 
+    def _open_slices(self) -> None:
+        configuration = self.board.configuration
+        rules = configuration.workspaces.values() if configuration else ()
+        for rule in rules:
+            if rule.rate_per_s and not self._is_divided(rule):
+                for number in range(_slice_count(rule)):
+                    piece = Piece(rule.name, number)
+                    if self._holder(piece) == self.fleet.own.peer_address:
+                        self._slice(rule, piece)
+
+    def _slice(self, rule: WorkspaceRule, piece: Piece) -> RateSlice:
+        rate, burst = (whole / _slice_count(rule) for whole in (rule.rate_per_s, rule.burst))
+        held = self.slices.get(piece)
+        if held is None:
+            known_at = self.board.earning_from.get(rule.name, self.clock())
+            since = max(self.changed_at + TAKE_OVER_S, known_at)
+            held = self.slices[piece] = RateSlice(rate, burst, since)
+        elif (held.rate_per_s, held.burst) != (rate, burst):
+            held.set_rate(rate, burst)
+        return held
+
     def _greet_holders(self) -> None:
         # A first question opens a connection, which takes longer than callers should wait.
         for name in self.fleet.rank_for("rates", self.names)[:HOLDERS]:
--- a/tests/test_rate_desk.py
+++ b/tests/test_rate_desk.py
@@ -173,6 +173,24 @@
         assert desks.most_in_window() <= 40.0 * WINDOW_S + 49.0
 
 
+class TestRollingRestart:
+    """Load pattern: hosts leave the list and come back in turn, at the size that divides a rate."""
+
+    async def test_it_does_not_keep_callers_of_a_rate_waiting(self):
+        desks = Desks(24, 40.0, 47.0)
+        hosts = desks.hosts
+
+        def roll(_: Desks, at: float) -> None:
+            gone = f"10.0.0.{int(at) % 24}:7000"
+            is_back = int(at * 2.0) % 2 == 1
+            listed = {name: one for name, one in hosts.entries.items() if is_back or name != gone}
+            for fleet in hosts.fleets:
+                fleet.update_hosts(listed)
+
+        await desks.play(8.0, 20.0, roll)
+        assert len(desks.admitted) >= 0.95 * 8.0 * 20.0
+
+
 class TestSmallRates:
     """Load pattern: many hosts, each of which sees a small workspace now and then."""
 
