A host's part of a rate is its demand in a sum over that sum

Callers saw: a workspace whose rate is divided could get more than its limit (QUOTA), where its callers came all at once, or where a host heard all others and was heard by none. Cause (hypothesis 1 of the incident): the part was this host's newest demand over an older sum, so that parts added up to more than 1 while demand rose; and a host that the sum did not cover still took its own demand for a part of it, beside the others, who had divided the whole among themselves. Class: a limit holds only if each token has one host that may hand it out. Change: reports are numbered, and a sum names the number of each report that it counts. The part follows from what this host stated in that report; a host that the sum does not count uses the even part that the others leave to it. What a new limiter has of a rate follows from the last sum as well, where it took an even part. `RateLimiter.reported` is now `stated`, and set when a sum comes; the test of it checks the same demand, and besides that a later report does not count before a sum covers it.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -7,6 +7,8 @@
 import time
 import typing as t
 
+import msgspec
+
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostSight
@@ -39,6 +41,9 @@
     stable_versions,
 )
 
+# Last reports of this host that are kept: a sum counts one that is up to 1.1 s old, and comes up to
+# 1.2 s later, at five reports a second.
+REPORTS_KEPT = 16
 # How long crashes are reported to the other hosts, in seconds: some reports may be lost.
 CRASH_REPORT_S = 3.0
 # Servers that a request has to crash before it is refused, and how long it then is, in seconds:
@@ -107,20 +112,26 @@
     :param host: name of this host.
     :param decoder: decodes stored objects.
     :param region: this host's region.
+    :param clock: monotonic clock in seconds.
     :param earning_from: monotonic time from which this host earns tokens of a workspace's rate.
+    :param stated: demand by workspace in this host's last reports, by number of the report.
+    :param demands: demand of all hosts by workspace in the last summary.
     """
 
     __slots__ = (
         "answers",
         "bounds",
         "budgets",
+        "clock",
         "configuration",
         "crashes",
         "decoder",
+        "demands",
         "drains",
         "earning_from",
         "entries",
         "home_meters",
+        "host",
         "is_leaving",
         "limiters",
         "moves",
@@ -129,14 +140,25 @@
         "poison",
         "proved",
         "ready",
+        "report_number",
         "selector",
         "service_s",
         "slow_start",
+        "stated",
         "warm_pairs",
     )
 
-    def __init__(self, host: str, decoder: Decoder, bounds: Bounds, region: str = "") -> None:
-        now = time.monotonic()
+    def __init__(
+        self,
+        host: str,
+        decoder: Decoder,
+        bounds: Bounds,
+        region: str = "",
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.host = host
+        self.clock = clock
+        now = clock()
         self.decoder = decoder
         self.bounds = bounds
         self.configuration: Configuration | None = None
@@ -145,6 +167,9 @@
         self.part = FleetPart(now)
         self.limiters: dict[str, RateLimiter] = {}
         self.earning_from: dict[str, float] = {}
+        self.report_number = 0
+        self.stated: dict[int, dict[str, float]] = {}
+        self.demands: dict[str, float] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.drains: dict[str, DrainOrder] = {}
         self.entries: dict[str, HostEntry] = {}
@@ -192,10 +217,8 @@
 
     def take_summary(self, summary: FleetSummary) -> None:
         """Take over what all hosts together do."""
-        now = time.monotonic()
-        for name, limiter in self.limiters.items():
-            limiter.refill(self.part, now)
-            limiter.total = summary.demands.get(name, 0.0)
+        now = self.clock()
+        self._take_demands(summary, now)
         for service, by_region in summary.home_bound.items():
             if self.selector.update_weights(service, by_region, now):
                 weights = self.selector.weights[service].weights
@@ -214,21 +237,33 @@
                 move.fault = fault
                 logger.warning("new version is bad", extra={"service": service, "reason": fault})
 
-    def report(self, sight: HostSight) -> FleetReport:
-        """Return what the summing hosts are told, and note the demand that it states as sent."""
-        now = time.monotonic()
-        demands: dict[str, float] = {}
+    def _take_demands(self, summary: FleetSummary, now: float) -> None:
+        # The part of a host is its demand in a sum over that sum, so that the parts of all hosts
+        # that use one sum add up to 1 whatever their demand is by now.
+        own = next((sight for sight in summary.hosts if sight.name == self.host), None)
+        counted = None if own is None else self.stated.get(own.report_number)
+        self.part.is_counted = counted is not None
+        self.demands = summary.demands
         for name, limiter in self.limiters.items():
-            limiter.reported = limiter.demand.rate(now)
-            if limiter.reported > 0.01:
-                demands[name] = round(limiter.reported, 2)
+            stated = 0.0 if counted is None else counted.get(name, 0.0)
+            limiter.take_sum(self.part, stated, self.demands.get(name, 0.0), now)
+
+    def report(self, sight: HostSight) -> FleetReport:
+        """Return what the summing hosts are told, and note the demand that it states."""
+        now = self.clock()
+        rates = {name: limiter.demand.rate(now) for name, limiter in self.limiters.items()}
+        demands = {name: round(rate, 2) for name, rate in rates.items() if rate > 0.01}
+        self.report_number += 1
+        self.stated[self.report_number] = demands
+        while len(self.stated) > REPORTS_KEPT:
+            del self.stated[next(iter(self.stated))]
         home_bound: dict[str, dict[str, float]] = {}
         for (service, region), meter in self.home_meters.items():
             slots = meter.rate(now) * self.service_s.get(service, 0.0)
             home_bound.setdefault(service, {})[region] = round(slots, 3)
         self.crashes = [one for one in self.crashes if now - one.at < CRASH_REPORT_S]
         return FleetReport(
-            sight=sight,
+            sight=msgspec.structs.replace(sight, report_number=self.report_number),
             demands=demands,
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
@@ -241,9 +276,11 @@
         if limiter is None:
             rule = self.configuration.workspaces.get(workspace) if self.configuration else None
             rate, burst = (rule.rate_per_s, rule.burst) if rule else (0.0, 0.0)
-            share = self.part.share(0.0, 0.0, now)
+            total = self.demands.get(workspace, 0.0)
+            share = self.part.share(0.0, total, now)
             since = self.earning_from.get(workspace, now)
             limiter = self.limiters[workspace] = RateLimiter(rate, burst, share, since)
+            limiter.total = total
         return limiter
 
     def budget(self, service: str, now: float) -> RetryBudget:
@@ -275,7 +312,7 @@
         if move is None:
             return [need._replace(versions=stable_versions(counts))]
         target = move.order.to_version
-        share = move.share(time.monotonic(), self.proved.get(service, False))
+        share = move.share(self.clock(), self.proved.get(service, False))
         if share >= 1.0 and target in counts:
             return [need._replace(versions=frozenset({target}))]
         old = stable_versions(counts, without=target)
@@ -301,7 +338,7 @@
         if move is None or move.order.phase in (MovePhase.COMPLETED, MovePhase.TAKEN_BACK):
             return
         state = self.selector.states.get(server.name)
-        cold = state is None or state.is_cold(time.monotonic())
+        cold = state is None or state.is_cold(self.clock())
         warm = (server.name, key) in self.warm_pairs and not cold
         self.warm_pairs.add((server.name, key))
         is_new = server.version == move.order.to_version
@@ -339,7 +376,7 @@
         )
 
     def _put(self, name: str, decoded: Decoded) -> None:
-        now = time.monotonic()
+        now = self.clock()
         if isinstance(decoded, Configuration):
             self._put_configuration(decoded)
         elif isinstance(decoded, Server):
@@ -358,7 +395,7 @@
         if held is not None and held.version >= configuration.version:
             return
         self.configuration = configuration
-        now = time.monotonic()
+        now = self.clock()
         for name in configuration.workspaces:
             self.earning_from.setdefault(name, now)
         self.selector.rules = configuration.services
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -21,6 +21,7 @@
 
     :param reaches_store: the store has answered its last calls, as far as it has made any.
     :param is_strained: it answers later than it should, for want of processor time or link.
+    :param report_number: of the report that says so, numbered from 1 by each host since its start.
     """
 
     name: str
@@ -28,6 +29,7 @@
     is_leaving: bool
     reaches_store: bool
     is_strained: bool = False
+    report_number: int = 0
 
 
 class CopyState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -58,14 +58,16 @@
     :param hosts: hosts that may be running, heard or not.
     :param heard: hosts that the last summary covers.
     :param heard_at: monotonic time of the last summary.
+    :param is_counted: the last summary covers this host, by a report that it knows.
     """
 
-    __slots__ = ("heard", "heard_at", "hosts")
+    __slots__ = ("heard", "heard_at", "hosts", "is_counted")
 
     def __init__(self, now: float) -> None:
         self.hosts = 1
         self.heard = 1
         self.heard_at = now
+        self.is_counted = True
 
     def reach(self, now: float) -> float:
         """Return the part of all hosts, 0 to 1, that this one hears, itself included."""
@@ -78,12 +80,15 @@
     def share(self, own: float, total: float, now: float) -> float:
         """Return the part of a rate, 0 to 1.
 
-        :param own: this host's demand when it last reported.
+        :param own: this host's demand as the last summary counts it.
         :param total: demand of all hosts in the last summary.
         """
         reach = self.reach(now)
         if now - self.heard_at > SUMMARY_FRESH_S:
             return reach
+        if not self.is_counted:
+            # The others leave an even part to hosts that they do not hear.
+            return 1.0 / max(1, self.hosts)
         own += BASE_DEMAND_PER_S
         total = max(total + BASE_DEMAND_PER_S * min(self.heard, self.hosts), own)
         return reach * own / total
@@ -142,8 +147,8 @@
         "demand",
         "hosts",
         "rate_per_s",
-        "reported",
         "share",
+        "stated",
         "tokens",
         "total",
         "updated_at",
@@ -154,7 +159,7 @@
         self.burst = burst
         self.demand = DemandMeter(since)
         self.hosts = 1
-        self.reported = 0.0
+        self.stated = 0.0
         self.total = 0.0
         self.share = share
         self.tokens = 0.0
@@ -188,11 +193,20 @@
     def refill(self, part: FleetPart, now: float) -> None:
         """Add the tokens of the time since the last refill."""
         earned = self.rate_per_s * self.share * max(0.0, now - self.updated_at)
-        self.share = part.share(self.reported, self.total, now)
+        self.share = part.share(self.stated, self.total, now)
         self.hosts = part.hosts
         self.updated_at = max(self.updated_at, now)
         self.tokens = min(self.most_tokens, self.tokens + earned)
 
+    def take_sum(self, part: FleetPart, stated: float, total: float, now: float) -> None:
+        """Take over a new sum; what was earned before it counts at the part before it.
+
+        :param stated: this host's demand as the sum counts it.
+        :param total: demand of all hosts.
+        """
+        self.stated, self.total = stated, total
+        self.refill(part, now)
+
     def empty(self, now: float) -> None:
         """Begin anew without tokens: until now others handed out this rate."""
         self.tokens = 0.0
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -408,10 +408,13 @@
         )
         limiter = board.limiter("school", now)
         limiter.demand.add(now)
-        board.report(sight())
-        reported = limiter.reported
+        reported = board.report(sight())
         limiter.demand.add(now)
-        assert limiter.reported == reported > 0.0
+        later = board.report(sight())
+        board.take_summary(sum_up({"h": reported}, EMPTY))
+        assert limiter.stated == reported.demands["school"] > 0.0
+        assert limiter.stated < later.demands["school"]
+        assert board.part.is_counted
 
 
 class TestMessages:
--- a/tests/test_steering_limits.py
+++ b/tests/test_steering_limits.py
@@ -21,8 +21,8 @@
 
     def exchange(self, now: float, heard: list[int]) -> None:
         for host in heard:
-            self.limiters[host].reported = self.limiters[host].demand.rate(now)
-        total = sum(self.limiters[host].reported for host in heard)
+            self.limiters[host].stated = self.limiters[host].demand.rate(now)
+        total = sum(self.limiters[host].stated for host in heard)
         for host in heard:
             self.limiters[host].total = total
             self.parts[host].heard = len(heard)
@@ -125,9 +125,8 @@
         part.hosts = part.heard = 4
         limiter = RateLimiter(100.0, 400.0, 0.25, T0)
         limiter.refill(part, T0)
-        limiter.reported = limiter.total = 90.0
         part.heard_at = T0 + 1.0
-        limiter.refill(part, T0 + 1.0)
+        limiter.take_sum(part, 90.0, 90.0, T0 + 1.0)
         assert limiter.share > 0.9
         assert limiter.tokens == pytest.approx(25.0, abs=0.1)
 
