A host that leaves uses its part of a rate until it ends, and the others leave it to it

Callers saw: a workspace could get more than its limit (QUOTA) while many hosts are stopped at once. Cause: a host removes its entry when it is told to stop and answers requests for some seconds more. The others took its part over as soon as the entry was gone: sums left it out, and it went on with the part of the last sum that it had. Class: a limit holds only if each token has one host that may hand it out. Change: a host whose entry goes stays in sums, and gets them, as long as it is heard; whoever is counted in a sum counts as a host for the parts. Duties and look-ups name registered hosts alone, as before.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import re
 import time
@@ -86,6 +87,8 @@
     :param own: this host's entry.
     :param mesh: carries messages; hosts are named by their peer address.
     :param part: what this host may use of fleet-wide rates.
+    :param departing: hosts that are no longer registered, but were heard until then: they answer
+        what is open, and still use their part of the rates.
     :param make_sight: tells what others are told of this host.
     :param make_report: builds the report that is sent next.
     :param clock: monotonic clock in seconds.
@@ -94,6 +97,7 @@
     __slots__ = (
         "clock",
         "copy",
+        "departing",
         "differs_since",
         "entries",
         "hearings",
@@ -136,6 +140,7 @@
         self.make_report = make_report
         self.seeds = {seed.name: seed for seed in seeds if seed.name != own.peer_address}
         self.entries: dict[str, HostEntry] = {own.peer_address: own}
+        self.departing: dict[str, HostEntry] = {}
         self.peak = 1
         self.peak_at = float("-inf")
         self.reports: dict[str, HeardReport] = {}
@@ -160,16 +165,30 @@
     def update_hosts(self, entries: t.Mapping[str, HostEntry]) -> None:
         """Take over the registered hosts, by name."""
         now = self.clock()
+        before = {**self.departing, **self.entries}
         self.entries = {**entries, self.own.peer_address: self.own}
+        self.departing = {
+            name: entry
+            for name, entry in before.items()
+            if name not in self.entries and self._was_heard(name, now)
+        }
         for name in self.entries:
             self.last_seen.setdefault(name, now)
         for name in self.strangers.keys() & self.entries.keys():
             del self.strangers[name]
         self._update_directory()
-        self.part.hosts = max(1, len(self.possible_hosts(now)))
+        self._count_hosts(now)
+
+    def _was_heard(self, name: str, now: float) -> bool:
+        return now - self.hearings.get(name, float("-inf")) <= HEARD_S
+
+    def _count_hosts(self, now: float) -> None:
+        # Who is counted in a sum has a part of the rates, registered or not.
+        counted = () if self.summary is None else (sight.name for sight in self.summary.hosts)
+        self.part.hosts = len({*self.possible_hosts(now), *counted})
 
     def _update_directory(self) -> None:
-        known = (_address(entry) for entry in self.entries.values())
+        known = map(_address, itertools.chain(self.entries.values(), self.departing.values()))
         self.mesh.update_directory([*known, *self._unknown_seeds(), *self.strangers.values()])
 
     def _meet(self, name: str) -> None:
@@ -277,7 +296,7 @@
         heard = {
             name: heard.report
             for name, heard in self.reports.items()
-            if now - heard.at <= HEARD_S and name in self.entries
+            if now - heard.at <= HEARD_S and (name in self.entries or name in self.departing)
         }
         if self.own.peer_address in targets or len(heard) > 1:
             summary = sum_up(heard, self.copy.state())
@@ -286,7 +305,9 @@
             # Later this is how hosts that lost each other meet again.
             if len(heard) > 1 or now - self.started_at >= START_S:
                 self._send_all(summary)
-        self.part.hosts = max(1, len(self.possible_hosts(now)))
+        if any(not self._was_heard(name, now) for name in self.departing):
+            self.update_hosts(self.entries)
+        self._count_hosts(now)
 
     @property
     def size(self) -> int:
@@ -315,7 +336,7 @@
         return self.rank_for("sum", names)[:SUMMING_HOSTS]
 
     def _send_all(self, message: FleetSummary | ObjectsChanged) -> None:
-        for name in self.entries:
+        for name in itertools.chain(self.entries, self.departing):
             if name != self.own.peer_address:
                 self.mesh.send(name, message)
 
@@ -343,9 +364,12 @@
         self.summary_at = now
         for sight in summary.hosts:
             if sight.name in self.entries:
-                self.last_seen[sight.name] = self.hearings[sight.name] = now
-        self.part.heard = sum(sight.name in self.entries for sight in summary.hosts)
+                self.last_seen[sight.name] = now
+            if sight.name in self.entries or sight.name in self.departing:
+                self.hearings[sight.name] = now
+        self.part.heard = max(1, len(summary.hosts))
         self.part.heard_at = now
+        self._count_hosts(now)
         for listener in self.listeners:
             listener(summary)
 
--- a/tests/test_parts_of_rates.py
+++ b/tests/test_parts_of_rates.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import itertools
 import typing as t
 
 import pytest
@@ -16,6 +17,8 @@
 REPORT_STEPS = 10
 DELAY_STEPS = 1
 LATE_STEPS = 20
+# Time in seconds between the signal to stop and the end of a host that still has requests.
+LEAVING_S = 5.5
 # The operators' bound on a workspace: seconds of the window, part and requests beyond its limit.
 WINDOW_S = 5.0
 OVERAGE = 0.1
@@ -82,6 +85,10 @@
                     if limiter.admit(board.part, self.hosts.now):
                         self.admitted.append(self.hosts.now)
 
+    def stop(self, count: int) -> None:
+        """End the first hosts."""
+        del self.hosts.fleets[:count], self.boards[:count]
+
     def most_in_window(self) -> int:
         times = self.admitted
         ends = (bisect.bisect_left(times, at + WINDOW_S) for at in times)
@@ -124,3 +131,16 @@
 
         workspace.play(12.0, arrivals)
         assert workspace.most_in_window() <= workspace.bound()
+
+    @pytest.mark.parametrize("leaving", [6, 12])
+    def test_hosts_that_leave_use_no_part_that_others_have_taken_over(self, leaving):
+        workspace = Workspace(24, 100.0, 100.0)
+        workspace.play(5.0, lambda number, at: 20.0)
+        entries = workspace.hosts.entries
+        stay = dict(itertools.islice(entries.items(), leaving, None))
+        for fleet in workspace.hosts.fleets:
+            fleet.update_hosts(stay)
+        workspace.play(LEAVING_S, lambda number, at: 20.0)
+        workspace.stop(leaving)
+        workspace.play(4.0, lambda number, at: 20.0)
+        assert workspace.most_in_window() <= workspace.bound()
