A copy is not called whole while removals are held back, and they are held back once

Servers saw: requests after they had left (DRAIN) from all hosts, where the host that had read of it had itself just got the store back. Cause: removals that may be lapses are held back for 2 s after the store's return, but the copy's revision advanced past them. Copies that held the same objects took the revision over, so that no host knew of the lack any more. And each further return of the store to that host began the 2 s anew. Class: a host acts on a copy whose age it does not know. Change: a copy is whole up to where it was read only once nothing is held back; a watch still begins where the last one ended. Each removal has a time of its own. The test of entries that lapse moves the time at which each is due.

--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -50,6 +50,13 @@
 logger = logging.getLogger(__name__)
 
 
+class HeldBack(t.NamedTuple):
+    """A removal that may be a lapse, and the monotonic time at which it takes effect."""
+
+    stored: StoredObject
+    due: float
+
+
 class StoreFollower:
     """Keeps the copy up to date while it is this host's turn to follow the store.
 
@@ -58,6 +65,8 @@
     :param knows_fleet: whether this host hears others.
     :param taken: called with changes of a kind, some of them new to the copy, and the two
         revisions between which they are all changes; 0 and 0 where they are not all.
+    :param read_to: revision up to which the store was read, by kind; the copy is not whole up to
+        there while removals are held back.
     """
 
     __slots__ = (
@@ -68,6 +77,7 @@
         "is_silent",
         "knows_fleet",
         "place",
+        "read_to",
         "returned_at",
         "rng",
         "store",
@@ -93,7 +103,8 @@
         self.failing_since: float | None = None
         self.is_silent = False
         self.failed_at = float("-inf")
-        self.deferred: dict[str, StoredObject] = {}
+        self.deferred: dict[str, HeldBack] = {}
+        self.read_to: dict[Kind, int] = dict.fromkeys(Kind, 0)
 
     def reaches_store(self, now: float) -> bool:
         """Whether the store answers this host, as far as it has asked lately."""
@@ -134,7 +145,7 @@
         after = self.copy.revisions[kind]
         objects = [*listing.objects, *self.copy.missing(kind, listing)]
         self._take(objects, after, listing.revision, passes_on=not is_first)
-        self.copy.advance(kind, listing.revision)
+        self._advance(kind, listing.revision)
         if is_first and kind is not Kind.HOST:
             await self._await_fleet()
         return None
@@ -168,7 +179,7 @@
 
     async def _watch(self, kind: Kind, place: int) -> Failure | None:
         wait_s = WATCH_S[place] if kind in PROMPT_KINDS else WATCH_S[-1]
-        after = self.copy.revisions[kind]
+        after = max(self.copy.revisions[kind], self.read_to[kind])
         due = time.monotonic() + wait_s
         changes = await self.store.watch(kind, after, wait_s)
         if isinstance(changes, Failure):
@@ -179,7 +190,7 @@
         if changes.objects:
             # An empty answer may come while the store tells watches nothing. The next watch begins
             # where the last change was seen, and finds what was missed, or that it is forgotten.
-            self.copy.advance(kind, changes.revision)
+            self._advance(kind, changes.revision)
             await asyncio.sleep(GATHER_S.get(kind, 0.0))
         return None
 
@@ -191,26 +202,43 @@
         passes_on: bool = True,
     ) -> None:
         now = time.monotonic()
-        taken: list[StoredObject] = []
-        for stored in objects:
-            if self._may_return(stored, now):
-                self.deferred[stored.name] = stored
-                continue
-            if stored.kind is Kind.SERVER:
-                self.deferred.pop(stored.name, None)
-            taken.append(stored)
-        fresh = [stored for stored in taken if self.copy.apply(stored, STORE)]
+        taken = [stored for stored in objects if not self._holds_back(stored, now)]
+        if len(taken) < len(objects):
+            after = revision = 0
+        self._apply(taken, after, revision, passes_on)
+
+    def _holds_back(self, stored: StoredObject, now: float) -> bool:
+        if stored.kind is not Kind.SERVER:
+            return False
+        if stored.value is None and now - self.returned_at < LAPSE_GRACE_S:
+            held = HeldBack(stored, self.returned_at + LAPSE_GRACE_S)
+            self.deferred.setdefault(stored.name, held)
+            return True
+        self.deferred.pop(stored.name, None)
+        return False
+
+    def _apply(
+        self,
+        objects: t.Collection[StoredObject],
+        after: int = 0,
+        revision: int = 0,
+        passes_on: bool = True,
+    ) -> None:
+        fresh = [stored for stored in objects if self.copy.apply(stored, STORE)]
         # In a fleet that is starting every host reads for itself.
         if not (fresh and passes_on and self.knows_fleet()):
             return
-        if len(taken) < len(objects) or not revision:
+        if not revision:
             self.taken(fresh, 0, 0)
         else:
-            self.taken([stored for stored in taken if stored.version > after], after, revision)
+            self.taken([stored for stored in objects if stored.version > after], after, revision)
 
-    def _may_return(self, stored: StoredObject, now: float) -> bool:
-        is_removal = stored.kind is Kind.SERVER and stored.value is None
-        return is_removal and now - self.returned_at < LAPSE_GRACE_S
+    def _advance(self, kind: Kind, revision: int) -> None:
+        self.read_to[kind] = max(self.read_to[kind], revision)
+        if kind is Kind.SERVER and self.deferred:
+            # Other hosts take a copy at its word, and would not learn of the removals.
+            return
+        self.copy.advance(kind, self.read_to[kind])
 
     async def _settle_in_time(self) -> None:
         # Whether or not this host still follows the store by then.
@@ -220,12 +248,15 @@
 
     def _settle(self) -> None:
         now = time.monotonic()
-        if not self.deferred or now - self.returned_at < LAPSE_GRACE_S:
+        gone = [held.stored for held in self.deferred.values() if held.due <= now]
+        if not gone:
             return
-        gone = list(self.deferred.values())
-        self.deferred.clear()
+        for stored in gone:
+            del self.deferred[stored.name]
         logger.info("entries stay away", extra={"servers": [stored.name for stored in gone]})
-        self._take(gone)
+        self._apply(gone)
+        if not self.deferred:
+            self.copy.advance(Kind.SERVER, self.read_to[Kind.SERVER])
 
     def _note_answer(self) -> None:
         now = time.monotonic()
--- a/tests/test_entry_copy.py
+++ b/tests/test_entry_copy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -84,6 +85,14 @@
     return {stored.name for stored in copy.listing(Kind.SERVER).objects}
 
 
+def let_pass(follower: StoreFollower, seconds: float) -> None:
+    """Let removals that are held back be due earlier."""
+    follower.returned_at -= seconds
+    follower.deferred = {
+        name: held._replace(due=held.due - seconds) for name, held in follower.deferred.items()
+    }
+
+
 class TestFollower:
     async def test_changes_follow_the_listing(self):
         store = ScriptedStore(
@@ -261,6 +270,38 @@
         follower._take([server("a", 7, None), server("b", 8, None)])
         follower._take([server("b", 9)])
         assert names(copy) == {"a", "b"}
-        follower.returned_at -= 2.1
+        let_pass(follower, 2.1)
         follower._settle()
         assert names(copy) == {"b"}
+
+    async def test_a_copy_is_not_whole_while_a_removal_is_held_back(self):
+        # Others that hold the same would take the revision over, and never learn of the removal.
+        copy = ObjectCopy()
+        store = ScriptedStore([listing(3, server("a", 1)), listing(7)], [])
+        follower = StoreFollower(
+            store, copy, lambda: True, lambda: True, lambda *_: None, random.Random(1)
+        )
+        await follower.load(Kind.SERVER)
+        follower.returned_at = time.monotonic()
+        await follower.load(Kind.SERVER)
+        assert names(copy) == {"a"}
+        assert copy.revisions[Kind.SERVER] == 3
+        let_pass(follower, 2.1)
+        follower._settle()
+        assert names(copy) == set()
+        assert copy.revisions[Kind.SERVER] == 7
+
+    async def test_a_store_that_is_lost_again_holds_removals_back_no_longer(self):
+        copy = ObjectCopy()
+        follower = StoreFollower(
+            None, copy, lambda: True, lambda: False, lambda *_: None, random.Random(1)
+        )
+        follower._take([server("a", 1)])
+        follower.returned_at = time.monotonic() - 1.5
+        follower._take([server("a", 7, None)])
+        follower.failing_since = 0.0
+        follower._note_answer()
+        follower._take([server("a", 7, None)])
+        let_pass(follower, 0.6)
+        follower._settle()
+        assert names(copy) == set()
