--- a/tests/copies_world.py
+++ b/tests/copies_world.py
@@ -266,7 +266,8 @@
     :param late: what hosts still held after the time in which changes bind.
     """
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, host_type: type[Host] = Host) -> None:
+        self.host_type = host_type
         self.store = Store()
         self.cut: set[str] = set()
         self.deaf: set[tuple[str, str]] = set()
@@ -285,7 +286,7 @@
         self.store.put(Kind.HOST, host.peer_address, msgspec.json.encode(host))
 
     def start(self, number: int) -> None:
-        host = Host(number, self)
+        host = self.host_type(number, self)
         self.hosts[host.name] = host
 
     def restart(self, name: str) -> None:
