A listing of several pages is as old as its oldest page

Hosts would keep what had left, or lack what had come (DRAIN, CONFIG), where a stale listing has several pages and a later page is older than the first: the listing claimed the first page's revision. Class: a host acts on a copy whose age it does not know.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -31,6 +31,45 @@
         yield store, PlatformStore(session, f"{host}:{port}")
 
 
+@contextlib.asynccontextmanager
+async def answering(pages: dict[str, dict[str, t.Any]]) -> t.AsyncIterator[PlatformStore]:
+    """Run a store that answers each page of a listing by the name that it comes after."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.json_response(pages[request.query.get("after", "")])
+
+    async with contextlib.AsyncExitStack() as stack:
+        application = web.Application()
+        application.router.add_get("/v1/objects/{kind}", answer)
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield PlatformStore(session, f"{host}:{port}")
+
+
+def page(revision: int, *items: t.Any, more: bool = False) -> dict[str, t.Any]:
+    return {"items": list(items), "hasMore": more, "currentRev": revision}
+
+
+def item(name: str, revision: int) -> dict[str, t.Any]:
+    return {"metadata": {"name": name, "revision": revision}, "spec": {}}
+
+
+class TestListingOfSeveralPages:
+    """What a listing lacks is taken for gone, up to the revision that it claims."""
+
+    @pytest.mark.parametrize(("first", "second"), [(100, 90), (90, 100)])
+    async def test_it_is_as_old_as_its_oldest_page(self, first, second):
+        pages = {"": page(first, item("a", 5), more=True), "a": page(second, item("b", 6))}
+        async with answering(pages) as client:
+            listing = await client.list(Kind.HOST, may_be_stale=True)
+            assert listing.revision == 90
+            assert [stored.name for stored in listing.objects] == ["a", "b"]
+
+
 class TestObjectThatComesBack:
     """A host unregisters, starts again and registers, while another one follows an old revision."""
 
