An unreadable entry at the end of a page does not end a listing

Hosts would take all objects of later pages for gone, where another writer's entry without a readable name is the last one of a page. Cause: the listing was returned as a whole one there. Class: a host acts on a copy whose age it does not know.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,6 +12,7 @@
 from radishbridge.entry import Kind, ObjectCopy
 from radishbridge.platform.objects import KIND_NAMES
 from radishbridge.platform.store import PlatformStore
+from radishbridge.records import Failure
 
 HOSTS = KIND_NAMES[Kind.HOST]
 
@@ -69,6 +70,17 @@
             assert listing.revision == 90
             assert [stored.name for stored in listing.objects] == ["a", "b"]
 
+    async def test_an_unreadable_entry_at_the_end_of_a_page_ends_no_listing(self):
+        bad = {"metadata": 7}
+        pages = {"": page(9, item("a", 5), bad, more=True), "a": page(9, bad, item("b", 6))}
+        async with answering(pages) as client:
+            listing = await client.list(Kind.HOST)
+            assert [stored.name for stored in listing.objects] == ["a", "b"]
+
+    async def test_a_page_without_a_name_to_continue_from_is_no_listing(self):
+        async with answering({"": page(9, {"metadata": 7}, more=True)}) as client:
+            assert isinstance(await client.list(Kind.HOST), Failure)
+
 
 class TestObjectThatComesBack:
     """A host unregisters, starts again and registers, while another one follows an old revision."""
