--- a/tests/test_parts_of_rates.py
+++ b/tests/test_parts_of_rates.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
-import bisect
 import collections
 import itertools
 import typing as t
 
 import pytest
 from fleet_world import Hosts
+from rate_limits import bound, most_in_window
 
 from radishbridge.entry import Board, Bounds, Fleet
 from radishbridge.steering import Configuration, WorkspaceRule
@@ -19,10 +19,6 @@
 LATE_STEPS = 20
 # Time in seconds between the signal to stop and the end of a host that still has requests.
 LEAVING_S = 5.5
-# The operators' bound on a workspace: seconds of the window, part and requests beyond its limit.
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20.0
 
 Arrivals = t.Callable[[int, float], float]
 
@@ -90,12 +86,10 @@
         del self.hosts.fleets[:count], self.boards[:count]
 
     def most_in_window(self) -> int:
-        times = self.admitted
-        ends = (bisect.bisect_left(times, at + WINDOW_S) for at in times)
-        return max((end - start for start, end in enumerate(ends)), default=0)
+        return most_in_window(self.admitted)
 
     def bound(self) -> float:
-        return (self.rule.rate_per_s * WINDOW_S + self.rule.burst) * (1.0 + OVERAGE) + SLACK
+        return bound(self.rule)
 
 
 class TestPartsAddUpToOne:
--- a/tests/test_rate_desk.py
+++ b/tests/test_rate_desk.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import itertools
 import random
 
 import pytest
 from fleet_world import Hosts
+from rate_limits import WINDOW_S, bound, most_in_window
 
 from radishbridge.entry import Board, Bounds, RateDesk, ratedesk
 from radishbridge.entry.messages import TokenAnswer, TokenAsk
@@ -14,10 +14,6 @@
 from radishbridge.steering import Configuration, WorkspaceRule
 
 STEP_S = 0.02
-# The operators' bound on a workspace: seconds of the window, part and requests beyond its limit.
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20.0
 
 
 class Desks:
@@ -90,12 +86,10 @@
         network.deliver()
 
     def most_in_window(self) -> int:
-        times = sorted(self.admitted)
-        ends = (bisect.bisect_left(times, at + WINDOW_S) for at in times)
-        return max((end - start for start, end in enumerate(ends)), default=0)
+        return most_in_window(self.admitted)
 
     def bound(self) -> float:
-        return (self.rule.rate_per_s * WINDOW_S + self.rule.burst) * (1.0 + OVERAGE) + SLACK
+        return bound(self.rule)
 
 
 def restart_holders(desks: Desks, at: float) -> None:
--- a/tests/test_rates_in_trouble.py
+++ b/tests/test_rates_in_trouble.py
@@ -1,21 +1,17 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import collections
 import time
 
 import pytest
 import virtual_time
 from copies_world import Host, Trouble, World
+from rate_limits import bound, most_in_window
 
 from radishbridge.entry import Board, Bounds, RateDesk
 from radishbridge.steering import Configuration, WorkspaceRule
 
-# The operators' bound on a workspace: seconds of the window, part and requests beyond its limit.
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20.0
 # One workspace whose rate hosts divide, and one whose rate is handed out in slices; both send
 # several times their rate.
 RULES = [
@@ -68,15 +64,6 @@
         if await host.desk.admit(workspace) is None:
             self.admitted[workspace].append(time.monotonic())
 
-    def most_in_window(self, workspace: str) -> int:
-        times = sorted(self.admitted[workspace])
-        ends = (bisect.bisect_left(times, at + WINDOW_S) for at in times)
-        return max((end - start for start, end in enumerate(ends)), default=0)
-
-
-def bound(rule: WorkspaceRule) -> float:
-    return (rule.rate_per_s * WINDOW_S + rule.burst) * (1.0 + OVERAGE) + SLACK
-
 
 class TestLimitInRandomTrouble:
     """Load pattern: callers of two workspaces move between hosts that are cut off and restart."""
@@ -96,7 +83,7 @@
             await asyncio.gather(*callers.tasks, return_exceptions=True)
             await world.stop()
             for rule in RULES:
-                assert callers.most_in_window(rule.name) <= bound(rule)
+                assert most_in_window(callers.admitted[rule.name]) <= bound(rule)
                 assert len(callers.admitted[rule.name]) >= 0.3 * rule.rate_per_s * 32.0
 
         virtual_time.run(play(), monkeypatch)
