Soak: a host that stops late is told by the process that got the signal

Cause: a fault of the check, traced. Hosts were killed at 4.95 s and one of them was told to stop at 5.00; the check looked every 50 ms whether the host ran, missed the 0.3 s in which it did not, since five processes started meanwhile, and then watched the new process for 7 s, which nobody had told to stop, and killed it. The host's log has no signal to stop before 11.76 s. Ruled out: a process that outlived its grace time; the first one had been killed. Change: the process that got the signal is watched. As strict: that process has to end within the same time.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -263,9 +263,11 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _restart(self, host: Host, number: signal.Signals) -> None:
+        # Another fault may end this process and start the next one between two looks.
+        process = host.process
         host.signal(number, GRACE_S + CONTACT_S)
         for _ in range(int((GRACE_S + 1.0) / 0.05)):
-            if not host.is_running:
+            if process is None or process.poll() is not None:
                 break
             await asyncio.sleep(0.05)
         else:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,18 +2,21 @@
 
 import asyncio
 import pathlib
+import signal
 
 import pytest
 from soak.__main__ import run
 from soak.callers import Key
 from soak.checks import Drain, check
 from soak.ledger import End, Ledger, Outcome, Run, Span
+from soak.world import World
 
 KEYS = {"good": Key("good", "school"), "old": Key("old", "school", revoked_at=10.0)}
 RATES = {"school": (10.0, 10.0)}
 # Seeds of runs that failed once, with the cause.
 FAILED_ONCE = {
     200: "MIXED: the check held one answer a request; a repeat at a second server overwrote it",
+    808: "LATE: the check looked at the host's next process, not at the one told to stop",
 }
 
 
@@ -113,6 +116,56 @@
         assert [text.split()[0] for text in broken] == ["RECOVER"]
 
 
+class Process:
+    """A process that ends after some looks at it."""
+
+    def __init__(self, looks: int) -> None:
+        self.looks = looks
+
+    def poll(self) -> int | None:
+        self.looks -= 1
+        return None if self.looks >= 0 else 0
+
+
+class StoppedHost:
+    """A host whose process is replaced by another fault as soon as it has ended."""
+
+    name = "host-0"
+
+    def __init__(self, looks: int) -> None:
+        self.process = Process(looks)
+        self.ended = 0
+
+    @property
+    def is_running(self) -> bool:
+        return self.process.poll() is None
+
+    def signal(self, number: int, disturbs_s: float) -> None:
+        pass
+
+    def end(self) -> None:
+        self.ended += 1
+
+    def start(self) -> None:
+        pass
+
+
+class TestStop:
+    @pytest.mark.parametrize(("looks", "replaced", "late"), [(3, True, 0), (10**6, False, 1)])
+    async def test_a_late_process_is_the_one_that_was_told_to_stop(
+        self, looks, replaced, late, tmp_path, monkeypatch
+    ):
+        monkeypatch.setattr("soak.world.GRACE_S", 0.0)
+        world = World(1, 0, tmp_path, True)
+        host = StoppedHost(looks)
+        stop = asyncio.create_task(world._restart(host, signal.SIGTERM))
+        await asyncio.sleep(0)
+        if replaced:
+            host.process = Process(10**6)
+        await stop
+        assert len([note for note in world.ledger.notes if "LATE" in note]) == host.ended == late
+
+
 class TestSoak:
     """Real entry hosts as processes, under faults from outside; see docs/operators/soak.md."""
 
