--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -44,11 +44,13 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = RawConnection(reader, writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while not writer.is_closing():
-                request_id = await connection.read_request()
-                await self.script(connection, request_id)
-        writer.close()
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while not writer.is_closing():
+                    request_id = await connection.read_request()
+                    await self.script(connection, request_id)
+        finally:
+            writer.close()
 
 
 @contextlib.asynccontextmanager
