Play trouble of the store and lost packets to the fleet's model

Slow answers, a history that is forgotten while watches are told nothing, lost packets, servers that come back under their name, and most hosts killed at once were not in the random trouble of copies and rates.

--- a/tests/copies_world.py
+++ b/tests/copies_world.py
@@ -39,24 +39,50 @@
 LEAVING_S = 5.5
 AWAY_S = 1.0
 
+# Time in seconds for which the store has to be left alone before its answer binds.
+STABLE_S = CONTACT_S
+# Time in seconds after which a lost packet is sent again, doubled each time.
+RESEND_S = 0.2
+
 _AWAY = Failure(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
+_FORGOTTEN = Failure(ResultCode.WATCH_EXPIRED, "the revision is no longer kept")
 
 
 class Store:
-    """The store's objects and all their changes."""
+    """The store's objects and all their changes.
+
+    :param answer_s: time that an answer takes in seconds.
+    :param muted_until: monotonic time until which watches are told of no change.
+    :param kept_from: revision before which no change is kept for watches.
+    """
 
     def __init__(self) -> None:
         self.revision = 100
         self.changes: list[tuple[float, StoredObject]] = []
         self.changed = asyncio.Event()
+        self.answer_s = ANSWER_S
+        self.muted_until = float("-inf")
+        self.kept_from = 0
 
     def put(self, kind: Kind, name: str, value: bytes | None) -> None:
         self.revision += 1
         stored = StoredObject(kind=kind, name=name, version=self.revision, value=value)
         self.changes.append((time.monotonic(), stored))
+        self.wake_watches()
+
+    def wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def forget_history(self) -> None:
+        """Drop all changes so far; watches that begin before end with a failure."""
+        self.kept_from = self.revision
+        self.wake_watches()
+
+    @property
+    def is_troubled(self) -> bool:
+        return self.answer_s > ANSWER_S or time.monotonic() < self.muted_until
+
     def listing(self, kind: Kind, until: float) -> Listing:
         live: dict[str, StoredObject] = {}
         revision = 100
@@ -89,15 +115,16 @@
         if self.is_silent:
             await asyncio.sleep(CALL_S)
             return _AWAY
-        await asyncio.sleep(ANSWER_S)
-        return self.store.listing(kind, time.monotonic() - (STALE_S if may_be_stale else 0.0))
+        listing = self.store.listing(kind, time.monotonic() - (STALE_S if may_be_stale else 0.0))
+        await asyncio.sleep(self.store.answer_s)
+        return listing
 
     async def watch(self, kind: Kind, after: int, wait_s: float) -> Listing | Failure:
         ends_at = time.monotonic() + wait_s
         while not self.is_silent:
-            found = self.store.since(kind, after)
-            if found.objects or time.monotonic() >= ends_at:
-                await asyncio.sleep(ANSWER_S)
+            found = self._changes(kind, after)
+            if isinstance(found, Failure) or found.objects or time.monotonic() >= ends_at:
+                await asyncio.sleep(self.store.answer_s)
                 return found
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(ends_at):
@@ -105,6 +132,13 @@
         await asyncio.sleep(max(0.0, ends_at + WATCH_MARGIN_S - time.monotonic()))
         return _AWAY
 
+    def _changes(self, kind: Kind, after: int) -> Listing | Failure:
+        if after < self.store.kept_from:
+            return _FORGOTTEN
+        if time.monotonic() < self.store.muted_until:
+            return Listing(revision=self.store.revision, objects=[])
+        return self.store.since(kind, after)
+
 
 class Mesh:
     """One host's end of the links to all others."""
@@ -215,21 +249,23 @@
         self.rng = random.Random(seed)
         self.ends: list[tuple[float, t.Callable[[], None]]] = []
 
+    def kinds(self) -> tuple[t.Callable[[], None], ...]:
+        """Return what may happen next; what is named twice happens twice as often."""
+        return (
+            self.cut,
+            self.deafen,
+            self.silence,
+            self.restart,
+            self.stop_in_order,
+            self.let_join,
+            self.let_leave,
+            self.let_leave,
+        )
+
     async def play(self, seconds: float) -> None:
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            self.rng.choice(
-                (
-                    self.cut,
-                    self.deafen,
-                    self.silence,
-                    self.restart,
-                    self.stop_in_order,
-                    self.let_join,
-                    self.let_leave,
-                    self.let_leave,
-                )
-            )()
+            self.rng.choice(self.kinds())()
             await self.world.play(self.rng.uniform(0.1, 0.8))
             self.end_what_is_due(time.monotonic())
         while self.ends:
@@ -284,7 +320,7 @@
             self.later(functools.partial(self.world.come_back, host), LEAVING_S + AWAY_S)
 
     def let_join(self) -> None:
-        self.world.store.put(Kind.SERVER, f"late-server-{self.world.store.revision}", b"{}")
+        self.world.join(f"late-server-{self.world.store.revision}")
 
     def let_leave(self) -> None:
         servers = sorted(self.world.servers())
@@ -292,12 +328,58 @@
             self.world.leave(self.rng.choice(servers))
 
 
+class StoreTrouble(Trouble):
+    """Random faults of a fleet and of its store: slow answers, history forgotten, lost packets."""
+
+    def kinds(self) -> tuple[t.Callable[[], None], ...]:
+        """Return what may happen next."""
+        return (
+            *super().kinds(),
+            self.let_leave,
+            self.lose_packets,
+            self.lose_packets,
+            self.slow_store_down,
+            self.compact_store,
+            self.let_return,
+            self.restart_most,
+        )
+
+    def lose_packets(self) -> None:
+        names = {host.name for host in self.some(4)}
+        self.world.lossy.update(dict.fromkeys(names, self.rng.choice((0.03, 0.1, 0.3))))
+        self.later(lambda: [self.world.lossy.pop(name, None) for name in names])
+
+    def slow_store_down(self) -> None:
+        self.world.store.answer_s = self.rng.choice((0.1, 0.2, 0.4))
+        self.later(lambda: setattr(self.world.store, "answer_s", ANSWER_S))
+
+    def compact_store(self) -> None:
+        # Servers leave while watches are told nothing, and then nobody can be told of it.
+        self.world.store.muted_until = time.monotonic() + 1.0
+        self.let_leave()
+        self.let_leave()
+        self.later(self.world.store.forget_history, 1.0)
+
+    def let_return(self) -> None:
+        servers = sorted(self.world.servers())
+        if len(servers) > 3:
+            name = self.rng.choice(servers)
+            self.world.leave(name)
+            self.later(lambda: self.world.join(name), self.rng.choice((0.05, 0.2, 1.0, 3.5)))
+
+    def restart_most(self) -> None:
+        if self.rng.random() < 0.2:
+            for name in self.rng.sample(sorted(self.world.hosts), 2 * len(self.world.hosts) // 3):
+                self.world.restart(name)
+
+
 class World:
     """A fleet, its store, and what each host should know by now.
 
     :param cut: hosts whose messages are lost, both ways.
     :param deaf: pairs of sender and receiver between which messages are lost.
-    :param gone: servers that have left, and when.
+    :param lossy: part of the packets to and from a host that are lost and sent again.
+    :param gone: servers that have left, and when that was to be known to be so.
     :param late: what hosts still held after the time in which changes bind.
     """
 
@@ -306,6 +388,9 @@
         self.store = Store()
         self.cut: set[str] = set()
         self.deaf: set[tuple[str, str]] = set()
+        self.lossy: dict[str, float] = {}
+        self.rng = random.Random(count)
+        self.troubled_at = float("-inf")
         self.gone: dict[str, float] = {}
         self.late: list[str] = []
         self.binds_s = BINDS_LARGE_S if count > 30 else BINDS_S
@@ -346,6 +431,17 @@
         self.start(host.number)
 
     def deliver(self, mesh: Mesh, target: str, coded: bytes) -> None:
+        part = max(self.lossy.get(mesh.name, 0.0), self.lossy.get(target, 0.0))
+        tries = 0
+        while part and self.rng.random() < part:
+            tries += 1
+        late_s = RESEND_S * (2**tries - 1)
+        if late_s:
+            asyncio.get_running_loop().call_later(late_s, self.hand_over, mesh, target, coded)
+        else:
+            self.hand_over(mesh, target, coded)
+
+    def hand_over(self, mesh: Mesh, target: str, coded: bytes) -> None:
         host = self.hosts.get(target)
         lost = {mesh.name, target} & self.cut or (mesh.name, target) in self.deaf
         if host is not None and not lost:
@@ -356,6 +452,11 @@
         self.store.put(Kind.SERVER, name, None)
         self.gone[name] = time.monotonic()
 
+    def join(self, name: str) -> None:
+        """Let a server come, or come back."""
+        self.store.put(Kind.SERVER, name, b"{}")
+        self.gone.pop(name, None)
+
     def servers(self) -> set[str]:
         """Return the servers that the store lists."""
         listing = self.store.listing(Kind.SERVER, time.monotonic())
@@ -363,7 +464,8 @@
 
     def check(self) -> None:
         now = time.monotonic()
-        disturbed = {*self.cut, *itertools.chain.from_iterable(self.deaf)}
+        self.wait_for_store(now)
+        disturbed = {*self.cut, *itertools.chain.from_iterable(self.deaf), *self.lossy}
         for host in self.hosts.values():
             if host.name in disturbed or host.link.is_silent:
                 host.calm_since = now
@@ -379,6 +481,15 @@
                 for name in held
             ]
 
+    def wait_for_store(self, now: float) -> None:
+        # What the store takes in while it is not stable binds once it is.
+        if self.store.is_troubled:
+            self.troubled_at = now
+        if now - self.troubled_at < STABLE_S:
+            unstable_from = self.troubled_at - STABLE_S
+            late = {name: now for name, at in self.gone.items() if at >= unstable_from}
+            self.gone.update(late)
+
     def followers(self) -> list[str]:
         """Return the hosts that follow the store."""
         return [name for name, host in self.hosts.items() if host.fleet.follow_place() is not None]
--- a/tests/test_rates_in_trouble.py
+++ b/tests/test_rates_in_trouble.py
@@ -6,7 +6,7 @@
 
 import pytest
 import virtual_time
-from copies_world import Host, Trouble, World
+from copies_world import Host, StoreTrouble, Trouble, World
 from rate_limits import bound, most_in_window
 
 from radishbridge.entry import Board, Bounds, RateDesk
@@ -68,8 +68,11 @@
 class TestLimitInRandomTrouble:
     """Load pattern: callers of two workspaces move between hosts that are cut off and restart."""
 
-    @pytest.mark.parametrize("seed", range(4))
-    def test_no_window_admits_more_than_the_limit(self, seed, monkeypatch):
+    @pytest.mark.parametrize(
+        ("trouble", "seed"),
+        [*((Trouble, seed) for seed in range(4)), (StoreTrouble, 0), (StoreTrouble, 1)],
+    )
+    def test_no_window_admits_more_than_the_limit(self, trouble, seed, monkeypatch):
         async def play() -> None:
             world = World(11, MeteredHost)
             for number in range(11):
@@ -77,7 +80,7 @@
             callers = Callers(world)
             calling = asyncio.create_task(callers.run())
             await world.play(6.0)
-            await Trouble(world, seed).play(20.0)
+            await trouble(world, seed).play(20.0)
             await world.play(6.0)
             calling.cancel()
             await asyncio.gather(*callers.tasks, return_exceptions=True)
--- a/tests/test_servers_known_as_gone.py
+++ b/tests/test_servers_known_as_gone.py
@@ -2,7 +2,7 @@
 
 import pytest
 import virtual_time
-from copies_world import Trouble, World
+from copies_world import StoreTrouble, Trouble, World
 
 # Time in seconds in which a fleet that starts has formed.
 FORMED_S = 6.0
@@ -49,11 +49,17 @@
 
         virtual_time.run(play(), monkeypatch)
 
-    @pytest.mark.parametrize("seed", [*range(5), 106])
-    def test_in_random_trouble(self, seed, monkeypatch):
+    @pytest.mark.parametrize(
+        ("trouble", "seed"),
+        [
+            *((Trouble, seed) for seed in (*range(5), 106)),
+            *((StoreTrouble, seed) for seed in range(3)),
+        ],
+    )
+    def test_in_random_trouble(self, trouble, seed, monkeypatch):
         async def play() -> None:
             world = await calm(11)
-            await Trouble(world, seed).play(20.0)
+            await trouble(world, seed).play(20.0)
             await world.play(8.0)
             held = [host.servers() for host in world.hosts.values()]
             await world.stop()
