Requests that only one region may run are let through as far as that region has room

Cause: 77 hosts send to these servers, each of them little, and know of the queues there only from their own answers, which are old by the next request. Together they kept the queues as long as the timeout, so that most of what the servers ran was given up before its answer.

Change: hosts report how many such requests arrive, are let through and are under way, by service and region. All of them let the same part of the requests through, so that 1.2 of them are under way for each slot; the rest is refused at once, has not run, and is told when to return.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -24,9 +24,12 @@
 from radishbridge.routing import PoisonList
 from radishbridge.steering import (
     Configuration,
-    DemandMeter,
     Evidence,
     FleetPart,
+    HomeDemand,
+    HomeMeter,
+    HomeRegion,
+    HomeRoom,
     Move,
     MoveOrder,
     MovePhase,
@@ -39,6 +42,7 @@
     SlowStart,
     outcome,
     stable_versions,
+    unit_hash,
 )
 
 # Last reports of this host that are kept: a sum counts one that is up to 1.1 s old, and comes up to
@@ -50,7 +54,7 @@
 # callers repeat such a request within their own time limits.
 CRASHES_MAX = 3
 SUSPICION_S = 30.0
-# Weight of the newest answer in the means of a service's times and sizes.
+# Weight of the newest answer in the mean of a service's sizes.
 NEW_SAMPLE = 0.05
 # Mean size in bytes above which a service's answers count as large, and the answers needed to
 # tell: at this size the bytes of an answer between regions outweigh its processor time.
@@ -131,6 +135,7 @@
         "earning_from",
         "entries",
         "home_meters",
+        "home_room",
         "host",
         "is_leaving",
         "limiters",
@@ -142,7 +147,6 @@
         "ready",
         "report_number",
         "selector",
-        "service_s",
         "slow_start",
         "stated",
         "warm_pairs",
@@ -177,8 +181,8 @@
         self.moves: dict[str, Move] = {}
         self.proved: dict[str, bool] = {}
         self.warm_pairs: set[tuple[str, str]] = set()
-        self.home_meters: dict[tuple[str, str], DemandMeter] = {}
-        self.service_s: dict[str, float] = {}
+        self.home_meters: dict[HomeRegion, HomeMeter] = {}
+        self.home_room = HomeRoom(unit_hash(host, "home room"))
         self.answers: dict[str, AnswerSizes] = {}
         self.poison = PoisonList(SUSPICION_S, CRASHES_MAX)
         self.crashes: list[ReportedCrash] = []
@@ -220,12 +224,7 @@
         now = self.clock()
         self._take_demands(summary, now)
         for service, by_region in summary.home_bound.items():
-            if self.selector.update_weights(service, by_region, now):
-                weights = self.selector.weights[service].weights
-                logger.info(
-                    "region weights",
-                    extra={"service": service, "weights": weights, "home_bound": by_region},
-                )
+            self._take_home_bound(service, by_region, now)
         self.selector.update_medians()
         for crash in summary.crashes:
             self.poison.note_crash(crash.fingerprint, crash.server, now)
@@ -237,6 +236,25 @@
                 move.fault = fault
                 logger.warning("new version is bad", extra={"service": service, "reason": fault})
 
+    def _take_home_bound(
+        self, service: str, by_region: t.Mapping[str, HomeDemand], now: float
+    ) -> None:
+        slots = self.selector.slots(service)
+        needed = {
+            region: self.home_room.update(HomeRegion(service, region), demand, slots.get(region, 0))
+            for region, demand in by_region.items()
+        }
+        if self.selector.update_weights(service, needed, now):
+            logger.info(
+                "region weights",
+                extra={
+                    "service": service,
+                    "weights": self.selector.weights[service].weights,
+                    "slots": slots,
+                    "home_bound": {region: round(count, 2) for region, count in needed.items()},
+                },
+            )
+
     def _take_demands(self, summary: FleetSummary, now: float) -> None:
         # The part of a host is its demand in a sum over that sum, so that the parts of all hosts
         # that use one sum add up to 1 whatever their demand is by now.
@@ -257,10 +275,9 @@
         self.stated[self.report_number] = demands
         while len(self.stated) > REPORTS_KEPT:
             del self.stated[next(iter(self.stated))]
-        home_bound: dict[str, dict[str, float]] = {}
-        for (service, region), meter in self.home_meters.items():
-            slots = meter.rate(now) * self.service_s.get(service, 0.0)
-            home_bound.setdefault(service, {})[region] = round(slots, 3)
+        home_bound: dict[str, dict[str, HomeDemand]] = {}
+        for home, meter in self.home_meters.items():
+            home_bound.setdefault(home.service, {})[home.region] = meter.demand(now)
         self.crashes = [one for one in self.crashes if now - one.at < CRASH_REPORT_S]
         return FleetReport(
             sight=msgspec.structs.replace(sight, report_number=self.report_number),
@@ -294,12 +311,12 @@
         budget.hosts = self.part.hosts
         return budget
 
-    def note_home_bound(self, service: str, homes: frozenset[str] | None, now: float) -> None:
-        """Count a request that only one region may run."""
-        if homes is None or len(homes) != 1:
-            return
-        at = (service, next(iter(homes)))
-        self.home_meters.setdefault(at, DemandMeter(now)).add(now)
+    def home_meter(self, home: HomeRegion, now: float) -> HomeMeter:
+        """Return what measures the requests that only one region may run."""
+        meter = self.home_meters.get(home)
+        if meter is None:
+            meter = self.home_meters[home] = HomeMeter(now)
+        return meter
 
     def needs(self, service: str, route: RouteRule, key: str) -> list[Need]:
         """Return what may serve an object now, the first choice first; homes are left open.
@@ -330,10 +347,7 @@
     def note_answer(
         self, service: str, route: RouteRule, server: Server, key: str, latency_s: float, bad: bool
     ) -> None:
-        """Take in how long a service's request took and what that says of a version move."""
-        if not bad:
-            held = self.service_s.get(service, latency_s)
-            self.service_s[service] = held + NEW_SAMPLE * (latency_s - held)
+        """Take in what a service's request says of a version move."""
         move = self.moves.get(service)
         if move is None or move.order.phase in (MovePhase.COMPLETED, MovePhase.TAKEN_BACK):
             return
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -30,7 +30,7 @@
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
-from radishbridge.steering import Evidence, FleetPart
+from radishbridge.steering import Evidence, FleetPart, HomeDemand
 
 # Pause in seconds between two reports, and between two sums; fleets above the size below report
 # less often, since each host takes part in no more than a few decisions a second.
@@ -442,13 +442,15 @@
     :param copy_state: of the summing host's copy.
     """
     demands: dict[str, float] = {}
-    home_bound: dict[str, dict[str, float]] = {}
+    home_bound: dict[str, dict[str, HomeDemand]] = {}
     evidence: dict[str, Evidence] = {}
     crashes: dict[Crash, None] = {}
     for report in reports.values():
         _add(demands, report.demands)
         for service, by_region in report.home_bound.items():
-            _add(home_bound.setdefault(service, {}), by_region)
+            total = home_bound.setdefault(service, {})
+            for region, demand in by_region.items():
+                total[region] = total.get(region, HomeDemand()) + demand
         for service, seen in report.evidence.items():
             evidence.setdefault(service, Evidence()).merge(seen)
         crashes.update(dict.fromkeys(report.crashes))
--- a/packages/entry/src/radishbridge/entry/front.py
+++ b/packages/entry/src/radishbridge/entry/front.py
@@ -26,7 +26,7 @@
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 from radishbridge.routing import request_fingerprint
-from radishbridge.steering import RouteRule, ServerState, unit_hash
+from radishbridge.steering import HomeRegion, RouteRule, ServerState, unit_hash
 
 # A refused caller comes back after this many seconds, spread by the second figure, so that
 # those refused together do not return together: a queue at a backend server empties within it.
@@ -49,6 +49,7 @@
 _OVER_RATE = Failure(ResultCode.RATE_EXCEEDED, "the workspace is over its rate")
 _POISON = Failure(ResultCode.NO_BACKEND, "the request crashed backend servers before")
 _NO_ROOM = Failure(ResultCode.NO_BACKEND, "no backend server has room")
+_HOME_FULL = Failure(ResultCode.NO_BACKEND, "the only region that may run it has no room")
 _CALLER_GONE = Failure(ResultCode.CALLER_GONE, "the caller left before the request was sent")
 _LEAVING = Failure(ResultCode.HOST_LEAVING, "the host stops before the request would be answered")
 _LATE = Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
@@ -201,8 +202,22 @@
         task.service = task.route.pick_service(point)
         task.rank = self._rank(task)
         task.key = task.facts.affinity if task.route.has_affinity else task.facts.request_id
-        self.board.note_home_bound(task.service, task.homes, task.arrived_at)
-        return await self._attempts(task)
+        self.board.budget(task.service, task.arrived_at).note_request(time.monotonic())
+        if task.home is None:
+            return await self._attempts(task)
+        return await self._serve_at_home(task, task.home)
+
+    async def _serve_at_home(self, task: RequestTask, home: HomeRegion) -> BackendAnswer | Failure:
+        now = time.monotonic()
+        meter = self.board.home_meter(home, now)
+        meter.note_request(now)
+        if not self.board.home_room.admits(home):
+            return self._give_up(task, _HOME_FULL)
+        meter.start(now)
+        try:
+            return await self._attempts(task)
+        finally:
+            meter.finish()
 
     def _rank(self, task: RequestTask) -> int:
         configuration = self.board.configuration
@@ -213,7 +228,6 @@
     async def _attempts(self, task: RequestTask) -> BackendAnswer | Failure:
         last: BackendAnswer | Failure = _NO_ROOM
         connects = 0
-        self.board.budget(task.service, task.arrived_at).note_request(time.monotonic())
         while True:
             now = time.monotonic()
             objection = self._objection(task)
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -6,7 +6,7 @@
 
 from radishbridge.entry.protocol import Kind, Listing, StoredObject
 from radishbridge.peers import Heartbeat
-from radishbridge.steering import Evidence
+from radishbridge.steering import Evidence, HomeDemand
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -47,7 +47,7 @@
     """What one host tells the hosts that sum up.
 
     :param demands: requests a second by workspace.
-    :param home_bound: slots that requests with one home region take up, by service and region.
+    :param home_bound: demand of requests with one home region, by service and region.
     :param evidence: outcomes by service under a version move, counted since the order.
     :param crashes: those of the last seconds.
     :param copy_state: of the sender's copy; the summing host may be late itself.
@@ -56,7 +56,7 @@
 
     sight: HostSight
     demands: dict[str, float]
-    home_bound: dict[str, dict[str, float]]
+    home_bound: dict[str, dict[str, HomeDemand]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState | None = None
@@ -73,7 +73,7 @@
 
     hosts: list[HostSight]
     demands: dict[str, float]
-    home_bound: dict[str, dict[str, float]]
+    home_bound: dict[str, dict[str, HomeDemand]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState
--- a/packages/entry/src/radishbridge/entry/task.py
+++ b/packages/entry/src/radishbridge/entry/task.py
@@ -9,7 +9,7 @@
 
 from radishbridge.entry.protocol import RequestFacts
 from radishbridge.records import Execution, Failure, ResultCode
-from radishbridge.steering import RouteRule, SplitPart
+from radishbridge.steering import HomeRegion, RouteRule, SplitPart
 
 _NO_ROUTE = RouteRule(
     name="",
@@ -122,6 +122,13 @@
         """Whether an attempt ran, or may have; it counts once it is sent."""
         return any(attempt.end in _RUNS for attempt in self.attempts)
 
+    @property
+    def home(self) -> HomeRegion | None:
+        """The only region that may run the request, with its service; ``None`` if several may."""
+        if self.homes is None or len(self.homes) != 1:
+            return None
+        return HomeRegion(self.service, next(iter(self.homes)))
+
     def truthful(self, failure: Failure) -> Failure:
         """Return a failure that neither denies nor claims a run without ground."""
         info = failure.info
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -10,6 +10,7 @@
     SplitPart,
     WorkspaceRule,
 )
+from radishbridge.steering.homes import HomeDemand, HomeMeter, HomeRegion, HomeRoom
 from radishbridge.steering.moves import (
     Evidence,
     Move,
@@ -37,6 +38,10 @@
     "DemandMeter",
     "Evidence",
     "FleetPart",
+    "HomeDemand",
+    "HomeMeter",
+    "HomeRegion",
+    "HomeRoom",
     "LoadReport",
     "Move",
     "MoveOrder",
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/homes.py
@@ -0,0 +1,126 @@
+"""Admission of requests that only one region may run, by what all hosts together send there.
+
+Load pattern: a workspace whose home region has few servers of a service sends several times what
+they can run. Each of many hosts sends little there and learns of the servers' queues late, so that
+together they fill the queues until most requests pass their deadline in them. All hosts know the
+demand and the region's slots from the same sums, and each lets the same part of it through.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from radishbridge.steering.rates import DemandMeter
+
+# Requests under way for each slot of a region's servers. Servers are not loaded evenly: with fewer,
+# slots idle beside queues, and with each tenth more all answers come a tenth later.
+UNDER_WAY_PER_SLOT = 1.2
+# Requests a second of all hosts from which the time that one is under way is known.
+SENT_KNOWN = 1.0
+
+
+class HomeRegion(t.NamedTuple):
+    """A service in a region that is the only home of some of its requests."""
+
+    service: str
+    region: str
+
+
+class HomeDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of requests with one home region for a service, of one host or of all together.
+
+    :param requests_per_s: requests that arrive, refused ones among them.
+    :param sent_per_s: those of them that are let through.
+    :param under_way: requests let through that have not ended.
+    """
+
+    requests_per_s: float = 0.0
+    sent_per_s: float = 0.0
+    under_way: int = 0
+
+    def __add__(self, other: HomeDemand) -> HomeDemand:
+        return HomeDemand(
+            self.requests_per_s + other.requests_per_s,
+            self.sent_per_s + other.sent_per_s,
+            self.under_way + other.under_way,
+        )
+
+
+class HomeMeter:
+    """Measures this host's demand for a service in a home region."""
+
+    __slots__ = ("requests", "sent", "under_way")
+
+    def __init__(self, now: float) -> None:
+        self.requests = DemandMeter(now)
+        self.sent = DemandMeter(now)
+        self.under_way = 0
+
+    def note_request(self, now: float) -> None:
+        """Count a request, let through or not."""
+        self.requests.add(now)
+
+    def start(self, now: float) -> None:
+        """Count a request that is let through."""
+        self.sent.add(now)
+        self.under_way += 1
+
+    def finish(self) -> None:
+        """Note that a request which was let through has ended."""
+        self.under_way -= 1
+
+    def demand(self, now: float) -> HomeDemand:
+        """Return the demand at present."""
+        return HomeDemand(
+            requests_per_s=round(self.requests.rate(now), 3),
+            sent_per_s=round(self.sent.rate(now), 3),
+            under_way=self.under_way,
+        )
+
+
+class HomeRoom:
+    """Lets requests with one home region through as far as its servers have room for them.
+
+    :param first_credit: what the host begins with of the request that it lets through next, 0 to 1,
+        evenly spread over hosts: most of them may have a single request.
+    :param stay_s: seconds for which a request is under way, as last known.
+    :param parts: part of the requests that is let through, where that is not all.
+    :param credits: sum of the parts since the last request that was let through.
+    """
+
+    __slots__ = ("credits", "first_credit", "parts", "stay_s")
+
+    def __init__(self, first_credit: float) -> None:
+        self.first_credit = first_credit
+        self.stay_s: dict[HomeRegion, float] = {}
+        self.parts: dict[HomeRegion, float] = {}
+        self.credits: dict[HomeRegion, float] = {}
+
+    def update(self, home: HomeRegion, demand: HomeDemand, slots: int) -> float:
+        """Take over all hosts' demand.
+
+        :param slots: slots of the region's servers that take requests.
+        :return: requests that would be under way if all were let through.
+        """
+        if demand.sent_per_s >= SENT_KNOWN:
+            self.stay_s[home] = demand.under_way / demand.sent_per_s
+        needed = demand.requests_per_s * self.stay_s.get(home, 0.0)
+        room = UNDER_WAY_PER_SLOT * slots
+        if 0.0 < room < needed:
+            self.parts[home] = room / needed
+        else:
+            self.parts.pop(home, None)
+            self.credits.pop(home, None)
+        return needed
+
+    def admits(self, home: HomeRegion) -> bool:
+        """Whether the next request may be sent to its home region."""
+        part = self.parts.get(home)
+        if part is None:
+            return True
+        credit = self.credits.get(home, self.first_credit) + part
+        is_admitted = credit >= 1.0
+        self.credits[home] = credit - is_admitted
+        return is_admitted
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -157,6 +157,14 @@
                     counts[state.server.version] = counts.get(state.server.version, 0) + 1
         return counts
 
+    def slots(self, service: str) -> dict[str, int]:
+        """Return the slots of a service's servers that take requests, by region."""
+        slots: dict[str, int] = {}
+        for state in self.usable(service):
+            region = state.server.region
+            slots[region] = slots.get(region, 0) + state.server.slots
+        return slots
+
     def names(self, service: str, version: str) -> list[str]:
         """Return the servers of one version of a service that take requests."""
         return [
@@ -168,10 +176,7 @@
 
         :return: whether a region's weight changed.
         """
-        slots: dict[str, int] = {}
-        for state in self.usable(service):
-            region = state.server.region
-            slots[region] = slots.get(region, 0) + state.server.slots
+        slots = self.slots(service)
         changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound, now)
         if changed:
             self.orders.clear()
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -28,7 +28,7 @@
     HostSight,
     ObjectsChanged,
 )
-from radishbridge.steering import Configuration, Evidence, WorkspaceRule
+from radishbridge.steering import Configuration, Evidence, HomeDemand, WorkspaceRule
 
 EMPTY = CopyState({}, {})
 
@@ -36,12 +36,21 @@
 class TestSums:
     def test_reports_add_up(self):
         one = report(
-            "h1", demands={"a": 1.0}, home_bound={"s": {"east": 2.0}}, crashes=[Crash(b"x", "1")]
+            "h1",
+            demands={"a": 1.0},
+            home_bound={"s": {"east": HomeDemand(2.0, 1.0, 3)}},
+            crashes=[Crash(b"x", "1")],
+        )
+        other = report(
+            "h2",
+            demands={"a": 2.0, "b": 1.0},
+            home_bound={"s": {"east": HomeDemand(1.0, 0.5, 1), "west": HomeDemand(4.0, 4.0, 2)}},
         )
-        other = report("h2", demands={"a": 2.0, "b": 1.0}, home_bound={"s": {"east": 1.0}})
         total = sum_up({"h1": one, "h2": other}, EMPTY)
         assert total.demands == {"a": 3.0, "b": 1.0}
-        assert total.home_bound == {"s": {"east": 3.0}}
+        assert total.home_bound == {
+            "s": {"east": HomeDemand(3.0, 1.5, 4), "west": HomeDemand(4.0, 4.0, 2)}
+        }
         assert total.crashes == [Crash(b"x", "1")]
         assert {sight.name for sight in total.hosts} == {"h1", "h2"}
 
--- /dev/null
+++ b/tests/test_steering_homes.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+
+import pytest
+import virtual_time
+
+from radishbridge.steering import HomeDemand, HomeMeter, HomeRegion, HomeRoom
+
+HOME = HomeRegion("catalogue", "east")
+HOSTS = 40
+SERVERS = 11
+SLOTS = 6
+# Seconds that a run takes on the mean, after which callers give up, and between two sums.
+RUN_S = 1.0
+DEADLINE_S = 2.5
+SUM_S = 0.5
+PLAYED_S = 30.0
+# Until then the hosts have no sum yet, in seconds.
+BEGUN_S = 6.0
+
+
+class Server:
+    """Runs some requests at once and queues all others in order."""
+
+    def __init__(self) -> None:
+        self.slots = asyncio.Semaphore(SLOTS)
+
+    async def run(self, seconds: float) -> None:
+        async with self.slots:
+            await asyncio.sleep(seconds)
+
+
+class Host:
+    def __init__(self, number: int) -> None:
+        self.meter = HomeMeter(time.monotonic())
+        self.room = HomeRoom(number / HOSTS)
+
+
+class Overload:
+    """Callers of one home region send several times what its servers can run, to all hosts.
+
+    Load pattern: no host sends enough to a server to know its queue.
+    """
+
+    def __init__(self, demand: float, is_bounded: bool) -> None:
+        self.rng = random.Random(7)
+        self.demand = demand
+        self.is_bounded = is_bounded
+        self.servers = [Server() for _ in range(SERVERS)]
+        self.hosts = [Host(number) for number in range(HOSTS)]
+        self.refused = 0
+        self.late = 0
+        self.in_time = 0
+
+    async def play(self) -> None:
+        begun = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            summing = group.create_task(self.sum_up())
+            while time.monotonic() < begun + PLAYED_S:
+                await asyncio.sleep(self.rng.expovariate(self.demand * SERVERS * SLOTS / RUN_S))
+                counts = time.monotonic() > begun + BEGUN_S
+                group.create_task(self.serve(self.rng.choice(self.hosts), counts))
+            summing.cancel()
+
+    async def serve(self, host: Host, counts: bool) -> None:
+        now = time.monotonic()
+        host.meter.note_request(now)
+        if not host.room.admits(HOME):
+            self.refused += counts
+            return
+        host.meter.start(now)
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                await self.rng.choice(self.servers).run(self.rng.uniform(0.5, 1.5) * RUN_S)
+            self.in_time += counts
+        except TimeoutError:
+            self.late += counts
+        finally:
+            host.meter.finish()
+
+    async def sum_up(self) -> None:
+        while self.is_bounded:
+            await asyncio.sleep(SUM_S)
+            demands = [host.meter.demand(time.monotonic()) for host in self.hosts]
+            total = sum(demands, HomeDemand())
+            await asyncio.sleep(0.1)
+            for host in self.hosts:
+                host.room.update(HOME, total, SERVERS * SLOTS)
+
+    @property
+    def used(self) -> float:
+        """Answers in time by those that the servers could give."""
+        return self.in_time * RUN_S / (SERVERS * SLOTS * (PLAYED_S - BEGUN_S))
+
+
+def play(demand: float, monkeypatch, is_bounded: bool = True) -> Overload:
+    async def run() -> Overload:
+        overload = Overload(demand, is_bounded)
+        await overload.play()
+        return overload
+
+    return virtual_time.run(run(), monkeypatch)
+
+
+class TestHomeBoundOverload:
+    @pytest.mark.parametrize("demand", [1.5, 3.0, 6.0])
+    def test_most_of_what_is_sent_is_answered_in_time(self, demand, monkeypatch):
+        overload = play(demand, monkeypatch)
+        assert overload.used > 0.75
+        assert overload.late < 0.1 * overload.in_time
+
+    def test_without_a_bound_most_of_it_passes_its_deadline(self, monkeypatch):
+        overload = play(3.0, monkeypatch, is_bounded=False)
+        assert overload.late > overload.in_time
+
+    def test_what_the_servers_can_run_is_not_refused(self, monkeypatch):
+        overload = play(0.7, monkeypatch)
+        assert overload.refused < 0.02 * overload.in_time
+
+
+class TestHomeRoom:
+    def test_a_part_is_let_through_evenly(self):
+        room = HomeRoom(0.5)
+        room.update(HOME, HomeDemand(100.0, 10.0, 10), 25)
+        admitted = [room.admits(HOME) for _ in range(400)]
+        assert sum(admitted) == pytest.approx(400 * 1.2 * 0.25, abs=1.0)
+        gaps = [len(list(run)) for refused, run in itertools.groupby(admitted) if not refused]
+        assert max(gaps) <= 3
+
+    def test_few_requests_of_each_host_are_let_through_in_part_too(self):
+        rooms = [HomeRoom(number / 100) for number in range(100)]
+        for room in rooms:
+            room.update(HOME, HomeDemand(100.0, 10.0, 10), 50)
+        admitted = sum(room.admits(HOME) for room in rooms)
+        assert admitted == pytest.approx(100 * 1.2 * 0.5, abs=1.0)
+
+    def test_all_are_let_through_once_there_is_room(self):
+        room = HomeRoom(0.5)
+        room.update(HOME, HomeDemand(100.0, 10.0, 10), 25)
+        room.update(HOME, HomeDemand(20.0, 10.0, 10), 25)
+        assert all(room.admits(HOME) for _ in range(50))
+
+    def test_a_region_without_requests_keeps_the_time_last_known(self):
+        room = HomeRoom(0.5)
+        assert room.update(HOME, HomeDemand(100.0, 0.0, 0), 25) == 0.0
+        assert room.admits(HOME)
+        room.update(HOME, HomeDemand(100.0, 10.0, 20), 25)
+        assert room.update(HOME, HomeDemand(50.0, 0.0, 0), 25) == pytest.approx(100.0)
+
+    def test_a_region_without_servers_is_left_to_the_choice_of_servers(self):
+        room = HomeRoom(0.5)
+        room.update(HOME, HomeDemand(100.0, 10.0, 10), 0)
+        assert room.admits(HOME)
