--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -241,7 +241,7 @@
     ) -> None:
         slots = self.selector.slots(service)
         needed = {
-            region: self.home_room.update(HomeRegion(service, region), demand, slots.get(region, 0))
+            region: self._bound_home(HomeRegion(service, region), demand, slots.get(region, 0))
             for region, demand in by_region.items()
         }
         if self.selector.update_weights(service, needed, now):
@@ -255,6 +255,25 @@
                 },
             )
 
+    def _bound_home(self, home: HomeRegion, demand: HomeDemand, slots: int) -> float:
+        was_bounded = home in self.home_room.parts
+        needed = self.home_room.update(home, demand, slots)
+        part = self.home_room.parts.get(home)
+        if was_bounded != (part is not None):
+            logger.info(
+                "requests with one home bounded" if part else "requests with one home unbounded",
+                extra={
+                    "service": home.service,
+                    "region": home.region,
+                    "part": part,
+                    "slots": slots,
+                    "needed": round(needed, 2),
+                    "requests_per_s": demand.requests_per_s,
+                    "under_way": demand.under_way,
+                },
+            )
+        return needed
+
     def _take_demands(self, summary: FleetSummary, now: float) -> None:
         # The part of a host is its demand in a sum over that sum, so that the parts of all hosts
         # that use one sum add up to 1 whatever their demand is by now.
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -182,8 +182,8 @@
 
     def _obstacle(self, exchange: Exchange, permit: Permit) -> Failure | None:
         # A server may leave while a connection to it opens.
-        objection = self._objection(exchange)
-        return objection if self.router.is_valid(permit) else objection or _LEFT
+        left = None if self.router.is_valid(permit) else _LEFT
+        return self._objection(exchange) or left
 
     def _objection(self, exchange: Exchange) -> Failure | None:
         usual_s = self.usual_s.get(exchange.target.name, 0.0)
