A region with few slots refuses less of what it has room for

Change: the queue is two square roots of the slots, as random arrivals spread, and the time under way is a mean over sums.

--- a/packages/steering/src/radishbridge/steering/homes.py
+++ b/packages/steering/src/radishbridge/steering/homes.py
@@ -8,15 +8,19 @@
 
 from __future__ import annotations
 
+import math
 import typing as t
 
 import msgspec
 
 from radishbridge.steering.rates import DemandMeter
 
-# Requests under way for each slot of a region's servers. Servers are not loaded evenly: with fewer,
-# slots idle beside queues, and with each tenth more all answers come a tenth later.
-UNDER_WAY_PER_SLOT = 1.2
+# Requests under way beyond a region's slots, for the square root of their number. That is two
+# standard deviations of what random arrivals keep under way; with fewer, slots idle beside queues.
+QUEUED = 2.0
+# Weight of the newest sum in the mean time for which a request is under way: of few requests, the
+# number under way swings by as much as itself from one sum to the next.
+NEW_STAY = 0.5
 # Requests a second of all hosts from which the time that one is under way is known.
 SENT_KNOWN = 1.0
 
@@ -105,9 +109,11 @@
         :return: requests that would be under way if all were let through.
         """
         if demand.sent_per_s >= SENT_KNOWN:
-            self.stay_s[home] = demand.under_way / demand.sent_per_s
+            stay_s = demand.under_way / demand.sent_per_s
+            held_s = self.stay_s.get(home, stay_s)
+            self.stay_s[home] = held_s + NEW_STAY * (stay_s - held_s)
         needed = demand.requests_per_s * self.stay_s.get(home, 0.0)
-        room = UNDER_WAY_PER_SLOT * slots
+        room = slots + QUEUED * math.sqrt(slots)
         if 0.0 < room < needed:
             self.parts[home] = room / needed
         else:
