--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -182,8 +182,9 @@
 
     def _obstacle(self, exchange: Exchange, permit: Permit) -> Failure | None:
         # A server may leave while a connection to it opens.
-        left = None if self.router.is_valid(permit) else _LEFT
-        return self._objection(exchange) or left
+        if not self.router.is_valid(permit):
+            return _LEFT
+        return self._objection(exchange)
 
     def _objection(self, exchange: Exchange) -> Failure | None:
         usual_s = self.usual_s.get(exchange.target.name, 0.0)
