A host that leaves sends no more to cold servers

Cause: who may send to a cold server follows from each host's list of hosts. A host that is told to stop leaves the lists of the others, which give its part to another host, and goes on sending by its own list for some 5 s.

Change: the host stops at the signal, before the others begin.

--- a/packages/entry/src/radishbridge/entry/board.py
+++ b/packages/entry/src/radishbridge/entry/board.py
@@ -194,6 +194,11 @@
         """Whether this host knows enough to serve requests."""
         return self.ready.is_set()
 
+    def leave(self) -> None:
+        """Note that this host has been told to stop."""
+        self.is_leaving = True
+        self.slow_start.leave()
+
     def take(self, stored: StoredObject, source: str) -> None:
         """Take over an object that is new to the copy.
 
--- a/packages/steering/src/radishbridge/steering/slowstart.py
+++ b/packages/steering/src/radishbridge/steering/slowstart.py
@@ -24,16 +24,21 @@
         that may send to one cold server, since each may send one request at once.
     """
 
-    __slots__ = ("host", "hosts", "next_at", "overage", "senders", "slack")
+    __slots__ = ("host", "hosts", "is_leaving", "next_at", "overage", "senders", "slack")
 
     def __init__(self, host: str, overage: float, slack: float) -> None:
         self.host = host
         self.overage = overage
         self.slack = slack
         self.hosts: tuple[str, ...] = (host,)
+        self.is_leaving = False
         self.senders: dict[str, int] = {}
         self.next_at: dict[str, float] = {}
 
+    def leave(self) -> None:
+        """Send no more to cold servers: the other hosts give this one's part to another host."""
+        self.is_leaving = True
+
     def update_hosts(self, hosts: t.Iterable[str]) -> None:
         """Take over the list of all hosts that may be running."""
         changed = tuple(sorted({*hosts, self.host}))
@@ -45,6 +50,8 @@
         """Tell whether a request may go to a cold server now, and count it if so."""
         if rate_per_s <= 0.0:
             return True
+        if self.is_leaving:
+            return False
         senders = self._sender_count(server)
         if not senders or now < self.next_at.get(server, 0.0):
             return False
--- a/tests/test_steering_selector.py
+++ b/tests/test_steering_selector.py
@@ -5,7 +5,7 @@
 import pytest
 from steering_world import T0, make_selector, make_server
 
-from radishbridge.steering import LoadReport, Need, ServiceRule
+from radishbridge.steering import LoadReport, Need, ServiceRule, SlowStart
 
 
 def need(key: str = "7", **changes) -> Need:
@@ -321,3 +321,25 @@
             sent += [at for at in times if selector.choose(need(), (), at) is not None]
         most = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
         assert rate_per_s / 3.0 < most <= rate_per_s * 1.5 + 5.0
+
+    def test_hosts_that_leave_do_not_send_beside_those_that_follow_them(self):
+        # Load pattern: hosts that send to a cold server stop in order, and serve for some seconds.
+        names = [f"host-{number}" for number in range(11)]
+        starts = {name: SlowStart(name, 1.5, 5.0) for name in names}
+        for start in starts.values():
+            start.update_hosts(names)
+        leaving = [name for name in names if starts[name].may_send("server-0", 17.0, T0)]
+        sent = []
+        for step in range(1, 1000):
+            at = T0 + step / 200.0
+            if step == 200:
+                for name in leaving:
+                    starts[name].leave()
+            if step == 260:
+                for start in starts.values():
+                    start.update_hosts(name for name in names if name not in leaving)
+            sent += [at for start in starts.values() if start.may_send("server-0", 17.0, at)]
+        most = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
+        assert len(leaving) == 5
+        assert max(sent) > T0 + 4.0
+        assert most <= 17.0 * 1.5 + 5.0
