A small home region that was blocked for long is measured again

Cause: the time under way was taken from sums with one request a second or more. A region of one slot in which requests took 10 s is sent 0.3 a second from then on, so that its recovery would not be seen. Found by reading.

Evidence: the new test fails with a bound of 1 a second and passes with 0.1.

--- a/packages/steering/src/radishbridge/steering/homes.py
+++ b/packages/steering/src/radishbridge/steering/homes.py
@@ -21,8 +21,10 @@
 # Weight of the newest sum in the mean time for which a request is under way: of few requests, the
 # number under way swings by as much as itself from one sum to the next.
 NEW_STAY = 0.5
-# Requests a second of all hosts from which the time that one is under way is known.
-SENT_KNOWN = 1.0
+# Requests a second of all hosts from which the time that one is under way is known: one in the
+# longest time that callers wait, some 10 s. Above that, the bound on a region of one slot that has
+# lost its requests for so long would never be measured again.
+SENT_KNOWN = 0.1
 
 
 class HomeRegion(t.NamedTuple):
--- a/tests/test_steering_homes.py
+++ b/tests/test_steering_homes.py
@@ -174,6 +174,15 @@
         room.update(HOME, HomeDemand(100.0, 10.0, 20), 25)
         assert room.update(HOME, HomeDemand(50.0, 0.0, 0), 25) == pytest.approx(100.0)
 
+    def test_a_single_slot_that_was_blocked_for_long_gets_all_it_can_run_again(self):
+        room = HomeRoom(0.5)
+        room.update(HOME, HomeDemand(20.0, 20.0, 200), 1)
+        for _ in range(20):
+            part = room.parts.get(HOME, 1.0)
+            # From now on a request is under way for 0.1 s.
+            room.update(HOME, HomeDemand(20.0, 20.0 * part, round(2.0 * part)), 1)
+        assert not room.parts
+
     def test_a_region_without_servers_is_left_to_the_choice_of_servers(self):
         room = HomeRoom(0.5)
         room.update(HOME, HomeDemand(100.0, 10.0, 10), 0)
