Ports of a fleet's processes are not given out twice before they listen

The logs of the fleet were removed with its directory, so that the cause is not proved.

Likely cause: each port was drawn by itself among those that nothing listens on. The store's port may be drawn again for a backend server before the store listens; the address then answers 404 for good. The new test shows that it could be (it fails on the code before). By the number of ports that is one start in some hundred.

Change: a port that was given out lately is not given again. A fleet that does not start tells which URL did not answer, and behave prints each process with the end of its log, so that the next such failure can be traced.

--- a/features/environment.py
+++ b/features/environment.py
@@ -24,6 +24,7 @@
     try:
         asyncio.run(_start(context.fleet))
     except BaseException:
+        print(context.fleet.describe())
         after_all(context)
         raise
 
--- a/standin/src/radishbridge_standin/processes.py
+++ b/standin/src/radishbridge_standin/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 import json
 import pathlib
@@ -22,16 +23,26 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_PAUSE_S = 0.05
+# Ports that are not returned again so soon: more than the processes of one run take.
+GIVEN_MAX = 2_000
+# Lines at the end of each process's log that tell why a fleet did not start.
+LOG_LINES = 5
+
+_given: collections.deque[int] = collections.deque(maxlen=GIVEN_MAX)
 
 
 def free_ports(count: int) -> list[int]:
     """Return different TCP ports of 127.0.0.1 that are free now.
 
-    They lie below the range from which the kernel takes ports of outgoing connections, so that
-    none of those can take one before its process listens.
+    None of them was returned lately: its process may not listen on it yet. They lie below the
+    range from which the kernel takes ports of outgoing connections, so that none of those can
+    take one before its process listens.
     """
-    candidates = random.Random().sample(PORTS, len(PORTS))
-    return list(itertools.islice(filter(_is_free, candidates), count))
+    sampled = random.Random().sample(PORTS, len(PORTS))
+    candidates = (port for port in sampled if port not in _given)
+    ports = list(itertools.islice(filter(_is_free, candidates), count))
+    _given.extend(ports)
+    return ports
 
 
 def _is_free(port: int) -> bool:
@@ -133,6 +144,16 @@
                 [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
             )
 
+    def describe(self) -> str:
+        """Return for each process whether it runs, and the last lines of its log."""
+        parts = []
+        for name, process in self.processes.items():
+            code = process.poll()
+            state = "runs" if code is None else f"ended with {code}"
+            lines = (self.directory / f"{name}.log").read_text(errors="replace").splitlines()
+            parts += [f"{name} {state}", *(f"  {line}" for line in lines[-LOG_LINES:])]
+        return "\n".join(parts)
+
     async def announce_hosts(self, session: aiohttp.ClientSession) -> None:
         """Put the hosts on the platform's list."""
         body = msgspec.json.encode(HostList(hosts=self.hosts))
@@ -147,9 +168,14 @@
 
 async def wait_for_status(session: aiohttp.ClientSession, url: str, status: int) -> None:
     """Wait until a URL answers with a status; raises ``TimeoutError`` after 30 s."""
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while await _status(session, url) != status:
-            await asyncio.sleep(POLL_PAUSE_S)
+    seen = 0
+    try:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while seen != status:
+                seen = await _status(session, url)
+                await asyncio.sleep(POLL_PAUSE_S)
+    except TimeoutError:
+        raise TimeoutError(f"{url} does not answer {status}, the last answer was {seen}") from None
 
 
 async def _status(session: aiohttp.ClientSession, url: str) -> int:
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -10,6 +10,7 @@
 
 from radishbridge.records import Failure, ResultCode
 from radishbridge.store import HostEntry, HttpStore, ObjectStore, StoredObject, WatchEvent
+from radishbridge_standin import processes
 from radishbridge_standin.fake import FakeStore
 from radishbridge_standin.objects import ObjectApi
 from radishbridge_standin.table import ObjectTable
@@ -210,3 +211,23 @@
         text = b'{"kind":"key","name":"a","version":1,"value":{"x": 1}}'
         stored = msgspec.json.decode(text, type=StoredObject)
         assert bytes(stored.value) == b'{"x": 1}'
+
+
+class TestFleet:
+    def test_a_port_is_not_given_again_before_its_process_listens(self, monkeypatch):
+        monkeypatch.setattr("random.Random.sample", lambda _, ports, count: list(ports)[:count])
+        ports = [processes.free_port() for _ in range(4)] + processes.free_ports(3)
+        assert len(set(ports)) == 7
+
+    async def test_a_fleet_that_does_not_start_tells_what_did_not_answer(self, monkeypatch):
+        monkeypatch.setattr(processes, "START_TIMEOUT_S", 0.1)
+        url = f"http://127.0.0.1:{processes.free_port()}/ready"
+        async with aiohttp.ClientSession() as session:
+            with pytest.raises(TimeoutError, match=f"{url} does not answer 200, .* was 0"):
+                await processes.wait_for_status(session, url, 200)
+
+    def test_it_tells_which_process_ended_and_its_last_lines(self, tmp_path):
+        with processes.Fleet(tmp_path) as fleet:
+            fleet.start("store", "radishbridge_standin", "nothing")
+            fleet.processes["store"].wait()
+            assert "store ended with" in fleet.describe()
