Odd entries cost only themselves: isolate, bound, supervise

Cause: one entry among those of the backend servers that is nested deeply, holds a number out of range or a lone surrogate cost the whole page (msgspec raises RecursionError, or rejects the page), was taken with values that later code cannot handle, and ended the task that follows the store. Every host that became a store follower stopped following.

Change: a response that cannot be decoded is split without decoding it, and an odd entry is identified by its metadata alone; depth, size, names, revisions and all numbers, addresses and versions of objects and of messages are bounded, with a reason that names field and value; one supervisor restarts failed tasks after a pause that grows, and makes a host not ready whose task fails without end; a listener's error costs one object. /v1/status and a metric show what cannot be decoded.

Found on the way: a server's Keep-Alive timeout of 400 digits raised OverflowError after the response was whole, and its request got no answer.

--- a/packages/claims/src/radishbridge/claims/registry.py
+++ b/packages/claims/src/radishbridge/claims/registry.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import DECODE_ERRORS, Failure, ResultCode
 from radishbridge.store import ObjectStore, ResolvedWriter, StoredObject
 
 CLAIM_KIND = "claim"
@@ -140,7 +140,7 @@
     """
     try:
         return msgspec.json.decode(stored.value, type=ClaimValue)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return Failure(ResultCode.DUPLICATE_REQUEST, "the claim on this key cannot be read")
 
 
--- a/packages/client/src/radishbridge/client/fleet.py
+++ b/packages/client/src/radishbridge/client/fleet.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import DECODE_ERRORS, Failure, ResultCode
 from radishbridge.store import HostEntry, ObjectStore
 
 MAX_CONCURRENT_REQUESTS = 64
@@ -58,7 +58,7 @@
             return _make_unreachable_failure(host, f"answered {response.status}")
         try:
             return msgspec.json.decode(body, type=type_)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return _make_unreachable_failure(host, f"malformed answer: {error}")
 
     async def fetch_all(
--- a/packages/client/src/radishbridge/client/manifest.py
+++ b/packages/client/src/radishbridge/client/manifest.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from radishbridge.records import (
+    DECODE_ERRORS,
     SCHEMA_VERSIONS,
     Document,
     Failure,
@@ -124,7 +125,7 @@
     """Decode an object of the store without validating the fields of ``spec``."""
     try:
         value = msgspec.json.decode(bytes(stored.value), type=StoredValue)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(ResultCode.RECORD_INVALID, f"{stored.kind}/{stored.name}: {error}")
     return StoredRecord(
         kind=stored.kind,
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -287,7 +287,8 @@
         for name, value in self.headers:
             lowered = name.lower()
             if lowered == b"keep-alive" and (found := _KEEPALIVE_TIMEOUT.search(value)):
-                self.announced_idle_s = int(found.group(1)) * ANNOUNCED_IDLE_FRACTION
+                # Unlike ``int``, ``float`` accepts any number of digits.
+                self.announced_idle_s = float(found.group(1)) * ANNOUNCED_IDLE_FRACTION
             elif lowered == b"connection" and b"close" in value.lower():
                 self.keep_alive = False
 
@@ -355,7 +356,8 @@
                 _, connection = await self.loop.create_connection(
                     lambda: BackendConnection(self.loop, self.memory), host, int(port)
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two are for an address that is none.
             return Failure(ResultCode.BACKEND_REFUSED, f"connection failed: {type(error).__name__}")
         return connection
 
--- a/packages/entry/src/radishbridge/entry/copy.py
+++ b/packages/entry/src/radishbridge/entry/copy.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing as t
 import zlib
 
@@ -14,6 +15,8 @@
 
 ObjectKey = tuple[Kind, str]
 
+logger = logging.getLogger(__name__)
+
 
 class ObjectCopy:
     """The objects of all kinds, each at the highest version received.
@@ -54,7 +57,7 @@
         self.objects[key] = stored
         self.digests[stored.kind] ^= _object_digest(held) ^ _object_digest(stored)
         for listener in self.listeners:
-            listener(stored, source)
+            _notify(listener, stored, source)
         return True
 
     def find_deleted(self, kind: Kind, listing: Listing) -> list[StoredObject]:
@@ -96,6 +99,18 @@
         return Listing(revision=self.revisions[kind], objects=objects)
 
 
+def _notify(
+    listener: t.Callable[[StoredObject, str], None], stored: StoredObject, source: str
+) -> None:
+    # The objects behind this one have to take effect too.
+    try:
+        listener(stored, source)
+    except Exception:
+        logger.exception(
+            "listener failed", extra={"kind": stored.kind.value, "object": stored.name}
+        )
+
+
 def _object_digest(stored: StoredObject | None) -> int:
     if stored is None or stored.value is None:
         return 0
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -10,7 +10,6 @@
 import asyncio
 import itertools
 import logging
-import re
 import time
 import typing as t
 
@@ -30,6 +29,7 @@
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
+from radishbridge.records import is_address
 from radishbridge.steering import Evidence, FleetShare, HomeDemand
 
 # Interval between reports and between summaries, in seconds. Fleets of more than LARGE_FLEET_HOSTS
@@ -72,9 +72,6 @@
 # unavailable.
 COPY_REQUESTS_MAX = 3
 
-# Names of entry hosts are their addresses.
-_ADDRESS = re.compile(r"\d+(?:\.\d+){3}:\d+")
-
 logger = logging.getLogger(__name__)
 
 
@@ -213,10 +210,7 @@
     def _accept_unregistered(self, name: str) -> None:
         # The sender may be the only one that can tell this host what its list of hosts lacks.
         now = self.clock()
-        if (
-            now - self.unregistered_peer_at < UNREGISTERED_PEER_INTERVAL_S
-            or not _ADDRESS.fullmatch(name)
-        ):
+        if now - self.unregistered_peer_at < UNREGISTERED_PEER_INTERVAL_S or not is_address(name):
             return
         self.unregistered_peer_at = now
         if len(self.unregistered_peers) >= UNREGISTERED_PEERS_MAX:
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import random
 import time
@@ -120,12 +121,21 @@
             return True
         return now - self.failed_at > ASSUME_REACHABLE_AFTER_S
 
+    def tasks(self) -> dict[str, t.Callable[[], t.Coroutine[t.Any, t.Any, None]]]:
+        """Return the tasks that follow all kinds, by name.
+
+        An error in one of them must not end the others.
+        """
+        follow = {
+            f"follow {kind.value}": functools.partial(self._follow_kind, kind) for kind in Kind
+        }
+        return {**follow, "deferred removals": self._run_deferred_removals}
+
     async def run(self) -> None:
-        """Follow all kinds until cancelled."""
+        """Run all tasks until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for kind in Kind:
-                group.create_task(self._follow_kind(kind))
-            group.create_task(self._run_deferred_removals())
+            for run in self.tasks().values():
+                group.create_task(run())
 
     async def load(self, kind: Kind, may_be_stale: bool = False) -> Failure | None:
         """Apply a listing of a kind.
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+import typing as t
+
 import msgspec
 
-from radishbridge.entry.protocol import Kind, Listing, StoredObject
+from radishbridge.entry.protocol import VERSION_MAX, Kind, Listing, StoredObject
 from radishbridge.peers import Heartbeat
 from radishbridge.steering import Evidence, HomeDemand
 
+# Ranges of numbers in messages, beyond which a message counts as malformed.
+AMOUNT_MAX = 1e12
+COUNT_MAX = 2**53
+HOSTS_MAX = 1_000_000
+
+Amount = t.Annotated[float, msgspec.Meta(ge=0.0, le=AMOUNT_MAX)]
+Count = t.Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+FleetSize = t.Annotated[int, msgspec.Meta(ge=1, le=HOSTS_MAX)]
+Revision = t.Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
+
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
     """A request that was running on a backend server when the server crashed.
@@ -37,7 +49,7 @@
     is_leaving: bool
     reaches_store: bool
     is_overloaded: bool = False
-    report_number: int = 0
+    report_number: Count = 0
 
 
 class CopyState(msgspec.Struct, frozen=True, array_like=True):
@@ -47,7 +59,7 @@
     :param digests: digest by kind of the copy's objects.
     """
 
-    revisions: dict[Kind, int]
+    revisions: dict[Kind, Revision]
     digests: dict[Kind, int]
 
 
@@ -63,12 +75,12 @@
     """
 
     status: HostStatus = msgspec.field(name="sight")
-    demands: dict[str, float]
+    demands: dict[str, Amount]
     home_bound: dict[str, dict[str, HomeDemand]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState | None = None
-    size: int = 1
+    size: FleetSize = 1
 
 
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
@@ -84,12 +96,12 @@
     """
 
     hosts: list[HostStatus]
-    demands: dict[str, float]
+    demands: dict[str, Amount]
     home_bound: dict[str, dict[str, HomeDemand]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState
-    size: int = 1
+    size: FleetSize = 1
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
@@ -101,8 +113,8 @@
     """
 
     objects: list[StoredObject]
-    after: int = 0
-    revision: int = 0
+    after: Revision = 0
+    revision: Revision = 0
 
 
 class CopyRequest(msgspec.Struct, kw_only=True, tag="copy-request"):
@@ -126,8 +138,8 @@
     """
 
     workspace: str
-    request_number: int = msgspec.field(name="number")
-    slice_number: int = msgspec.field(name="piece", default=0)
+    request_number: Count = msgspec.field(name="number")
+    slice_number: Count = msgspec.field(name="piece", default=0)
 
 
 class TokenAnswer(msgspec.Struct, kw_only=True, tag="token-answer"):
@@ -137,9 +149,9 @@
     :param wait_s: seconds until the next token is available.
     """
 
-    request_number: int = msgspec.field(name="number")
+    request_number: Count = msgspec.field(name="number")
     granted: bool
-    wait_s: float
+    wait_s: Amount
 
 
 FleetMessage = (
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -10,6 +10,9 @@
 from radishbridge.records import Failure
 from radishbridge.steering import Configuration, LoadReport, MoveOrder, MovePhase, Server
 
+# Versions are revisions of the store, which are counted from 1.
+VERSION_MAX = 2**63 - 1
+
 
 class Kind(enum.Enum):
     """The kinds of objects in the store; every host holds a copy of them."""
@@ -26,18 +29,20 @@
 
     :param version: revision of the store at the object's last change.
     :param value: the encoded object; ``None`` if it was deleted.
+    :param fault: why the object cannot be decoded, if that is known; its value is then empty.
     """
 
     kind: Kind
     name: str
-    version: int
+    version: t.Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
     value: bytes | None
+    fault: str = ""
 
 
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
     """All objects of a kind at a revision of the store."""
 
-    revision: int
+    revision: t.Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
     objects: list[StoredObject]
 
 
--- a/packages/entry/src/radishbridge/entry/registration.py
+++ b/packages/entry/src/radishbridge/entry/registration.py
@@ -24,13 +24,20 @@
     """Registers this host, and again whenever other hosts have removed its entry.
 
     :param make_entry: builds the entry from the current settings.
+    :param is_unreadable: returns whether this host's entry in the store cannot be decoded, which
+        means that it was written by someone else.
     """
 
-    __slots__ = ("copy", "make_entry", "store")
+    __slots__ = ("copy", "is_unreadable", "make_entry", "store")
 
     def __init__(
-        self, store: FleetStore, copy: ObjectCopy, make_entry: t.Callable[[], HostEntry]
+        self,
+        store: FleetStore,
+        copy: ObjectCopy,
+        make_entry: t.Callable[[], HostEntry],
+        is_unreadable: t.Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_unreadable = is_unreadable
         self.store = store
         self.copy = copy
         self.make_entry = make_entry
@@ -47,6 +54,10 @@
             logger.info("registered", extra={"host": entry.peer_address})
             await asyncio.sleep(PROPAGATION_S)
             while not self._is_removed(entry.peer_address):
+                if self.is_unreadable():
+                    logger.warning("own entry is unreadable", extra={"host": entry.peer_address})
+                    await self.store.unregister(entry.peer_address)
+                    break
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_removed(self, name: str) -> bool:
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from radishbridge.entry.copy import ObjectCopy
+from radishbridge.entry.copy import ObjectCopy, ObjectKey
 from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostStatus
 from radishbridge.entry.protocol import (
@@ -90,6 +90,13 @@
     detected_at: float
 
 
+class Unreadable(t.NamedTuple):
+    """A version of an object that cannot be decoded, and why."""
+
+    version: int
+    reason: str
+
+
 class ResponseSizes:
     """Number and mean size in bytes of a service's responses."""
 
@@ -129,6 +136,7 @@
     :param fleet_demands: demand of all hosts by workspace in the last summary.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
+    :param unreadable: objects whose newest version cannot be decoded.
     :param ready: set once this host knows enough to serve requests.
     """
 
@@ -159,6 +167,7 @@
         "retry_budgets",
         "selector",
         "slow_start",
+        "unreadable",
         "warm_pairs",
     )
 
@@ -198,6 +207,7 @@
         self.crashes: list[ReportedCrash] = []
         self.ready = asyncio.Event()
         self.is_leaving = False
+        self.unreadable: dict[ObjectKey, Unreadable] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -216,6 +226,7 @@
         """
         self._log_change(stored, source)
         if stored.value is None:
+            self.unreadable.pop((stored.kind, stored.name), None)
             self._remove(stored)
             return
         decoded = self.decoder.decode(stored)
@@ -229,9 +240,13 @@
                     "reason": decoded.reason,
                 },
             )
+            self.unreadable[stored.kind, stored.name] = Unreadable(stored.version, decoded.reason)
+            # The platform's rules: such an entry names no server. Objects of other kinds keep
+            # their last version that could be decoded.
             if stored.kind is Kind.SERVER:
                 self.selector.remove(stored.name)
             return
+        self.unreadable.pop((stored.kind, stored.name), None)
         self._put(stored.name, decoded)
 
     def apply_summary(self, summary: FleetSummary) -> None:
--- a/packages/host/src/radishbridge/host/compose.py
+++ b/packages/host/src/radishbridge/host/compose.py
@@ -26,7 +26,7 @@
 from radishbridge.host.metrics import Metrics
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.host.state import HostState
-from radishbridge.host.tasks import end_task, start_task
+from radishbridge.host.tasks import Supervisor, end_task
 from radishbridge.peers import DirectoryFeed, HostAddress, MeshCounters, ZmqMesh
 from radishbridge.records import Failure, Settings
 from radishbridge.routing import LocalRouter
@@ -61,6 +61,7 @@
         limits = settings.limits
         self.settings = settings
         self.stack = stack
+        self.supervisor = Supervisor(stack)
         self.replica = Replica()
         self.metrics = Metrics()
         self.router = LocalRouter(settings.region, settings.data_center, random.Random())
@@ -111,12 +112,13 @@
         )
         self.state.has_share = self.admission.may_admit
         self.state.live_peers = lambda: sorted(peer.name for peer in self.mesh.live())
-        start_task(self.stack, self.mesh.run())
-        start_task(self.stack, DirectoryFeed(self.mesh, self._read_hosts).run())
-        start_task(self.stack, relay.run())
-        start_task(self.stack, self.lookup.run())
-        start_task(self.stack, self.state.watch_startup())
-        self.shares_task = start_task(self.stack, self.admission.run())
+        start = self.supervisor.start
+        start("mesh", self.mesh.run)
+        start("directory", DirectoryFeed(self.mesh, self._read_hosts).run)
+        start("relay", relay.run)
+        start("lookup", self.lookup.run)
+        start("startup", self.state.watch_startup)
+        self.shares_task = start("shares", self.admission.run)
 
     async def return_shares(self) -> None:
         """Record the last claim outcomes and return this host's units of the shares."""
@@ -140,7 +142,7 @@
         limits = self.settings.limits
         server = CallerServer(RequestDispatcher(self.lookup, self.forwarder.handle).handle, limits)
         self.checker.server = server
-        start_task(self.stack, server.watch_disconnects())
+        self.supervisor.start("disconnects", server.watch_disconnects)
         listener = await open_listener(self.stack, web.ServerRunner(server), self.settings.listen)
         return Shutdown(self.forwarder, server, listener, limits)
 
@@ -175,6 +177,11 @@
             "Seconds since the configuration was proved fresh, -1 for never.",
             lambda: state.fresh_age_s(time.monotonic()),
         )
+        add_gauge(
+            "task_restarts",
+            "Errors of background tasks, after each of which the task began again.",
+            self.supervisor.restarts.total,
+        )
         for name in MeshCounters.NAMES:
             help_text = f"Traffic between hosts since the start: {name.replace('_', ' ')}."
             add_gauge(
--- a/packages/peers/src/radishbridge/peers/connection.py
+++ b/packages/peers/src/radishbridge/peers/connection.py
@@ -27,6 +27,7 @@
 
     NAMES: t.ClassVar[tuple[str, ...]] = (
         "duplicate",
+        "failed_connections",
         "failed_handlers",
         "malformed",
         "queue_full",
@@ -51,6 +52,7 @@
         self.duplicate = 0
         self.unknown_sender = 0
         self.failed_handlers = 0
+        self.failed_connections = 0
 
 
 class PeerConnection:
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import logging
 import math
@@ -20,7 +21,7 @@
 from radishbridge.peers.messages import Envelope, Heartbeat, HostAddress, PeerMessage
 from radishbridge.peers.protocol import Handler, Peer
 from radishbridge.peers.view import LIVENESS_TIMEOUT_HEARTBEATS, PeerView
-from radishbridge.records import PeerSettings
+from radishbridge.records import DECODE_ERRORS, PeerSettings
 
 FRAME_BYTES_MAX = 2 * 1024 * 1024
 SEND_QUEUE_FRAMES = 64
@@ -162,6 +163,8 @@
 
     async def run(self) -> None:
         """Receive messages until cancelled."""
+        if self.context.closed:
+            self.context = zmq.asyncio.Context()
         with contextlib.ExitStack() as stack:
             stack.callback(self.context.destroy, linger=0)
             stack.callback(self.disconnect)
@@ -211,9 +214,20 @@
             lambda: self._remove_connection(entry.name),
         )
         self.connections[entry.name] = connection
-        self.tasks[entry.name] = asyncio.create_task(connection.run(), name=f"link-{entry.name}")
+        task = asyncio.create_task(connection.run(), name=f"link-{entry.name}")
+        task.add_done_callback(functools.partial(self._drop_failed, entry.name))
+        self.tasks[entry.name] = task
         return connection
 
+    def _drop_failed(self, name: str, task: asyncio.Task[None]) -> None:
+        # The next message opens a new connection.
+        if task.cancelled() or task.exception() is None:
+            return
+        logger.error("connection failed", exc_info=task.exception(), extra={"host": name})
+        self.counters.failed_connections += 1
+        if self.tasks.get(name) is task:
+            self._remove_connection(name)
+
     def _disconnect(self, name: str) -> None:
         del self.connections[name]
         self.tasks.pop(name).cancel()
@@ -244,7 +258,7 @@
         try:
             envelope = msgspec.msgpack.decode(frame, type=Envelope)
             message = msgspec.msgpack.decode(envelope.body, type=self.message_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             self.counters.malformed += 1
             return
         if envelope.sender not in self.view.peers:
--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -13,6 +13,7 @@
 )
 from radishbridge.records.check import check_value, find_faults, unknown_fields
 from radishbridge.records.codes import CODE_INFO, CodeInfo, Execution, ResultCode
+from radishbridge.records.decoding import DECODE_ERRORS, shorten
 from radishbridge.records.digest import key_digest
 from radishbridge.records.failures import Failure
 from radishbridge.records.fields import FieldFault, FieldRule, SelfChecking, is_address
@@ -26,6 +27,7 @@
     encode_record,
     encode_tombstone,
 )
+from radishbridge.records.scan import decode_or_none, is_deeper_than, split_array, split_object
 from radishbridge.records.schemas import SCHEMA_VERSIONS, RateV1, ServiceV1, body_type, upgrade_spec
 from radishbridge.records.settings import (
     LimitSettings,
@@ -54,6 +56,7 @@
 
 __all__ = [
     "CODE_INFO",
+    "DECODE_ERRORS",
     "KINDS",
     "SCHEMA_VERSIONS",
     "Backend",
@@ -96,17 +99,22 @@
     "body_type",
     "check_document",
     "check_value",
+    "decode_or_none",
     "decode_record",
     "encode_edit",
     "encode_record",
     "encode_tombstone",
     "find_faults",
     "is_address",
+    "is_deeper_than",
     "key_digest",
     "load_document",
     "load_settings",
     "merge_spec",
     "parse_document",
+    "shorten",
+    "split_array",
+    "split_object",
     "unknown_fields",
     "upgrade_spec",
     "validate_body",
--- a/packages/records/src/radishbridge/records/record.py
+++ b/packages/records/src/radishbridge/records/record.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from radishbridge.records.codes import ResultCode
+from radishbridge.records.decoding import DECODE_ERRORS
 from radishbridge.records.failures import Failure
 from radishbridge.records.merge import merge_spec
 from radishbridge.records.schemas import SCHEMA_VERSIONS, check_schema, upgrade_spec
@@ -100,7 +101,7 @@
 def _decode_stored(value: bytes) -> StoredValue | Failure:
     try:
         return msgspec.json.decode(value, type=StoredValue)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return Failure(ResultCode.RECORD_INVALID, "not a stored value in JSON")
 
 
--- a/packages/shares/src/radishbridge/shares/table.py
+++ b/packages/shares/src/radishbridge/shares/table.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import DECODE_ERRORS, Failure, ResultCode
 
 # Number of units that every workspace's rate and burst are divided into.
 TOTAL_UNITS = 1_000_000
@@ -74,7 +74,7 @@
     """
     try:
         table = msgspec.json.decode(value, type=ShareTable)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Failure(ResultCode.RECORD_INVALID, f"share table: {error}")
     keys = {holder.key for holder in table.holders}
     if len(keys) < len(table.holders):
--- a/packages/steering/src/radishbridge/steering/homes.py
+++ b/packages/steering/src/radishbridge/steering/homes.py
@@ -28,6 +28,13 @@
 ADMITTED_PER_S_MIN = 0.1
 
 
+# Ranges of the demand that other hosts report.
+RATE_MAX_PER_S = 1e12
+REQUESTS_MAX = 2**53
+
+Rate = t.Annotated[float, msgspec.Meta(ge=0.0, le=RATE_MAX_PER_S)]
+
+
 class HomeRegion(t.NamedTuple):
     """A service and a region that is the only one allowed to run some of its requests."""
 
@@ -43,9 +50,9 @@
     :param in_flight: admitted requests that have not ended.
     """
 
-    requests_per_s: float = 0.0
-    admitted_per_s: float = 0.0
-    in_flight: int = 0
+    requests_per_s: Rate = 0.0
+    admitted_per_s: Rate = 0.0
+    in_flight: t.Annotated[int, msgspec.Meta(ge=0, le=REQUESTS_MAX)] = 0
 
     def __add__(self, other: HomeDemand) -> HomeDemand:
         return HomeDemand(
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing as t
 import urllib.parse
 
@@ -9,7 +10,15 @@
 import msgspec
 import yarl
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import (
+    DECODE_ERRORS,
+    Failure,
+    ResultCode,
+    decode_or_none,
+    shorten,
+    split_array,
+    split_object,
+)
 from radishbridge.store.protocol import HostList, Listing, StoredObject, WatchEvent
 
 WATCH_READ_TIMEOUT_S = 5.0
@@ -21,6 +30,8 @@
 # Half of the memory that a host may use for control data.
 RESPONSE_BYTES_MAX = 64 * 1_048_576
 
+logger = logging.getLogger(__name__)
+
 
 class HttpStore:
     """An ``ObjectStore`` that calls the platform over HTTP.
@@ -50,7 +61,7 @@
         """Read all objects of the kinds at one revision; without kinds, only the revision."""
         timeout = self._read_timeout if kinds else self._revision_read_timeout
         body = await self._read("/v1/objects", {"kinds": ",".join(kinds)}, timeout)
-        return body if isinstance(body, Failure) else _decode(body, Listing)
+        return body if isinstance(body, Failure) else _decode_listing(body)
 
     async def hosts(self) -> HostList | Failure:
         """Read the platform's list of hosts."""
@@ -95,7 +106,7 @@
                     yield _status_failure(response.status)
                     return
                 async for line in _read_lines(response.content):
-                    event = _decode(line, WatchEvent)
+                    event = _decode_event(line)
                     yield event
                     if isinstance(event, Failure):
                         return
@@ -196,5 +207,55 @@
 def _decode(body: bytes, type_: type[_T]) -> _T | Failure:
     try:
         return msgspec.json.decode(body, type=type_)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Failure(ResultCode.STORE_UNAVAILABLE, f"malformed response: {error}")
+
+
+def _decode_listing(body: bytes) -> Listing | Failure:
+    listing = _decode(body, Listing)
+    if not isinstance(listing, Failure):
+        return listing
+    try:
+        members = split_object(body)
+        objects = [_decode_object(text) for text in split_array(members.get("objects", b""))]
+    except ValueError:
+        return listing
+    revision = decode_or_none(members.get("revision", b""), int)
+    if revision is None:
+        return listing
+    return Listing(revision=revision, objects=[stored for stored in objects if stored is not None])
+
+
+def _decode_event(line: bytes) -> WatchEvent | Failure:
+    event = _decode(line, WatchEvent)
+    if not isinstance(event, Failure):
+        return event
+    try:
+        members = split_object(line)
+    except ValueError:
+        return event
+    revision = decode_or_none(members.get("revision", b""), int)
+    if revision is None or "object" not in members:
+        return event
+    return WatchEvent(revision=revision, object=_decode_object(members["object"]))
+
+
+def _decode_object(text: bytes) -> StoredObject | None:
+    """Decode an object; one with an undecodable value gets ``null``, which replicas reject.
+
+    Return ``None`` if the object cannot be identified.
+    """
+    stored = decode_or_none(text, StoredObject)
+    if stored is not None:
+        return stored
+    try:
+        members = split_object(text)
+    except ValueError:
+        return None
+    kind = decode_or_none(members.get("kind", b""), str)
+    name = decode_or_none(members.get("name", b""), str)
+    version = decode_or_none(members.get("version", b""), int)
+    if kind is None or name is None or version is None:
+        logger.warning("object without kind, name or version skipped: %s", shorten(text))
+        return None
+    return StoredObject(kind=kind, name=name, version=version, value=msgspec.Raw(b"null"))
--- a/packages/store/src/radishbridge/store/leases.py
+++ b/packages/store/src/radishbridge/store/leases.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import DECODE_ERRORS, Failure, ResultCode
 from radishbridge.store.backoff import Backoff
 from radishbridge.store.clock import steady_clock
 from radishbridge.store.protocol import ObjectStore, StoredObject
@@ -230,6 +230,6 @@
 def _decode(stored: StoredObject) -> LeaseValue | None:
     try:
         return msgspec.json.decode(stored.value, type=LeaseValue)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         logger.warning("lease %s has a malformed value", stored.name)
         return None
--- a/packages/store/src/radishbridge/store/resolve.py
+++ b/packages/store/src/radishbridge/store/resolve.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from radishbridge.records import Failure, ResultCode
+from radishbridge.records import DECODE_ERRORS, Failure, ResultCode
 from radishbridge.store.backoff import Backoff
 from radishbridge.store.protocol import ObjectStore, StoredObject
 
@@ -102,7 +102,7 @@
         return True
     try:
         return bool(msgspec.json.decode(one) == msgspec.json.decode(other))
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return False
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -242,3 +242,31 @@
         assert all(0.05 <= delay <= 1.0 for delay in delays)
         assert min(delays[10:]) >= 0.5
         assert len(set(delays[10:])) == 40
+
+
+class TestOddObjects:
+    """One object that cannot be decoded costs no other object, and no later change."""
+
+    DEEP = b"[" * 100_000 + b"]" * 100_000
+    GOOD = b'{"kind":"key","name":"%s","version":%d,"value":{}}'
+
+    @pytest.mark.parametrize("value", [DEEP, b'"\\ud800"'])
+    async def test_a_listing_has_the_others(self, value):
+        odd = b'{"kind":"key","name":"odd","version":2,"value":' + value + b"}"
+        objects = b",".join([self.GOOD % (b"a", 1), odd, self.GOOD % (b"b", 3)])
+        async with respond_with(200, b'{"revision":9,"objects":[' + objects + b"]}") as store:
+            listing = await store.list(["key"])
+        assert [stored.name for stored in listing.objects] == ["a", "odd", "b"]
+        assert (listing.revision, bytes(listing.objects[1].value)) == (9, b"null")
+
+    @pytest.mark.parametrize("value", [DEEP, b'"\\ud800"'])
+    async def test_a_watch_goes_on_behind_it(self, value):
+        odd = b'{"kind":"key","name":"odd","version":2,"value":' + value + b"}"
+        lines = [
+            b'{"revision":%d,"object":%s}' % (number, text)
+            for number, text in enumerate([self.GOOD % (b"a", 1), odd, self.GOOD % (b"b", 3)])
+        ]
+        async with respond_with(200, b"\n".join(lines) + b"\n") as store:
+            events = [event async for event in store.watch(["key"], 0)]
+        names = [event.object.name for event in events if isinstance(event, WatchEvent)]
+        assert names == ["a", "odd", "b"]
