--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -76,6 +76,7 @@
     :param allowed_regions: regions that may run the request; ``None`` if all may.
     :param rank: number of more urgent priority levels of the service's requests.
     :param routing_key: key of the preferred servers, either the affinity key or the request id.
+    :param body_memory_bytes: memory reserved for the body.
     :param fingerprint: identifies equal requests, so that those that crash servers are found.
     :param tried: names of the servers of all attempts, in order.
     :param send_count: attempts whose request was sent.
@@ -90,6 +91,7 @@
         "arrived_at",
         "attempts",
         "body",
+        "body_memory_bytes",
         "code",
         "configuration_version",
         "deadline",
@@ -121,6 +123,7 @@
         self.routing_key = ""
         self.rank = 0
         self.body = b""
+        self.body_memory_bytes = 0
         self.fingerprint = b""
         self.tried: list[str] = []
         self.send_count = 0
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -19,14 +19,21 @@
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.hedge import AttemptResult, Hedge
 from radishbridge.entry.protocol import HeaderCodec, RequestMetadata
+from radishbridge.entry.request_body import BodyReader, is_large
 from radishbridge.entry.steering_state import SteeringState
-from radishbridge.host.bodies import RequestBody
 from radishbridge.host.headers import HOP_BY_HOP
 from radishbridge.host.shutdown import ShutdownSchedule
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 from radishbridge.routing import request_fingerprint
-from radishbridge.steering import HomeRegion, RouteRule, ServerState, unit_hash
+from radishbridge.steering import (
+    CallerLimits,
+    HomeRegion,
+    RouteRule,
+    ServerCriteria,
+    ServerState,
+    unit_hash,
+)
 
 # Retry-After of a refusal: a fixed delay and a random one, so that callers refused together don't
 # retry together. The queue of a backend server drains within that time.
@@ -82,6 +89,7 @@
 
     __slots__ = (
         "access_log",
+        "body_reader",
         "crash_detector",
         "header_codec",
         "in_flight",
@@ -111,6 +119,7 @@
         self.rates = rates
         self.access_log = access_log
         self.limits = limits
+        self.body_reader = BodyReader(limits)
         self.rng = rng
         self.in_flight = 0
         self.leaving = False
@@ -134,6 +143,7 @@
             raise
         finally:
             self.in_flight -= 1
+            self.body_reader.release(context)
             self.access_log.record(context, time.monotonic())
 
     async def _process(self, context: RequestContext) -> BackendResponse | Failure:
@@ -189,28 +199,21 @@
         return _OVER_RATE
 
     async def _forward(self, context: RequestContext) -> BackendResponse | Failure:
-        body = RequestBody(context.request, self.limits)
-        failure = await body.prepare()
+        point = unit_hash(context.metadata.request_id, "split")
+        context.service = context.route.pick_service(point)
+        context.rank = self._rank(context)
+        context.routing_key = (
+            context.metadata.affinity if context.route.has_affinity else context.metadata.request_id
+        )
+        failure = await self._read_body(context)
         if failure is not None:
             return failure
-        if body.buffered is None:
-            context.body = b"".join(
-                [chunk async for chunk in t.cast(t.AsyncIterator[bytes], body.data())]
-            )
-        else:
-            context.body = body.buffered
         request = context.request
         context.fingerprint = request_fingerprint(
             context.workspace, request.method, request.raw_path, context.body
         )
         if self.steering_state.poison.check(context.fingerprint, context.arrived_at) is not None:
             return _CRASHED_SERVERS
-        point = unit_hash(context.metadata.request_id, "split")
-        context.service = context.route.pick_service(point)
-        context.rank = self._rank(context)
-        context.routing_key = (
-            context.metadata.affinity if context.route.has_affinity else context.metadata.request_id
-        )
         self.steering_state.retry_budget(context.service, context.arrived_at).record_request(
             time.monotonic()
         )
@@ -218,6 +221,25 @@
             return await self._run_attempts(context)
         return await self._forward_to_home_region(context, context.home_region)
 
+    async def _read_body(self, context: RequestContext) -> Failure | None:
+        # Reading a large body that no server has room for would cost its caller that time.
+        if is_large(context) and not self._has_room(context):
+            context.retry_after_s = self._retry_delay_s()
+            return _NO_CAPACITY
+        configuration = self.steering_state.configuration
+        limits = CallerLimits() if configuration is None else configuration.limits
+        body = await self.body_reader.read(context, limits.body_bytes)
+        if isinstance(body, Failure):
+            context.retry_after_s = self._retry_delay_s()
+            return body
+        context.body = body
+        return None
+
+    def _has_room(self, context: RequestContext) -> bool:
+        now = time.monotonic()
+        selector = self.steering_state.selector
+        return any(selector.has_room(criteria, now) for criteria in self._criteria(context))
+
     async def _forward_to_home_region(
         self, context: RequestContext, home: HomeRegion
     ) -> BackendResponse | Failure:
@@ -304,18 +326,20 @@
         return None
 
     def _choose_server(self, context: RequestContext, now: float) -> ServerState | None:
+        choices = (
+            self.steering_state.selector.choose(criteria, context.tried, now)
+            for criteria in self._criteria(context)
+        )
+        return next((state for state in choices if state is not None), None)
+
+    def _criteria(self, context: RequestContext) -> list[ServerCriteria]:
         by_preference = self.steering_state.server_criteria(
             context.service, context.route, context.routing_key
         )
-        choices = (
-            self.steering_state.selector.choose(
-                criteria._replace(home_regions=context.allowed_regions, rank=context.rank),
-                context.tried,
-                now,
-            )
+        return [
+            criteria._replace(home_regions=context.allowed_regions, rank=context.rank)
             for criteria in by_preference
-        )
-        return next((state for state in choices if state is not None), None)
+        ]
 
     def _may_retry(self, context: RequestContext, attempt: Attempt, connect_failures: int) -> bool:
         if attempt.outcome is AttemptOutcome.ANSWERED or connect_failures >= CONNECT_FAILURES_MAX:
--- a/packages/host/src/radishbridge/host/bodies.py
+++ b/packages/host/src/radishbridge/host/bodies.py
@@ -45,7 +45,7 @@
             await self.request.writer.write(_CONTINUE)
             self.request.writer.output_size = 0
         if length is not None and length <= MAX_REPLAY_BYTES:
-            self.buffered = b"".join([chunk async for chunk in self._read_chunks()])
+            self.buffered = b"".join([chunk async for chunk in self.read_chunks()])
         return self.failure
 
     @property
@@ -62,7 +62,7 @@
     async def _stream(self) -> t.AsyncIterator[bytes]:
         self.started = True
         sent_bytes = 0
-        async for chunk in self._read_chunks():
+        async for chunk in self.read_chunks():
             sent_bytes += len(chunk)
             if sent_bytes > self.limits.body_bytes:
                 self.failure = Failure(
@@ -71,7 +71,8 @@
             yield self._check_failure(chunk)
         self._check_failure(b"")
 
-    async def _read_chunks(self) -> t.AsyncIterator[bytes]:
+    async def read_chunks(self) -> t.AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive, up to its end or to ``failure``."""
         content = self.request.content
         while not content.at_eof():
             try:
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -46,6 +46,7 @@
     INTERNAL_ERROR = 122
     CALLER_GONE = 123
     ALREADY_RUN = 124
+    HOST_OVERLOADED = 125
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -130,6 +131,7 @@
     ResultCode.ALREADY_RUN: CodeInfo(
         "A request with this idempotency key has run before.", Execution.RUN, 409
     ),
+    ResultCode.HOST_OVERLOADED: CodeInfo("The host has no room for the request.", _NOT_RUN, 503),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NOT_APPLICABLE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo(
         "A record's schema version is newer than known.", _NOT_APPLICABLE
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import statistics
 import typing as t
 
@@ -213,10 +214,21 @@
         ]
         return self._pick(available or candidates, criteria, median_s, now)
 
+    def has_room(self, criteria: ServerCriteria, now: float) -> bool:
+        """Return whether a server would be chosen now, without taking its place."""
+        limits = itertools.chain(
+            itertools.repeat(_occupancy_limit(criteria.rank), SERVERS_PER_OBJECT),
+            itertools.repeat(FALLBACK_OCCUPANCY_LIMIT),
+        )
+        return any(
+            state.occupancy(now) < limit and not state.is_ejected(now)
+            for state, limit in zip(self._ranking(criteria), limits, strict=False)
+        )
+
     def _pick(
         self, available: list[ServerState], criteria: ServerCriteria, median_s: float, now: float
     ) -> ServerState | None:
-        limit = OCCUPANCY_LIMIT - min(RANK_PENALTY_MAX, RANK_PENALTY * criteria.rank)
+        limit = _occupancy_limit(criteria.rank)
         biases = {
             state: _bias(position, state, criteria, now)
             for position, state in enumerate(available[:SERVERS_PER_OBJECT])
@@ -305,6 +317,10 @@
         )
 
 
+def _occupancy_limit(rank: int) -> float:
+    return OCCUPANCY_LIMIT - min(RANK_PENALTY_MAX, RANK_PENALTY * rank)
+
+
 def _bias(position: int, state: ServerState, criteria: ServerCriteria, now: float) -> float:
     if not criteria.has_affinity or state.has_warm_object(criteria.key, now):
         return WARM_OBJECT_BIAS * position
