Relay fleet-wide messages once into each data centre

Cause: each aggregator and store follower sent every summary and every change to each host, so bytes between data centres grew with the square of the fleet: a summary of 195 hosts is 7.3 KB, and two aggregators sent it to 195 hosts each 0.5 s.

Change: a message for all hosts goes to one relay of each data centre with more than four hosts, which passes it on there. Senders of the same news use different relays, none of which is a sender, so the loss of one host costs no data centre the news. Relays are ready, not leaving, not overloaded and high-capacity; without one, and during the start, hosts get messages directly. Hosts of an earlier release get plain messages.

The network of the tests delivers what a relay passes on in the same step, since a hop within a data centre takes milliseconds and a step 0.2 s.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -1,8 +1,9 @@
 """Coordination of the entry hosts: reports, summaries, and distribution of changes of the store.
 
 Each host reports to two aggregators and gets their summaries; three hosts read the store and send
-its changes to all others. Every host chooses the same ones by hashing the list of hosts. Messages,
-store calls and connections therefore grow linearly with the number of hosts.
+its changes to all others, through a relay in each large data centre. Every host chooses the same
+ones by hashing the list of hosts. Messages, store calls and connections therefore grow linearly
+with the number of hosts.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from radishbridge.entry.capacity import high_capacity_hosts
 from radishbridge.entry.copy import ObjectCopy
+from radishbridge.entry.distribution import choose_hops, choose_local_hosts
 from radishbridge.entry.messages import (
     CopyAnswer,
     CopyRequest,
@@ -26,6 +28,7 @@
     FleetSummary,
     HostStatus,
     ObjectsChanged,
+    Relayed,
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
@@ -169,6 +172,7 @@
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
         mesh.subscribe(ObjectsChanged, self._on_changed)
+        mesh.subscribe(Relayed, self._on_relayed)
         mesh.subscribe(CopyRequest, self._on_copy_request)
         mesh.subscribe(CopyAnswer, self._on_copy_answer)
         self.update_hosts({})
@@ -207,6 +211,12 @@
             [*known, *self._unregistered_seeds(), *self.unregistered_peers.values()]
         )
 
+    def _is_known(self, name: str) -> bool:
+        return any(
+            name in known
+            for known in (self.entries, self.departing, self.unregistered_peers, self.seeds)
+        )
+
     def _accept_unregistered(self, name: str) -> None:
         # The sender may be the only one that can tell this host what its list of hosts lacks.
         now = self.clock()
@@ -262,16 +272,22 @@
         A host without a recent summary ranks first. Hosts that are leaving, and hosts that can't
         reach the store, are chosen only if there are no others.
         """
+        chosen = self._store_followers()
+        if chosen is None:
+            return 0
+        own = self.own.peer_address
+        return chosen.index(own) if own in chosen else None
+
+    def _store_followers(self) -> list[str] | None:
+        """Return the names of the store followers; ``None`` without a recent summary."""
         now = self.clock()
         if self.summary is None or now - self.summary_at > SUMMARY_MAX_AGE_S:
-            return 0
+            return None
         live = self.live_hosts(now).values()
         staying = [host for host in live if not host.is_leaving] or live
         able = [host.name for host in staying if host.reaches_store]
         names = able or [host.name for host in staying]
-        chosen = self.rank_for("follow", names)[:STORE_FOLLOWER_COUNT]
-        own = self.own.peer_address
-        return chosen.index(own) if own in chosen else None
+        return self.rank_for("follow", names)[:STORE_FOLLOWER_COUNT]
 
     def rank_for(self, role: str, names: t.Iterable[str]) -> list[str]:
         """Return the hosts that may take a role, in the order of their rank.
@@ -291,7 +307,8 @@
         :param after: revision after which these are all the changes up to ``revision``; 0 and 0
             where some may be missing.
         """
-        self._send_all(ObjectsChanged(objects=objects, after=after, revision=revision))
+        message = ObjectsChanged(objects=objects, after=after, revision=revision)
+        self._send_all(message, self._store_followers() or [])
 
     def request_copies(self) -> None:
         """Request the copies of other hosts, to start while the store is unavailable."""
@@ -313,10 +330,11 @@
         report = msgspec.structs.replace(
             self.make_report(), copy_state=self.copy.state(), size=self._update_peak_size(now)
         )
-        self.reports[self.own.peer_address] = ReceivedReport(report, now)
+        own = self.own.peer_address
+        self.reports[own] = ReceivedReport(report, now)
         aggregators = self._aggregators(now)
         for name in aggregators:
-            if name != self.own.peer_address:
+            if name != own:
                 self.mesh.send(name, report)
         recent = {
             name: received.report
@@ -324,13 +342,13 @@
             if now - received.received_at <= REPORT_MAX_AGE_S
             and (name in self.entries or name in self.departing)
         }
-        if self.own.peer_address in aggregators or len(recent) > 1:
+        if own in aggregators or len(recent) > 1:
             summary = merge_reports(recent, self.copy.state())
             self._apply_summary(summary, now)
             # While a fleet starts, each host has only its own report and need not send it to all.
             # Later such summaries let hosts that lost contact find each other again.
             if len(recent) > 1 or now - self.started_at >= STARTUP_GRACE_S:
-                self._send_all(summary)
+                self._send_all(summary, aggregators)
         if any(not self._has_recent_contact(name, now) for name in self.departing):
             self.update_hosts(self.entries)
         self._count_hosts(now)
@@ -361,10 +379,36 @@
         ]
         return self.rank_for("sum", names)[:AGGREGATOR_COUNT]
 
-    def _send_all(self, message: FleetSummary | ObjectsChanged) -> None:
-        for name in itertools.chain(self.entries, self.departing):
-            if name != self.own.peer_address:
-                self.mesh.send(name, message)
+    def _send_all(self, message: FleetSummary | ObjectsChanged, senders: t.Sequence[str]) -> None:
+        """Send a message to all hosts.
+
+        :param senders: names of the hosts that send the same news.
+        """
+        statuses = self.live_hosts(self.clock())
+        hops = choose_hops(self.own, self._known_entries(), statuses, senders)
+        for name in hops.others:
+            self.mesh.send(name, message)
+        relayed = Relayed(origin=self.own.peer_address, message=message)
+        for name in hops.relays:
+            self.mesh.send(name, relayed)
+
+    def _known_entries(self) -> t.Iterable[HostEntry]:
+        return itertools.chain(self.entries.values(), self.departing.values())
+
+    def _on_relayed(self, peer: Peer, message: Relayed) -> None:
+        if not message.is_final:
+            final = msgspec.structs.replace(message, is_final=True)
+            for entry in choose_local_hosts(self.own, self._known_entries(), message.origin):
+                # Hosts of an earlier release do not know relayed messages.
+                self.mesh.send(entry.peer_address, final if entry.relays else message.message)
+        if not self._is_known(message.origin):
+            self._accept_unregistered(message.origin)
+            return
+        origin = Peer(message.origin, "", "")
+        if isinstance(message.message, FleetSummary):
+            self._on_summary(origin, message.message)
+        else:
+            self._on_changed(origin, message.message)
 
     def _on_report(self, peer: Peer, message: FleetReport) -> None:
         now = self.clock()
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -117,6 +117,18 @@
     revision: Revision = 0
 
 
+class Relayed(msgspec.Struct, kw_only=True, tag="relayed"):
+    """A message for all hosts that a relay gets, or that it passes on in its data centre.
+
+    :param origin: the host that sent the message.
+    :param is_final: the receiver does not pass it on.
+    """
+
+    origin: str
+    message: FleetSummary | ObjectsChanged
+    is_final: bool = False
+
+
 class CopyRequest(msgspec.Struct, kw_only=True, tag="copy-request"):
     """Requests all objects of some kinds."""
 
@@ -158,6 +170,7 @@
     FleetReport
     | FleetSummary
     | ObjectsChanged
+    | Relayed
     | CopyRequest
     | CopyAnswer
     | TokenAsk
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -53,6 +53,7 @@
     :param listen: where it accepts callers' requests.
     :param link_mbps: bandwidth of its link in Mbit/s; 0 if unknown.
     :param cores: number of processor cores, possibly a fraction; 0 if unknown.
+    :param relays: it passes messages on to the other hosts of its data centre.
     """
 
     peer_address: str
@@ -61,6 +62,7 @@
     data_center: str
     link_mbps: float = 0.0
     cores: float = 0.0
+    relays: bool = False
 
 
 class DrainOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from radishbridge.entry import Fleet, HostEntry, ObjectCopy
-from radishbridge.entry.messages import FleetMessage, FleetReport, HostStatus
+from radishbridge.entry.messages import FleetMessage, FleetReport, HostStatus, Relayed
 from radishbridge.peers import Peer
 from radishbridge.steering import FleetShare
 
@@ -18,6 +18,7 @@
         listen=f"10.0.0.{number}:80",
         region=("east", "west")[number % 2],
         data_center=f"dc-{number % 4}",
+        relays=True,
     )
 
 
@@ -49,6 +50,13 @@
 
     def deliver(self) -> None:
         sent, self.sent = self.sent, []
+        self._deliver(sent)
+        # A relay passes a message on within milliseconds, far less than the time between two calls.
+        final = [one for one in self.sent if isinstance(one[2], Relayed) and one[2].is_final]
+        self.sent = [one for one in self.sent if one not in final]
+        self._deliver(final)
+
+    def _deliver(self, sent: list[tuple[str, str, msgspec.Struct]]) -> None:
         for sender, target, message in sent:
             if target in self.meshes and not {sender, target} & self.disconnected:
                 self.meshes[target].receive(sender, message)
--- a/tests/test_rate_admission.py
+++ b/tests/test_rate_admission.py
@@ -210,6 +210,11 @@
     An equal share for each host would be too small to admit a single request.
     """
 
+    @pytest.fixture(autouse=True)
+    def patient_token_timeout(self, monkeypatch, short_token_timeout):
+        # No answer is lost here, and a busy machine must not make one late.
+        monkeypatch.setattr(rate_admission, "TOKEN_TIMEOUT_S", 5.0)
+
     async def test_requests_within_the_rate_are_admitted_wherever_they_come(self):
         limited_fleet = RateLimitedFleet(40, rate=25.0, burst=25.0)
         await limited_fleet.send_requests(6.0, rate_per_s=20.0)
