Selector: examine the first servers of a ranking only

Change: the ranking is read lazily; beyond the two servers of the object at most 32 are examined for an idle one; a change that cannot move a server in a ranking keeps the rankings.

--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -11,6 +11,8 @@
 import statistics
 import typing as t
 
+import msgspec
+
 from radishbridge.steering.configuration import ServiceRule
 from radishbridge.steering.placement import RegionWeights, rank_servers
 from radishbridge.steering.servers import Server, ServerState
@@ -34,6 +36,9 @@
 # Requests per slot up to which a server that does not usually serve the object may run it. Above,
 # its slots are worth more for its own objects: a run on a cold object takes several times as long.
 FALLBACK_OCCUPANCY_LIMIT = 0.4
+# Servers after those of the object that are examined for one that is idle. More would cost each
+# refusal of a large fleet too much processor time, and if this many are busy, others are as well.
+FALLBACK_SERVERS_MAX = 32
 # Weight of a server in this host's own region for a service with large responses: sending them
 # between regions costs more than a few more runs on servers where an object is cold.
 OWN_REGION_WEIGHT = 24.0
@@ -114,13 +119,15 @@
         :return: whether it is new or was restarted.
         """
         state = self.states.get(server.name)
-        is_new = state is None or _is_restarted(state.server, server)
-        if is_new or state is None:
+        if state is None or _is_restarted(state.server, server):
             self.states[server.name] = ServerState(server, now)
-        else:
-            state.replace(server, now)
-        self.clear_caches()
-        return is_new
+            self.clear_caches()
+            return True
+        # While servers start, their entries change often, mostly in what is left of the slow start.
+        if msgspec.structs.replace(server, cold_for_s=state.server.cold_for_s) != state.server:
+            self.clear_caches()
+        state.replace(server, now)
+        return False
 
     def remove(self, name: str) -> None:
         """Remove a server whose entry was deleted."""
@@ -205,20 +212,27 @@
 
         :param tried: names of servers that must not be chosen again.
         """
-        candidates = [state for state in self._ranking(criteria) if state.server.name not in tried]
         median_s = self.median_latencies.get(criteria.service, 0.0)
-        available = [
+        candidates = (state for state in self._ranking(criteria) if state.server.name not in tried)
+        available = (
             state
             for state in candidates
             if not state.is_ejected(now) and not state.is_silent(median_s, now)
-        ]
-        return self._pick(available or candidates, criteria, median_s, now)
+        )
+        first = list(itertools.islice(available, SERVERS_PER_OBJECT))
+        if not first:
+            available = (
+                state for state in self._ranking(criteria) if state.server.name not in tried
+            )
+            first = list(itertools.islice(available, SERVERS_PER_OBJECT))
+        others = itertools.islice(available, FALLBACK_SERVERS_MAX)
+        return self._pick(first, others, criteria, median_s, now)
 
     def has_room(self, criteria: ServerCriteria, now: float) -> bool:
         """Return whether a server would be chosen now, without taking its place."""
         limits = itertools.chain(
             itertools.repeat(_occupancy_limit(criteria.rank), SERVERS_PER_OBJECT),
-            itertools.repeat(FALLBACK_OCCUPANCY_LIMIT),
+            itertools.repeat(FALLBACK_OCCUPANCY_LIMIT, FALLBACK_SERVERS_MAX),
         )
         return any(
             state.occupancy(now) < limit and not state.is_ejected(now)
@@ -226,14 +240,26 @@
         )
 
     def _pick(
-        self, available: list[ServerState], criteria: ServerCriteria, median_s: float, now: float
+        self,
+        first: list[ServerState],
+        others: t.Iterator[ServerState],
+        criteria: ServerCriteria,
+        median_s: float,
+        now: float,
     ) -> ServerState | None:
+        """Return one of the object's servers, or an idle one of the others.
+
+        :param others: the servers after them in the ranking; read only as far as needed.
+        """
         limit = _occupancy_limit(criteria.rank)
         biases = {
-            state: _bias(position, state, criteria, now)
-            for position, state in enumerate(available[:SERVERS_PER_OBJECT])
+            state: _bias(position, state, criteria, now) for position, state in enumerate(first)
         }
-        remote = self._first_remote(available, criteria)
+        remote = None
+        if criteria.service in self.own_region_services:
+            others_read = list(others)
+            others = iter(others_read)
+            remote = self._first_remote([*first, *others_read])
         if remote is not None:
             biases[remote] = min(REMOTE_REGION_BIAS, biases.get(remote, REMOTE_REGION_BIAS))
         preferred = sorted(
@@ -243,19 +269,10 @@
         for state in preferred:
             if state.occupancy(now) < limit and self._admits(state, now):
                 return state
-        fallbacks = (
-            state
-            for state in available[SERVERS_PER_OBJECT:]
-            if state.occupancy(now) < FALLBACK_OCCUPANCY_LIMIT
-        )
+        fallbacks = (state for state in others if state.occupancy(now) < FALLBACK_OCCUPANCY_LIMIT)
         return next((state for state in fallbacks if self._admits(state, now)), None)
 
-    def _first_remote(
-        self, available: list[ServerState], criteria: ServerCriteria
-    ) -> ServerState | None:
-        # The best server of another region, for a service that prefers this host's region.
-        if criteria.service not in self.own_region_services:
-            return None
+    def _first_remote(self, available: t.Iterable[ServerState]) -> ServerState | None:
         return next((state for state in available if state.server.region != self.region), None)
 
     def _admits(self, state: ServerState, now: float) -> bool:
