Revert "Uploads prefer the own region, as large responses do"

Callers come before the price of bytes; a second place only for objects that are hot would be the next thing to try.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -160,9 +160,7 @@
             )
         self._record_response(response.status >= SERVER_ERROR, now)
         if success:
-            self.steering_state.record_transfer_size(
-                self.context.service, len(self.context.body) + len(response.body)
-            )
+            self.steering_state.record_response_size(self.context.service, len(response.body))
         failed = response.status >= SERVER_ERROR and self.context.route.repeatable
         self.outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
         return response
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -54,12 +54,11 @@
 # seconds: callers repeat such a request within their own time limits.
 POISON_CRASHES = 3
 POISON_PERIOD_S = 30.0
-# Weight of the newest request in the mean size of a service's transfers.
+# Weight of the newest response in the mean size of a service's responses.
 SIZE_SAMPLE_WEIGHT = 0.05
-# Mean size in bytes of a request's body and its response above which a service's transfers count as
-# large, and requests needed to tell. At this size, a transfer between regions costs more than the
-# run.
-LARGE_TRANSFER_BYTES = 20_000.0
+# Mean size in bytes above which a service's responses count as large, and responses needed to tell.
+# At this size, transferring a response between regions costs more than computing it.
+LARGE_RESPONSE_BYTES = 20_000.0
 SIZE_SAMPLES_MIN = 5
 
 logger = logging.getLogger(__name__)
@@ -98,8 +97,8 @@
     reason: str
 
 
-class TransferSizes:
-    """Number and mean size in bytes of a service's transfers: request bodies and responses."""
+class ResponseSizes:
+    """Number and mean size in bytes of a service's responses."""
 
     __slots__ = ("count", "mean_bytes")
 
@@ -108,17 +107,17 @@
         self.mean_bytes = 0.0
 
     def add(self, size: int) -> None:
-        """Count one request.
+        """Count one response.
 
-        :param size: of its body and its response together, in bytes.
+        :param size: in bytes.
         """
         self.count += 1
         self.mean_bytes += max(SIZE_SAMPLE_WEIGHT, 1.0 / self.count) * (size - self.mean_bytes)
 
     @property
     def are_large(self) -> bool:
-        """Return whether the transfers are large; false until there are enough samples."""
-        return self.count >= SIZE_SAMPLES_MIN and self.mean_bytes > LARGE_TRANSFER_BYTES
+        """Return whether the responses are large; false until there are enough samples."""
+        return self.count >= SIZE_SAMPLES_MIN and self.mean_bytes > LARGE_RESPONSE_BYTES
 
 
 class SteeringState:
@@ -164,10 +163,10 @@
         "ready",
         "report_number",
         "reported_demands",
+        "response_sizes",
         "retry_budgets",
         "selector",
         "slow_start",
-        "transfer_sizes",
         "unreadable",
         "warm_pairs",
     )
@@ -203,7 +202,7 @@
         self.warm_pairs: set[tuple[str, str]] = set()
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
-        self.transfer_sizes: dict[str, TransferSizes] = {}
+        self.response_sizes: dict[str, ResponseSizes] = {}
         self.poison = PoisonList(POISON_PERIOD_S, POISON_CRASHES)
         self.crashes: list[ReportedCrash] = []
         self.ready = asyncio.Event()
@@ -424,9 +423,9 @@
         is_new = server.version == move.order.to_version
         move.evidence.add(route.name, is_new, latency_s, failed, warm)
 
-    def record_transfer_size(self, service: str, size: int) -> None:
-        """Record the size of a request's body and its response, in bytes."""
-        sizes = self.transfer_sizes.setdefault(service, TransferSizes())
+    def record_response_size(self, service: str, size: int) -> None:
+        """Record the size of a response in bytes."""
+        sizes = self.response_sizes.setdefault(service, ResponseSizes())
         sizes.add(size)
         if sizes.are_large:
             self.selector.prefer_own_region(service)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -39,11 +39,11 @@
 # Servers after those of the object that are examined for one that is idle. More would cost each
 # refusal of a large fleet too much processor time, and if this many are busy, others are as well.
 FALLBACK_SERVERS_MAX = 32
-# Weight of a server in this host's own region for a service with large transfers: sending them
+# Weight of a server in this host's own region for a service with large responses: sending them
 # between regions costs more than a few more runs on servers where an object is cold.
 OWN_REGION_WEIGHT = 24.0
 # Occupancy, in requests per slot, by which the servers in the own region may exceed the first
-# server elsewhere, for a service with large transfers. The object is warm on that server from the
+# server elsewhere, for a service with large responses. The object is warm on that server from the
 # requests of its own region.
 REMOTE_REGION_BIAS = 1.4
 # Minimum responses of a service to compute its median latency: the first to arrive are the fastest.
@@ -140,7 +140,7 @@
         self.clear_caches()
 
     def prefer_own_region(self, service: str) -> None:
-        """Prefer servers in this host's region for a service, because its transfers are large."""
+        """Prefer servers in this host's region for a service, because its responses are large."""
         if service not in self.own_region_services:
             self.own_region_services.add(service)
             self.rankings.clear()
