A suspended host acts on nothing that expired meanwhile; a restart reads anew

Cause: entry hosts used time.monotonic, which stops while a machine is suspended, so that summaries, roles, slices of rates and idle connections looked fresh afterwards; a request whose deadline had passed while its host was paused was still sent, since its timer had not fired. A host that restarts read configuration, servers and drains from listings that may be seconds old.

The stale start of a restart was read from the code, not seen in a run.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-import time
 import typing as t
 
+from radishbridge.entry import uptime
 from radishbridge.entry.backends import (
     BackendConnection,
     BackendPool,
@@ -76,7 +76,7 @@
         self.steering_state = steering_state
         self.crash_detector = crash_detector
         self.check_before_send = check_before_send
-        self.started_at = time.monotonic()
+        self.started_at = uptime.now()
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
         self.is_silent = False
@@ -108,7 +108,7 @@
             connection.close()
             return _SERVER_LEFT
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
-        self.sent_at = time.monotonic()
+        self.sent_at = uptime.now()
         self.context.send_count += 1
         try:
             response = await self._exchange(connection)
@@ -122,7 +122,7 @@
     async def _exchange(self, connection: BackendConnection) -> BackendResponse | Failure:
         context = self.context
         request = context.request
-        remaining_s = max(0.0, context.deadline - time.monotonic())
+        remaining_s = max(0.0, context.deadline - uptime.now())
         headers = self.header_codec.server_headers(
             request.raw_headers, self.state.server, context.workspace, remaining_s
         )
@@ -136,7 +136,7 @@
         self, response: BackendResponse, connection: BackendConnection
     ) -> BackendResponse | Failure:
         metadata = self.header_codec.read_response(response.status, response.headers)
-        now = time.monotonic()
+        now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
             # A refusal without an id is not trusted either: it may belong to an earlier request.
             connection.close()
@@ -197,13 +197,13 @@
         self._count_failure("it sent no response for longer than usual")
 
     def _record_abandoned(self, connection: BackendConnection) -> None:
-        running_ms = round((time.monotonic() - self.sent_at) * 1000.0)
+        running_ms = round((uptime.now() - self.sent_at) * 1000.0)
         self.context.abandoned.append(
             AbandonedAttempt(self.state.server.name, running_ms, connection.unacknowledged_bytes)
         )
 
     def _record_cancellation(self) -> None:
-        deadline_passed = time.monotonic() >= self.context.deadline
+        deadline_passed = uptime.now() >= self.context.deadline
         if self.outcome is AttemptOutcome.UNSENT or not (deadline_passed or self.is_silent):
             return
         if not self.is_silent:
@@ -212,7 +212,7 @@
         self._record_latency(deadline_passed)
 
     def _count_failure(self, reason: str, weight: int = 1) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         if self.state.record_failure(now, weight):
             logger.info(
                 "server ejected",
@@ -228,7 +228,7 @@
 
     def _record_latency(self, failed: bool) -> None:
         context = self.context
-        latency_s = time.monotonic() - self.started_at
+        latency_s = uptime.now() - self.started_at
         self.steering_state.record_response(
             context.service,
             context.route,
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -10,11 +10,11 @@
 import collections
 import re
 import socket
-import time
 import typing as t
 
 import httptools
 
+from radishbridge.entry import uptime
 from radishbridge.entry.memory import ResponseMemory
 from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
@@ -100,7 +100,7 @@
         self.waiter: asyncio.Future[BackendResponse | Failure] | None = None
         self.must_close = False
         self.unacknowledged_bytes: int | None = None
-        self.idle_since = time.monotonic()
+        self.idle_since = uptime.now()
         self.announced_idle_s = IDLE_MAX_S
         self.parser = httptools.HttpResponseParser(self)
         self.is_head_request = False
@@ -268,7 +268,7 @@
 
     def _deliver(self) -> None:
         waiter, self.waiter = self.waiter, None
-        self.idle_since = time.monotonic()
+        self.idle_since = uptime.now()
         self._read_keep_alive()
         if not self.keep_alive:
             self.close()
@@ -315,7 +315,7 @@
         :param at_most_once: the request may not be retried, so that only a connection that was
             used very recently is reused.
         """
-        now = time.monotonic()
+        now = uptime.now()
         connections = self.idle.get(address)
         while connections:
             connection = connections.pop()
@@ -333,7 +333,7 @@
 
     def close_expired(self) -> None:
         """Close connections that were idle for too long."""
-        now = time.monotonic()
+        now = uptime.now()
         for address, connections in list(self.idle.items()):
             while connections and not connections[0].is_reusable(now, IDLE_MAX_S):
                 connections.popleft().close()
--- a/packages/entry/src/radishbridge/entry/coordinator.py
+++ b/packages/entry/src/radishbridge/entry/coordinator.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import logging
-import time
 
+from radishbridge.entry import uptime
 from radishbridge.entry.fleet import SUMMARY_MAX_AGE_S, Fleet
 from radishbridge.entry.protocol import FleetStore, Kind, MoveReport
 from radishbridge.entry.steering_state import SteeringState
@@ -35,7 +35,7 @@
         """Check moves and hosts until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            await self.step(time.monotonic())
+            await self.step(uptime.now())
 
     async def step(self, now: float) -> None:
         """Record each move whose phase has changed, and remove lost hosts."""
--- a/packages/entry/src/radishbridge/entry/crashes.py
+++ b/packages/entry/src/radishbridge/entry/crashes.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from radishbridge.entry import uptime
 from radishbridge.entry.backends import BackendPool
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.records import Failure
@@ -36,7 +36,7 @@
 
         :param fingerprint: of the request.
         """
-        now = time.monotonic()
+        now = uptime.now()
         if now - self.probed_at.get(server.name, float("-inf")) < PROBE_INTERVAL_S:
             return
         self.probed_at[server.name] = now
@@ -48,6 +48,6 @@
         await asyncio.sleep(PROBE_DELAY_S)
         connection = await self.pool.open(server.address)
         if isinstance(connection, Failure):
-            self.steering_state.record_crash(fingerprint, server.name, time.monotonic())
+            self.steering_state.record_crash(fingerprint, server.name, uptime.now())
         else:
             self.pool.release(server.address, connection)
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -11,11 +11,11 @@
 import asyncio
 import itertools
 import logging
-import time
 import typing as t
 
 import msgspec
 
+from radishbridge.entry import uptime
 from radishbridge.entry.capacity import high_capacity_hosts
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.distribution import choose_hops, choose_local_hosts
@@ -143,7 +143,7 @@
         seeds: t.Iterable[HostAddress],
         make_status: t.Callable[[], HostStatus],
         make_report: t.Callable[[], FleetReport],
-        clock: t.Callable[[], float] = time.monotonic,
+        clock: t.Callable[[], float] = uptime.now,
     ) -> None:
         self.clock = clock
         self.own = own
--- a/packages/entry/src/radishbridge/entry/follower.py
+++ b/packages/entry/src/radishbridge/entry/follower.py
@@ -6,9 +6,9 @@
 import functools
 import logging
 import random
-import time
 import typing as t
 
+from radishbridge.entry import uptime
 from radishbridge.entry.copy import ObjectCopy
 from radishbridge.entry.protocol import FleetStore, Kind, StoredObject
 from radishbridge.records import Failure, ResultCode
@@ -69,6 +69,8 @@
     :param on_changes: called with changes of a kind, at least one of them new to the copy, and the
         two revisions between which they are all the changes; 0 and 0 if some may be missing.
     :param rng: spreads the retries.
+    :param may_start_stale: the first listings may be some seconds old. A host that restarts could
+        bring a server that has left, or a withdrawn key, into use again.
     :param store_returned_at: monotonic time at which the store was back after an outage.
     :param failing_since: monotonic time since which calls fail; ``None`` if the last one worked.
     :param deferred_removals: removals of servers that don't take effect yet, by name.
@@ -84,6 +86,7 @@
         "follower_rank",
         "is_fleet_formed",
         "is_store_silent",
+        "may_start_stale",
         "on_changes",
         "read_revisions",
         "rng",
@@ -99,6 +102,7 @@
         is_fleet_formed: t.Callable[[], bool],
         on_changes: t.Callable[[list[StoredObject], int, int], None],
         rng: random.Random,
+        may_start_stale: bool = True,
     ) -> None:
         self.store = store
         self.copy = copy
@@ -106,6 +110,7 @@
         self.is_fleet_formed = is_fleet_formed
         self.on_changes = on_changes
         self.rng = rng
+        self.may_start_stale = may_start_stale
         self.store_returned_at = float("-inf")
         self.failing_since: float | None = None
         self.is_store_silent = False
@@ -143,7 +148,7 @@
         :param may_be_stale: the listing may be some seconds old; the next watch returns what
             it lacks.
         """
-        answer_due = time.monotonic()
+        answer_due = uptime.now()
         listing = await self.store.list(kind, may_be_stale)
         if isinstance(listing, Failure):
             self._record_failure(listing, kind, answer_due)
@@ -171,9 +176,9 @@
         return None
 
     async def _wait_for_fleet(self) -> None:
-        until = time.monotonic() + FIRST_WATCH_DELAY_MAX_S
+        until = uptime.now() + FIRST_WATCH_DELAY_MAX_S
         await asyncio.sleep(FIRST_WATCH_DELAY_S)
-        while time.monotonic() < until and not self.is_fleet_formed():
+        while uptime.now() < until and not self.is_fleet_formed():
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _follow_kind(self, kind: Kind) -> None:
@@ -187,7 +192,8 @@
                 must_load = True
                 continue
             if must_load:
-                failure = await self.load(kind, may_be_stale=is_first)
+                may_be_stale = self.may_start_stale or kind not in PROMPT_KINDS
+                failure = await self.load(kind, may_be_stale=is_first and may_be_stale)
             else:
                 failure = await self._watch(kind, rank or 0)
             must_load = failure is not None
@@ -200,7 +206,7 @@
     async def _watch(self, kind: Kind, rank: int) -> Failure | None:
         wait_s = WATCH_WAITS_S[rank] if kind in PROMPT_KINDS else WATCH_WAITS_S[-1]
         after = max(self.copy.revisions[kind], self.read_revisions[kind])
-        answer_due = time.monotonic() + wait_s
+        answer_due = uptime.now() + wait_s
         changes = await self.store.watch(kind, after, wait_s)
         if isinstance(changes, Failure):
             self._record_failure(changes, kind, answer_due)
@@ -222,7 +228,7 @@
         revision: int = 0,
         broadcasts: bool = True,
     ) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         immediate = [stored for stored in objects if not self._defer_removal(stored, now)]
         if len(immediate) < len(objects):
             after = revision = 0
@@ -270,7 +276,7 @@
             self._apply_due_removals()
 
     def _apply_due_removals(self) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         due = [
             removal.stored for removal in self.deferred_removals.values() if removal.due_at <= now
         ]
@@ -284,7 +290,7 @@
             self.copy.advance(Kind.SERVER, self.read_revisions[Kind.SERVER])
 
     def _record_answer(self) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         if self.failing_since is not None:
             outage_s = now - self.failing_since
             logger.info("store reachable again", extra={"away_s": round(outage_s, 2)})
@@ -294,7 +300,7 @@
         self.is_store_silent = False
 
     def _record_failure(self, failure: Failure, kind: Kind, answer_due: float) -> None:
-        now = time.monotonic()
+        now = uptime.now()
         expired = failure.code is ResultCode.WATCH_EXPIRED
         silent = not expired and now - answer_due > OVERDUE_S
         if not expired:
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from radishbridge.entry import uptime
 from radishbridge.entry.access_log import AccessLog
 from radishbridge.entry.attempt import Attempt
 from radishbridge.entry.backends import BackendPool, BackendResponse
@@ -127,7 +128,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Process one request and return its response."""
-        context = RequestContext(request, time.monotonic())
+        context = RequestContext(request, uptime.now())
         self.in_flight += 1
         try:
             result = await self._process(context)
@@ -144,7 +145,7 @@
         finally:
             self.in_flight -= 1
             self.body_reader.release(context)
-            self.access_log.record(context, time.monotonic())
+            self.access_log.record(context, uptime.now())
 
     async def _process(self, context: RequestContext) -> BackendResponse | Failure:
         if not self.steering_state.is_ready:
@@ -155,7 +156,7 @@
         if failure is not None:
             return failure
         try:
-            async with asyncio.timeout_at(context.deadline):
+            async with asyncio.timeout(context.deadline - uptime.now()):
                 return await self._forward(context)
         except TimeoutError:
             return context.failure_for_caller(_DEADLINE_PASSED)
@@ -215,7 +216,7 @@
         if self.steering_state.poison.check(context.fingerprint, context.arrived_at) is not None:
             return _CRASHED_SERVERS
         self.steering_state.retry_budget(context.service, context.arrived_at).record_request(
-            time.monotonic()
+            uptime.now()
         )
         if context.home_region is None:
             return await self._run_attempts(context)
@@ -236,14 +237,14 @@
         return None
 
     def _has_room(self, context: RequestContext) -> bool:
-        now = time.monotonic()
+        now = uptime.now()
         selector = self.steering_state.selector
         return any(selector.has_room(criteria, now) for criteria in self._criteria(context))
 
     async def _forward_to_home_region(
         self, context: RequestContext, home: HomeRegion
     ) -> BackendResponse | Failure:
-        now = time.monotonic()
+        now = uptime.now()
         meter = self.steering_state.home_meter(home, now)
         meter.record_request(now)
         if not self.steering_state.home_admission.admits(home):
@@ -264,7 +265,7 @@
         last_result: BackendResponse | Failure = _NO_CAPACITY
         connect_failures = 0
         while True:
-            now = time.monotonic()
+            now = uptime.now()
             failure = self._check_before_send(context)
             if failure is not None:
                 return self._give_up(context, failure)
@@ -292,7 +293,7 @@
         return await Hedge(context, typical_latency_s, self._create_second_attempt).run(attempt)
 
     def _create_second_attempt(self, first: Attempt) -> Attempt | None:
-        context, now = first.context, time.monotonic()
+        context, now = first.context, uptime.now()
         # A first attempt that is still connecting is going to be sent as well.
         send_count = context.send_count + (first.outcome is AttemptOutcome.UNSENT)
         if send_count >= context.route.attempts:
@@ -318,10 +319,13 @@
         # connection or an earlier attempt.
         if is_closed_by_peer(context.request.transport):
             return _CALLER_GONE
+        # A host that was paused may get here before its timers fire.
+        remaining_s = context.deadline - uptime.now()
+        if remaining_s <= 0.0:
+            return _DEADLINE_PASSED
         typical_latency_s = self.steering_state.selector.median_latencies.get(context.service, 0.0)
-        if not self.shutdown_schedule.allows_request(
-            time.monotonic(), context.deadline, typical_latency_s
-        ):
+        now = time.monotonic()
+        if not self.shutdown_schedule.allows_request(now, now + remaining_s, typical_latency_s):
             return _SHUTTING_DOWN
         return None
 
@@ -350,7 +354,7 @@
             return True
         if context.send_count >= context.route.attempts:
             return False
-        if self.steering_state.poison.check(context.fingerprint, time.monotonic()) is not None:
+        if self.steering_state.poison.check(context.fingerprint, uptime.now()) is not None:
             return False
         return attempt.outcome is AttemptOutcome.NOT_RUN or context.route.repeatable
 
--- a/packages/entry/src/radishbridge/entry/hedge.py
+++ b/packages/entry/src/radishbridge/entry/hedge.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import logging
-import time
 import typing as t
 
+from radishbridge.entry import uptime
 from radishbridge.entry.attempt import Attempt
 from radishbridge.entry.backends import BackendResponse
 from radishbridge.entry.context import AttemptOutcome, RequestContext
@@ -68,11 +68,11 @@
         if self.typical_latency_s <= 0.0:
             return
         while True:
-            pause_s = first.state.seconds_until_silent(self.typical_latency_s, time.monotonic())
+            pause_s = first.state.seconds_until_silent(self.typical_latency_s, uptime.now())
             done, _ = await asyncio.wait(running, timeout=max(SILENCE_CHECK_MIN_S, pause_s))
             if done:
                 return
-            if not first.state.is_silent(self.typical_latency_s, time.monotonic()):
+            if not first.state.is_silent(self.typical_latency_s, uptime.now()):
                 continue
             second = self.create_second(first)
             if second is None:
--- a/packages/entry/src/radishbridge/entry/rate_admission.py
+++ b/packages/entry/src/radishbridge/entry/rate_admission.py
@@ -7,12 +7,12 @@
 import enum
 import logging
 import math
-import time
 import typing as t
 import zlib
 
 from prometheus_client import CollectorRegistry, Counter
 
+from radishbridge.entry import uptime
 from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.messages import FleetSummary, TokenAnswer, TokenAsk
 from radishbridge.entry.steering_state import SteeringState
@@ -138,7 +138,7 @@
         self,
         steering_state: SteeringState,
         fleet: Fleet,
-        clock: t.Callable[[], float] = time.monotonic,
+        clock: t.Callable[[], float] = uptime.now,
         registry: CollectorRegistry | None = None,
     ) -> None:
         self.steering_state = steering_state
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import logging
-import time
 import typing as t
 
 import msgspec
 
+from radishbridge.entry import uptime
 from radishbridge.entry.copy import ObjectCopy, ObjectKey
 from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostStatus
@@ -177,7 +177,7 @@
         decoder: Decoder,
         bounds: Bounds,
         region: str = "",
-        clock: t.Callable[[], float] = time.monotonic,
+        clock: t.Callable[[], float] = uptime.now,
     ) -> None:
         self.host = host
         self.clock = clock
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -6,6 +6,8 @@
 import time
 import typing as t
 
+from radishbridge.entry import uptime
+
 
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Runs tasks that do no I/O at a virtual clock.
@@ -31,6 +33,7 @@
     """Run a coroutine while ``time.monotonic`` returns the virtual time."""
     loop = VirtualLoop()
     monkeypatch.setattr(time, "monotonic", loop.time)
+    monkeypatch.setattr(uptime, "now", loop.time)
     try:
         return loop.run_until_complete(coroutine)
     finally:
