--- a/packages/entry/src/radishbridge/entry/coordinator.py
+++ b/packages/entry/src/radishbridge/entry/coordinator.py
@@ -42,17 +42,17 @@
         if not self._is_coordinator(now):
             return
         for name in self.fleet.lost_hosts(now):
-            removal = await self.store.unregister(name)
+            # The condition protects a host that registers again while this one is delayed.
+            removal = await self.store.unregister(name, self._stored_version(Kind.HOST, name))
             outcome = removal.reason if isinstance(removal, Failure) else "removed"
             logger.info("removal of a lost host", extra={"host": name, "outcome": outcome})
         for name, order in list(self.steering_state.orders.items()):
             phase = self._decide_phase(order.service, now)
             if phase is order.phase or order.phase in (MovePhase.COMPLETED, MovePhase.ROLLED_BACK):
                 continue
-            stored = self.fleet.copy.objects.get((Kind.MOVE, name))
             report = MoveReport(
                 name=name,
-                version=0 if stored is None else stored.version,
+                version=self._stored_version(Kind.MOVE, name),
                 to_version=order.to_version,
                 phase=phase,
             )
@@ -67,6 +67,10 @@
                 },
             )
 
+    def _stored_version(self, kind: Kind, name: str) -> int:
+        stored = self.fleet.copy.objects.get((kind, name))
+        return 0 if stored is None else stored.version
+
     def _decide_phase(self, service: str, now: float) -> MovePhase:
         summary = self.fleet.summary
         evidence = summary.evidence.get(service) if summary is not None else None
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -119,8 +119,11 @@
     async def register(self, entry: HostEntry) -> Failure | None:
         """Write a host's entry."""
 
-    async def unregister(self, name: str) -> Failure | None:
-        """Remove a host's entry."""
+    async def unregister(self, name: str, version: int | None = None) -> Failure | None:
+        """Remove a host's entry.
+
+        :param version: remove only this version; ``None`` for any.
+        """
 
     async def report_move(self, report: MoveReport) -> Failure | None:
         """Write the status of a version move."""
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -117,7 +117,12 @@
         """Delete an object."""
         if error := await self._apply_fault(request):
             return error
-        found = await self.remove(request.match_info["kind"], request.match_info["name"])
+        key = (request.match_info["kind"], request.match_info["name"])
+        current = self.objects.get(key)
+        expected = request.query.get("revision")
+        if current and expected is not None and int(expected) != current["metadata"]["revision"]:
+            return web.json_response(current, status=409)
+        found = await self.remove(*key)
         return self._write_response(request, {}) if found else web.Response(status=404)
 
     async def _replace_field(self, request: web.Request, field: str) -> web.StreamResponse:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -482,7 +482,7 @@
         self.calls.append("register")
         return None
 
-    async def unregister(self, name: str) -> Failure | None:
+    async def unregister(self, name: str, version: int | None = None) -> Failure | None:
         self.calls.append("unregister")
         return None
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,10 +9,11 @@
 from aiohttp import web
 from soak.store import Store
 
-from radishbridge.entry import Kind, ObjectCopy
-from radishbridge.platform.objects import KIND_NAMES
+from radishbridge.entry import Kind, MoveReport, ObjectCopy
+from radishbridge.platform.objects import KIND_NAMES, STATES_BY_PHASE
 from radishbridge.platform.store import PlatformStore
-from radishbridge.records import Failure
+from radishbridge.records import Failure, ResultCode
+from radishbridge.steering import MovePhase
 
 HOSTS = KIND_NAMES[Kind.HOST]
 
@@ -126,3 +127,43 @@
             for stored in (await client.watch(Kind.HOST, 0, 1.0)).objects:
                 copy.apply(stored, "store")
             assert copy.listing(Kind.HOST).objects == []
+
+
+class TestHandOver:
+    """Two hosts act as coordinator for a moment; only one order for each state takes effect."""
+
+    @pytest.mark.parametrize(
+        ("first", "second"),
+        [
+            (MovePhase.COMPLETED, MovePhase.ROLLED_BACK),
+            (MovePhase.ROLLED_BACK, MovePhase.COMPLETED),
+        ],
+    )
+    async def test_the_second_status_of_a_move_is_rejected(self, first, second):
+        async with running_store() as (store, client):
+            version = await store.put("rollouts", "catalogue", spec={"service": "catalogue"})
+            results = [
+                await client.report_move(
+                    MoveReport(name="catalogue", version=version, to_version="v2", phase=phase)
+                )
+                for phase in (first, second)
+            ]
+            assert results[0] is None
+            assert results[1].code is ResultCode.VERSION_CONFLICT
+            status = store.objects["rollouts", "catalogue"]["status"]
+            assert status["state"] == STATES_BY_PHASE[first]
+
+    async def test_a_delayed_removal_spares_a_host_that_has_registered_again(self):
+        async with running_store() as (store, client):
+            version = await store.put(HOSTS, "a", spec={})
+            await store.remove(HOSTS, "a")
+            await store.put(HOSTS, "a", spec={})
+            failure = await client.unregister("a", version)
+            assert failure.code is ResultCode.VERSION_CONFLICT
+            assert (HOSTS, "a") in store.objects
+
+    async def test_a_lost_host_is_removed(self):
+        async with running_store() as (store, client):
+            version = await store.put(HOSTS, "a", spec={})
+            assert await client.unregister("a", version) is None
+            assert (HOSTS, "a") not in store.objects
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -107,7 +107,7 @@
             async def report_move(self, report):
                 written.append(report)
 
-            async def unregister(self, name):
+            async def unregister(self, name, version=None):
                 written.append(name)
 
         fleet = make_fleet_at_uptime(12).fleets[0]
