Scan responses with odd entries outside of the event loop

Cause: splitting a response that cannot be decoded takes Python code time in proportion to its brackets: 90 ms for an entry nested 100,000 deep on an idle core, several times that for a page of them on a host of half a core. All requests of the host waited meanwhile.

Change: such a response is scanned in a thread, and a run of brackets is one step.

Seen: test_all_hosts_live_and_follow_later_changes failed once (12:27 UTC, beside a load of 13 on six cores): request 1-15 got 504 after 1,527 ms. Traced: the log of its host has no line between 12:27:43.988 and 12:27:45.575, where the 29 odd entries were read at once; so its loop stood still for 1.6 s. TestScanOfAnOddEntry::test_it_does_not_hold_up_requests failed before.

--- a/packages/records/src/radishbridge/records/scan.py
+++ b/packages/records/src/radishbridge/records/scan.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 import re
 import typing as t
 
@@ -16,8 +15,10 @@
 from radishbridge.records.decoding import DECODE_ERRORS
 
 _STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"', re.DOTALL)
-_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{},]', re.DOTALL)
+# A run of brackets is one token, since deep nesting mostly consists of such runs.
+_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+|,', re.DOTALL)
 _MEMBER = re.compile(rb'\s*("[^"\\]*+(?:\\.[^"\\]*+)*+")\s*:\s*(.*)', re.DOTALL)
+_INNERMOST = re.compile(rb"\[\]|\{\}")
 _NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 _BRACKET_PAIRS = {b"[": b"]", b"{": b"}"}
 
@@ -46,13 +47,19 @@
 
 
 def is_deeper_than(text: bytes, levels: int) -> bool:
-    """Return whether arrays and objects are nested more than a number of levels deep."""
+    """Return whether arrays and objects are nested more than a number of levels deep.
+
+    Text whose brackets do not match counts as too deep.
+    """
     brackets = text.translate(None, _NOT_BRACKETS)
     if len(brackets) <= 2 * levels:
         return False
     brackets = _STRING.sub(b"", text).translate(None, _NOT_BRACKETS)
-    steps = (1 if bracket in b"[{" else -1 for bracket in brackets)
-    return any(depth > levels for depth in itertools.accumulate(steps))
+    for _ in range(levels):
+        if not brackets:
+            return False
+        brackets = _INNERMOST.sub(b"", brackets)
+    return bool(brackets)
 
 
 _T = t.TypeVar("_T")
@@ -74,11 +81,11 @@
     depth, start = 0, 1
     for token in _TOKEN.finditer(text):
         symbol = token.group()
-        if symbol in (b"[", b"{"):
-            depth += 1
-        elif symbol in (b"]", b"}"):
-            depth -= 1
-            if depth == 0 and token.end() < len(text):
+        if symbol[0] in b"[{":
+            depth += len(symbol)
+        elif symbol[0] in b"]}":
+            depth -= len(symbol)
+            if depth < 0 or (depth == 0 and token.end() < len(text)):
                 raise ValueError("text follows the closing bracket")
         elif symbol == b"," and depth == 1:
             parts.append(text[start : token.start()])
--- a/packages/store/src/radishbridge/store/http.py
+++ b/packages/store/src/radishbridge/store/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import typing as t
 import urllib.parse
@@ -61,7 +62,7 @@
         """Read all objects of the kinds at one revision; without kinds, only the revision."""
         timeout = self._read_timeout if kinds else self._revision_read_timeout
         body = await self._read("/v1/objects", {"kinds": ",".join(kinds)}, timeout)
-        return body if isinstance(body, Failure) else _decode_listing(body)
+        return body if isinstance(body, Failure) else await _read_listing(body)
 
     async def hosts(self) -> HostList | Failure:
         """Read the platform's list of hosts."""
@@ -106,7 +107,7 @@
                     yield _status_failure(response.status)
                     return
                 async for line in _read_lines(response.content):
-                    event = _decode_event(line)
+                    event = await _read_event(line)
                     yield event
                     if isinstance(event, Failure):
                         return
@@ -211,32 +212,41 @@
         return Failure(ResultCode.STORE_UNAVAILABLE, f"malformed response: {error}")
 
 
-def _decode_listing(body: bytes) -> Listing | Failure:
+async def _read_listing(body: bytes) -> Listing | Failure:
     listing = _decode(body, Listing)
     if not isinstance(listing, Failure):
         return listing
+    # Scanning a large odd object takes up to a second, in which requests go on.
+    return await asyncio.to_thread(_scan_listing, body) or listing
+
+
+def _scan_listing(body: bytes) -> Listing | None:
     try:
         members = split_object(body)
         objects = [_decode_object(text) for text in split_array(members.get("objects", b""))]
     except ValueError:
-        return listing
+        return None
     revision = decode_or_none(members.get("revision", b""), int)
     if revision is None:
-        return listing
+        return None
     return Listing(revision=revision, objects=[stored for stored in objects if stored is not None])
 
 
-def _decode_event(line: bytes) -> WatchEvent | Failure:
+async def _read_event(line: bytes) -> WatchEvent | Failure:
     event = _decode(line, WatchEvent)
     if not isinstance(event, Failure):
         return event
+    return await asyncio.to_thread(_scan_event, line) or event
+
+
+def _scan_event(line: bytes) -> WatchEvent | None:
     try:
         members = split_object(line)
     except ValueError:
-        return event
+        return None
     revision = decode_or_none(members.get("revision", b""), int)
     if revision is None or "object" not in members:
-        return event
+        return None
     return WatchEvent(revision=revision, object=_decode_object(members["object"]))
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import threading
 import typing as t
 
 import msgspec
@@ -17,6 +18,7 @@
 from test_platform import MANIFEST, make_server_spec, make_stored
 from test_platform_store import paged_store, running_store
 
+from radishbridge import records
 from radishbridge.entry import (
     Bounds,
     FleetMessage,
@@ -32,6 +34,7 @@
 from radishbridge.entry.registration import Registration
 from radishbridge.host.tasks import ERRORS_TO_FAIL, HEALTHY_AFTER_S, Supervisor
 from radishbridge.peers import Envelope, Heartbeat, HostAddress, ZmqMesh
+from radishbridge.platform import responses
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.platform.objects import KIND_NAMES, PlatformDecoder
 from radishbridge.records import Failure, PeerSettings
@@ -165,6 +168,54 @@
         assert len(failure.reason) < 200
 
 
+class TestScanOfAnOddEntry:
+    @pytest.mark.parametrize("way", ["listing", "watch"])
+    async def test_it_does_not_hold_up_requests(self, way, monkeypatch):
+        # An entry of 1 MB takes a host of half a core about a second.
+        threads = set()
+
+        def split_object(text: bytes) -> dict[str, bytes]:
+            threads.add(threading.get_ident())
+            return records.split_object(text)
+
+        monkeypatch.setattr(responses, "split_object", split_object)
+        async with running_store() as (store, client):
+            await write_neighbours(store, ODD_ENTRIES["nested in the spec"])
+            if way == "listing":
+                await client.list(Kind.SERVER)
+            else:
+                await client.watch(Kind.SERVER, 1, 1.0)
+        assert threads
+        assert threading.get_ident() not in threads
+
+    def test_its_parts_are_found_at_any_nesting(self):
+        text = b'{"a":[[{"b":[1,{"c":"]}"}]}],2],"d":{"e":[[]]},"f":3}'
+        assert records.split_object(text) == {
+            "a": b'[[{"b":[1,{"c":"]}"}]}],2]',
+            "d": b'{"e":[[]]}',
+            "f": b"3",
+        }
+        assert records.split_array(b'[[[1,2]],"x,]",{}]') == [b"[[1,2]]", b'"x,]"', b"{}"]
+
+    @pytest.mark.parametrize("text", [b"", b"{", b"{}}", b"[1]]", b"[1", b'{"a"}', b"{]", b"7"])
+    def test_what_is_no_object_is_an_error(self, text):
+        with pytest.raises(ValueError, match=r"."):
+            records.split_object(text)
+
+    @pytest.mark.parametrize(
+        ("text", "deeper"),
+        [
+            (b"[" * 32 + b"]" * 32, False),
+            (b"[" * 33 + b"]" * 33, True),
+            (b"[" + b"{}," * 500 + b"{}]", False),
+            (b'["' + b"[" * 100 + b'"]', False),
+            (b'{"a":' * 40 + b"1" + b"}" * 40, True),
+        ],
+    )
+    def test_the_depth_counts_levels(self, text, deeper):
+        assert records.is_deeper_than(text, 32) is deeper
+
+
 class TestPagesWithOddEntries:
     async def test_a_listing_goes_on_behind_a_page_of_odd_entries(self):
         deep: t.Any = None
