Check the ranges of settings

Cause: an empty range of ports, a port out of range or deep nesting in the settings file raised an exception instead of a failure that names the file, and numbers and addresses were not checked.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 from soak.odd_entries import ODD_ENTRIES, make_entry
 from soak.store import Store
-from test_platform import MANIFEST, make_server_spec, make_stored
+from test_platform import MANIFEST, SETTINGS, make_server_spec, make_stored
 from test_platform_store import paged_store, running_store
 
 from radishbridge import records
@@ -37,6 +37,7 @@
 from radishbridge.platform import responses
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.platform.objects import KIND_NAMES, PlatformDecoder
+from radishbridge.platform.settings import read_settings
 from radishbridge.records import Failure, PeerSettings
 from radishbridge.steering import Server
 
@@ -462,6 +463,37 @@
         assert metadata.deadline_s == 86_400.0
 
 
+class TestSettings:
+    @pytest.mark.parametrize(
+        ("line", "changed"),
+        [
+            ("internalPortRange = [7000, 7015]", "internalPortRange = []"),
+            ("internalPortRange = [7000, 7015]", "internalPortRange = [0, 15]"),
+            ("internalPortRange = [7000, 7015]", "internalPortRange = [65535]"),
+            ('ip = "10.1.0.2"', 'ip = "10.1.0.2.3"'),
+            ('front = "10.1.0.2:1"', 'front = "10.1.0.2:99999"'),
+            ('address = "10.9.0.1:8000"', 'address = "store"'),
+            ("budgetSlack = 62", f"budgetSlack = {'9' * 400}"),
+            ("budgetSlack = 62", "budgetSlack = nan"),
+            ("retryBudgetRatio = 0.2", "retryBudgetRatio = -1.0"),
+            ('grace = "6s"', f'grace = "{"9" * 400}s"'),
+            ('new = "fields may come"', "new = " + "[" * 5_000 + "]" * 5_000),
+        ],
+    )
+    def test_a_value_out_of_range_is_a_failure(self, tmp_path, line, changed):
+        assert line in SETTINGS
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS.replace(line, changed))
+        failure = read_settings(path)
+        assert isinstance(failure, Failure)
+        assert str(path) in failure.reason
+
+    def test_a_seed_that_is_no_address_is_left_out(self, tmp_path):
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS.replace('["10.2.0.3:9000"]', '["10.2.0.3:9000", "x", ""]'))
+        assert read_settings(path).seeds == ("10.2.0.3:7000",)
+
+
 class Clock:
     def __init__(self) -> None:
         self.now = 0.0
