--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,13 @@
 
 soak: venv
 	cd tests && $(CURDIR)/$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS) --hosts $(HOSTS)
+
+# Plays days with other seeds on the sites that earlier landings have passed, with the users' bench.
+.PHONY: hunt-regression
+KIT ?= ../given/kit/more/system
+FLEETBENCH ?= $(KIT)/more/bench-d17393/bin/fleetbench
+REGRESSION_SITES ?= sites/schulimage-by sites/makas-tur further/tfnyomda-gslb
+DAYS ?= 8
+
+hunt-regression: venv
+	for site in $(REGRESSION_SITES); do $(FLEETBENCH) hunt $(KIT)/$$site.toml --days $(DAYS) --jobs 2 --why "regression" || exit 1; done
