Blame each request that was at work when a server crashed

Cause: all connections to a server break when it crashes. CrashDetector.check_server probed the server for the first one that was noticed, blamed that request only, and dropped the others for PROBE_INTERVAL_S. On a busy server the request that causes the crashes is seldom the first. The same interval hid a crash shortly after a lost response.

Change: requests whose connections break wait for the result of the next probe together, and all of them are suspects. A request that a server runs to its end is no suspect any more, on all hosts, so that one that was at work by chance is not rejected. A report holds at most 256 crashes, those of the most suspected requests first.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -71,6 +71,8 @@
 # Time in seconds for which the largest number of registered hosts counts as the size of the fleet:
 # in a rolling restart each host is missing from the list for some 10 s.
 PEAK_SIZE_HOLD_S = 60.0
+# Maximum number of crashes in a summary, which all hosts get over links that may be thin.
+CRASHES_SUMMARIZED_MAX = 1_024
 # Maximum number of hosts that are asked for their copy when this host starts while the store is
 # unavailable.
 COPY_REQUESTS_MAX = 3
@@ -517,6 +519,7 @@
     home_bound: dict[str, dict[str, HomeDemand]] = {}
     evidence: dict[str, Evidence] = {}
     crashes: dict[Crash, None] = {}
+    cleared: set[bytes] = set()
     for report in reports.values():
         _add_to(demands, report.demands)
         for service, by_region in report.home_bound.items():
@@ -526,12 +529,14 @@
         for service, reported in report.evidence.items():
             evidence.setdefault(service, Evidence()).merge(reported)
         crashes.update(dict.fromkeys(report.crashes))
+        cleared.update(report.cleared)
     return FleetSummary(
         hosts=[report.status for report in reports.values()],
         demands=demands,
         home_bound=home_bound,
         evidence=evidence,
-        crashes=list(crashes),
+        crashes=list(itertools.islice(crashes, CRASHES_SUMMARIZED_MAX)),
+        cleared=list(cleared),
         copy_state=copy_state,
         size=max((report.size for report in reports.values()), default=1),
     )
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -22,7 +22,7 @@
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was running on a backend server when the server crashed.
+    """A request that was in flight at a backend server when the server crashed.
 
     :param fingerprint: of the request.
     :param server: name of the server.
@@ -70,6 +70,7 @@
     :param home_bound: demand of requests with one home region, by service and region.
     :param evidence: results of requests by service with a version move, counted since the order.
     :param crashes: crashes of the last seconds.
+    :param cleared: fingerprints of suspects that a server has run to their end meanwhile.
     :param copy_state: state of the sender's copy; the aggregator's own copy may be behind.
     :param size: largest number of registered hosts that the sender has recently known.
     """
@@ -79,6 +80,7 @@
     home_bound: dict[str, dict[str, HomeDemand]]
     evidence: dict[str, Evidence]
     crashes: list[Crash]
+    cleared: list[bytes] = []
     copy_state: CopyState | None = None
     size: FleetSize = 1
 
@@ -91,6 +93,7 @@
     :param home_bound: demand of requests with one home region, by service and region.
     :param evidence: results of requests by service with a version move.
     :param crashes: crashes of the last seconds.
+    :param cleared: fingerprints of suspects that a server has run to their end meanwhile.
     :param copy_state: state of the aggregator's copy.
     :param size: the largest of the reported sizes.
     """
@@ -101,6 +104,7 @@
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     copy_state: CopyState
+    cleared: list[bytes] = []
     size: FleetSize = 1
 
 
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -50,6 +50,8 @@
 REPORT_DEMANDS_KEPT = 16
 # Time in seconds for which a crash is reported to the other hosts, since some reports may be lost.
 CRASH_REPORT_S = 3.0
+# Maximum number of crashes in a report. A lost data centre has several hundred requests in flight.
+CRASHES_REPORTED_MAX = 256
 # Servers that a request has to crash before it is refused, and for how long it is then refused, in
 # seconds: callers repeat such a request within their own time limits.
 POISON_CRASHES = 3
@@ -134,6 +136,8 @@
     :param reported_demands: demand by workspace in this host's last reports, by number of the
         report.
     :param fleet_demands: demand of all hosts by workspace in the last summary.
+    :param crashes: crashes that this host has detected, with each request that was in flight.
+    :param cleared: monotonic time by fingerprint at which a suspect was run to its end.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
     :param unreadable: objects whose newest version cannot be decoded.
@@ -143,6 +147,7 @@
     __slots__ = (
         "accrue_from",
         "bounds",
+        "cleared",
         "clock",
         "configuration",
         "crashes",
@@ -205,6 +210,7 @@
         self.response_sizes: dict[str, ResponseSizes] = {}
         self.poison = PoisonList(POISON_PERIOD_S, POISON_CRASHES)
         self.crashes: list[ReportedCrash] = []
+        self.cleared: dict[bytes, float] = {}
         self.ready = asyncio.Event()
         self.is_leaving = False
         self.unreadable: dict[ObjectKey, Unreadable] = {}
@@ -256,6 +262,8 @@
         for service, by_region in summary.home_bound.items():
             self._apply_home_demand(service, by_region, now)
         self.selector.update_median_latencies()
+        for fingerprint in summary.cleared:
+            self.poison.clear(fingerprint, now)
         for crash in summary.crashes:
             self.poison.record_crash(crash.fingerprint, crash.server, now)
         for service, move in self.moves.items():
@@ -336,14 +344,25 @@
         for home, meter in self.home_meters.items():
             home_bound.setdefault(home.service, {})[home.region] = meter.demand(now)
         self.crashes = [crash for crash in self.crashes if now - crash.detected_at < CRASH_REPORT_S]
+        self.cleared = {
+            fingerprint: at for fingerprint, at in self.cleared.items() if now - at < CRASH_REPORT_S
+        }
         return FleetReport(
             status=msgspec.structs.replace(status, report_number=self.report_number),
             demands=demands,
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
-            crashes=[crash.crash for crash in self.crashes],
+            crashes=self._crashes_to_report(),
+            cleared=list(self.cleared),
         )
 
+    def _crashes_to_report(self) -> list[Crash]:
+        # The request that causes crashes is among those that were at work at most of them.
+        crashes = [reported.crash for reported in self.crashes]
+        if len(crashes) > CRASHES_REPORTED_MAX:
+            crashes.sort(key=lambda crash: -self.poison.crash_count(crash.fingerprint))
+        return crashes[:CRASHES_REPORTED_MAX]
+
     def rate_limiter(self, workspace: str, now: float) -> RateLimiter:
         """Return this host's rate limiter of a workspace."""
         limiter = self.rate_limiters.get(workspace)
@@ -430,10 +449,30 @@
         if sizes.are_large:
             self.selector.prefer_own_region(service)
 
-    def record_crash(self, fingerprint: bytes, server: str, now: float) -> None:
-        """Record that a server crashed while it ran a request."""
-        if self.poison.record_crash(fingerprint, server, now):
-            self.crashes.append(ReportedCrash(Crash(fingerprint, server), now))
+    def record_crash(self, suspects: t.Iterable[bytes], server: Server, now: float) -> None:
+        """Record that a server crashed while it had requests.
+
+        :param suspects: fingerprints of the requests.
+        """
+        new = [one for one in suspects if self.poison.record_crash(one, server.name, now)]
+        self.crashes.extend(
+            ReportedCrash(Crash(fingerprint, server.name), now) for fingerprint in new
+        )
+        logger.info(
+            "server crashed",
+            extra={
+                "server": server.name,
+                "incarnation": server.incarnation,
+                "service": server.service,
+                "suspects": len(new),
+                "most_crashes": max(map(self.poison.crash_count, new), default=0),
+            },
+        )
+
+    def record_completed_run(self, fingerprint: bytes, now: float) -> None:
+        """Record that a server has run a request to its end."""
+        if self.poison.clear(fingerprint, now):
+            self.cleared[fingerprint] = now
 
     def move_phase(self, service: str, evidence: Evidence, now: float) -> MovePhase:
         """Return the phase of a service's move by the evidence of all hosts."""
--- a/packages/routing/src/radishbridge/routing/poison.py
+++ b/packages/routing/src/radishbridge/routing/poison.py
@@ -9,6 +9,9 @@
 
 CRASHES_MAX = 2
 CRASH_TTL_S = 600.0
+# Time in seconds for which a request is not suspected again after a server has run it to its end.
+# Reports of the crashes before that are still on their way between hosts.
+CLEARED_S = 10.0
 FINGERPRINTS_MAX = 10_000
 _DIGEST_BYTES = 16
 
@@ -31,15 +34,19 @@
 
     A request in flight at one crash is a suspect but may run again. A request that was in flight
     at the crashes of ``crashes_max`` backend servers is rejected. A crash counts for
-    ``crash_ttl_s`` seconds.
+    ``crash_ttl_s`` seconds, or until a server runs the request to its end: a request that crashes
+    servers crashes each of them.
+
+    :param cleared: time by fingerprint at which a suspect was last run to its end.
     """
 
-    __slots__ = ("crash_ttl_s", "crashes", "crashes_max")
+    __slots__ = ("cleared", "crash_ttl_s", "crashes", "crashes_max")
 
     def __init__(self, crash_ttl_s: float = CRASH_TTL_S, crashes_max: int = CRASHES_MAX) -> None:
         self.crash_ttl_s = crash_ttl_s
         self.crashes_max = crashes_max
         self.crashes: dict[bytes, list[Crash]] = {}
+        self.cleared: dict[bytes, float] = {}
 
     def check(self, fingerprint: bytes, now: float) -> Failure | None:
         """Return ``POISON_REQUEST`` if the request must be rejected."""
@@ -57,6 +64,8 @@
 
         :return: whether the crash was new; only new ones need to be reported to other hosts.
         """
+        if now - self.cleared.get(fingerprint, float("-inf")) < CLEARED_S:
+            return False
         recent = self._recent_crashes(fingerprint, now)
         if any(crash.backend == backend for crash in recent):
             return False
@@ -65,6 +74,21 @@
         self.crashes[fingerprint] = [*recent, Crash(backend, now)]
         return True
 
+    def clear(self, fingerprint: bytes, now: float) -> bool:
+        """Forget the crashes of a request that a server has run to its end.
+
+        :return: whether it was a suspect; only then do other hosts need to be told.
+        """
+        if not self.crashes or self.crashes.pop(fingerprint, None) is None:
+            return False
+        self.cleared = {one: at for one, at in self.cleared.items() if now - at < CLEARED_S}
+        self.cleared[fingerprint] = now
+        return True
+
+    def crash_count(self, fingerprint: bytes) -> int:
+        """Return the number of crashes at which the request was in flight."""
+        return len(self.crashes.get(fingerprint, ()))
+
     def _recent_crashes(self, fingerprint: bytes, now: float) -> list[Crash]:
         crashes = self.crashes.get(fingerprint, [])
         recent = [crash for crash in crashes if now - crash.recorded_at < self.crash_ttl_s]
