Count each crash of a server that starts again under its id

Cause: PoisonList.record_crash counted each server name once. A server that starts again under its id and crashes on the same request again was taken for the crash known already, so that two names never made the three crashes that a rejection needs.

Change: a crash is identified by the server's name, its incarnation and its time. Reports of one process that are less than 2 s apart are one crash that several hosts detect; later ones are new, also where the entry of the server still names the earlier process, as while the store is silent. Messages between hosts carry the incarnation and the age of a crash.

Tests: test_each_incarnation_counts failed before with `assert False` at `host.rejects(POISON)`.

--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -26,10 +26,14 @@
 
     :param fingerprint: of the request.
     :param server: name of the server.
+    :param incarnation: start of the server's process; 0 if unknown.
+    :param age_s: time in seconds between the crash and the report.
     """
 
     fingerprint: bytes
     server: str
+    incarnation: Count = 0
+    age_s: Amount = 0.0
 
 
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -21,6 +21,7 @@
     StoredObject,
 )
 from radishbridge.records import Failure
+from radishbridge.routing import Crash as ServerCrash
 from radishbridge.routing import PoisonList
 from radishbridge.steering import (
     Configuration,
@@ -85,11 +86,11 @@
     slow_start_slack: float = 5.0
 
 
-class ReportedCrash(t.NamedTuple):
-    """A crash that this host detected, and the monotonic time at which it did."""
+class DetectedCrash(t.NamedTuple):
+    """A crash that this host detected, and a request that was in flight at it."""
 
-    crash: Crash
-    detected_at: float
+    fingerprint: bytes
+    crash: ServerCrash
 
 
 class Unreadable(t.NamedTuple):
@@ -209,7 +210,7 @@
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
         self.response_sizes: dict[str, ResponseSizes] = {}
         self.poison = PoisonList(POISON_PERIOD_S, POISON_CRASHES)
-        self.crashes: list[ReportedCrash] = []
+        self.crashes: list[DetectedCrash] = []
         self.cleared: dict[bytes, float] = {}
         self.ready = asyncio.Event()
         self.is_leaving = False
@@ -265,7 +266,8 @@
         for fingerprint in summary.cleared:
             self.poison.clear(fingerprint, now)
         for crash in summary.crashes:
-            self.poison.record_crash(crash.fingerprint, crash.server, now)
+            known = ServerCrash(crash.server, crash.incarnation, now - crash.age_s)
+            self.poison.record_crash(crash.fingerprint, known, now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
             fault = move.find_fault(evidence, now)
@@ -343,7 +345,11 @@
         home_bound: dict[str, dict[str, HomeDemand]] = {}
         for home, meter in self.home_meters.items():
             home_bound.setdefault(home.service, {})[home.region] = meter.demand(now)
-        self.crashes = [crash for crash in self.crashes if now - crash.detected_at < CRASH_REPORT_S]
+        self.crashes = [
+            detected
+            for detected in self.crashes
+            if now - detected.crash.crashed_at < CRASH_REPORT_S
+        ]
         self.cleared = {
             fingerprint: at for fingerprint, at in self.cleared.items() if now - at < CRASH_REPORT_S
         }
@@ -352,16 +358,19 @@
             demands=demands,
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
-            crashes=self._crashes_to_report(),
+            crashes=self._crashes_to_report(now),
             cleared=list(self.cleared),
         )
 
-    def _crashes_to_report(self) -> list[Crash]:
-        # The request that causes crashes is among those that were at work at most of them.
-        crashes = [reported.crash for reported in self.crashes]
-        if len(crashes) > CRASHES_REPORTED_MAX:
-            crashes.sort(key=lambda crash: -self.poison.crash_count(crash.fingerprint))
-        return crashes[:CRASHES_REPORTED_MAX]
+    def _crashes_to_report(self, now: float) -> list[Crash]:
+        # The request that causes crashes is among those that were in flight at most of them.
+        detected = sorted(
+            self.crashes, key=lambda one: self.poison.crash_count(one.fingerprint), reverse=True
+        )
+        return [
+            Crash(fingerprint, crash.backend, crash.incarnation, round(now - crash.crashed_at, 2))
+            for fingerprint, crash in detected[:CRASHES_REPORTED_MAX]
+        ]
 
     def rate_limiter(self, workspace: str, now: float) -> RateLimiter:
         """Return this host's rate limiter of a workspace."""
@@ -454,10 +463,9 @@
 
         :param suspects: fingerprints of the requests.
         """
-        new = [one for one in suspects if self.poison.record_crash(one, server.name, now)]
-        self.crashes.extend(
-            ReportedCrash(Crash(fingerprint, server.name), now) for fingerprint in new
-        )
+        crash = ServerCrash(server.name, server.incarnation, now)
+        new = [one for one in suspects if self.poison.record_crash(one, crash, now)]
+        self.crashes.extend(DetectedCrash(fingerprint, crash) for fingerprint in new)
         logger.info(
             "server crashed",
             extra={
--- a/packages/routing/src/radishbridge/routing/poison.py
+++ b/packages/routing/src/radishbridge/routing/poison.py
@@ -12,6 +12,9 @@
 # Time in seconds for which a request is not suspected again after a server has run it to its end.
 # Reports of the crashes before that are still on their way between hosts.
 CLEARED_S = 10.0
+# Reports of crashes of one process that are closer together, in seconds, are about one crash, which
+# several hosts detect and report with some delay. A server takes longer to start again.
+RESTART_MIN_S = 2.0
 FINGERPRINTS_MAX = 10_000
 _DIGEST_BYTES = 16
 
@@ -21,19 +24,30 @@
 class Crash(t.NamedTuple):
     """A crash of a backend server.
 
-    :param backend: name of the backend server.
-    :param recorded_at: monotonic time of this host, in seconds.
+    :param incarnation: start of the server's process; 0 if unknown. It may be that of an earlier
+        process if the server's entry is not up to date.
+    :param crashed_at: monotonic time of this host, in seconds.
     """
 
     backend: str
-    recorded_at: float
+    incarnation: int
+    crashed_at: float
+
+    def is_same(self, other: Crash) -> bool:
+        """Return whether both are reports of one crash."""
+        return (
+            self.backend == other.backend
+            and self.incarnation == other.incarnation
+            and abs(self.crashed_at - other.crashed_at) < RESTART_MIN_S
+        )
 
 
 class PoisonList:
     """Fingerprints of requests that were in flight when backend servers crashed.
 
     A request in flight at one crash is a suspect but may run again. A request that was in flight
-    at the crashes of ``crashes_max`` backend servers is rejected. A crash counts for
+    at ``crashes_max`` crashes is rejected, whether different servers crashed or one that started
+    again. A crash counts for
     ``crash_ttl_s`` seconds, or until a server runs the request to its end: a request that crashes
     servers crashes each of them.
 
@@ -59,7 +73,7 @@
         """Return whether the request was in flight at a recent crash."""
         return bool(self.crashes and self._recent_crashes(fingerprint, now))
 
-    def record_crash(self, fingerprint: bytes, backend: str, now: float) -> bool:
+    def record_crash(self, fingerprint: bytes, crash: Crash, now: float) -> bool:
         """Record that a request was in flight when a backend server crashed.
 
         :return: whether the crash was new; only new ones need to be reported to other hosts.
@@ -67,11 +81,11 @@
         if now - self.cleared.get(fingerprint, float("-inf")) < CLEARED_S:
             return False
         recent = self._recent_crashes(fingerprint, now)
-        if any(crash.backend == backend for crash in recent):
+        if any(crash.is_same(known) for known in recent):
             return False
         if fingerprint not in self.crashes and len(self.crashes) >= FINGERPRINTS_MAX:
             self.crashes.pop(next(iter(self.crashes)))
-        self.crashes[fingerprint] = [*recent, Crash(backend, now)]
+        self.crashes[fingerprint] = [*recent, crash]
         return True
 
     def clear(self, fingerprint: bytes, now: float) -> bool:
@@ -91,7 +105,7 @@
 
     def _recent_crashes(self, fingerprint: bytes, now: float) -> list[Crash]:
         crashes = self.crashes.get(fingerprint, [])
-        recent = [crash for crash in crashes if now - crash.recorded_at < self.crash_ttl_s]
+        recent = [crash for crash in crashes if now - crash.crashed_at < self.crash_ttl_s]
         if crashes and not recent:
             del self.crashes[fingerprint]
         return recent
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,7 +14,7 @@
 from radishbridge.entry.fleet import merge_reports
 from radishbridge.entry.messages import CopyState, FleetSummary
 from radishbridge.records import Failure, ResultCode
-from radishbridge.routing import request_fingerprint
+from radishbridge.routing import Crash, request_fingerprint
 
 POISON = b"poison"
 EMPTY = CopyState({}, {})
@@ -130,6 +130,34 @@
         async with running(reply()) as (world, _):
             fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
             poison = world.steering_state.poison
-            poison.record_crash(fingerprint, "server-8", uptime.now())
+            poison.record_crash(fingerprint, Crash("server-8", 1, uptime.now()), uptime.now())
             assert (await world.request())[0] == 200
             assert poison.crash_count(fingerprint) == 0
+
+
+class TestServerThatStartsAgainUnderItsId:
+    """Guards against counting the crashes of a server once, however often it starts again."""
+
+    async def test_each_incarnation_counts(self, host):
+        for incarnation in range(3):
+            assert not host.rejects(POISON)
+            await host.crash(0, POISON, incarnation=incarnation)
+        assert host.rejects(POISON)
+
+    async def test_a_crash_that_several_hosts_detect_counts_once(self, host):
+        other = Host("other")
+        await host.crash(0, POISON)
+        await other.crash(0, POISON)
+        host.report_to(other)
+        assert other.steering_state.poison.crash_count(POISON) == 1
+
+    async def test_a_report_that_arrives_late_is_about_the_same_crash(self, host):
+        other = Host("other")
+        await host.crash(0, POISON)
+        host.report_to(other)
+        (detected,) = host.steering_state.crashes
+        before = detected.crash._replace(crashed_at=detected.crash.crashed_at - 2.9)
+        host.steering_state.crashes = [detected._replace(crash=before)]
+        other.steering_state.poison.crashes[POISON] = [before]
+        host.report_to(other)
+        assert other.steering_state.poison.crash_count(POISON) == 1
