Reject a request that crashes servers for as long as it comes again

Cause: PoisonList forgot each crash POISON_PERIOD_S = 30 s after it, however often the request came meanwhile. Hosts heard of crashes for 3 s only, so that one that started later let it through too.

Aggregators pass rejections on in their summaries, for hosts that missed the crashes; a rejection is learnt only if it is new and not in its last minute, so that hosts cannot keep it alive among themselves. A suspect goes to another server than the one that crashed if there is one, and a rejected request is neither retried nor hedged.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -28,6 +28,7 @@
     FleetSummary,
     HostStatus,
     ObjectsChanged,
+    Rejected,
     Relayed,
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
@@ -335,6 +336,9 @@
         own = self.own.peer_address
         self.reports[own] = ReceivedReport(report, now)
         aggregators = self._aggregators(now)
+        if own not in aggregators:
+            # Rejections last, so that the aggregators know them as well.
+            report = msgspec.structs.replace(report, rejected=[])
         for name in aggregators:
             if name != own:
                 self.mesh.send(name, report)
@@ -520,6 +524,7 @@
     evidence: dict[str, Evidence] = {}
     crashes: dict[Crash, None] = {}
     cleared: set[bytes] = set()
+    rejected: dict[bytes, Rejected] = {}
     for report in reports.values():
         _add_to(demands, report.demands)
         for service, by_region in report.home_bound.items():
@@ -530,6 +535,10 @@
             evidence.setdefault(service, Evidence()).merge(reported)
         crashes.update(dict.fromkeys(report.crashes))
         cleared.update(report.cleared)
+        for one in report.rejected:
+            known = rejected.get(one.fingerprint)
+            if known is None or one.crashes > known.crashes:
+                rejected[one.fingerprint] = one
     return FleetSummary(
         hosts=[report.status for report in reports.values()],
         demands=demands,
@@ -537,6 +546,7 @@
         evidence=evidence,
         crashes=list(itertools.islice(crashes, CRASHES_SUMMARIZED_MAX)),
         cleared=list(cleared),
+        rejected=list(rejected.values()),
         copy_state=copy_state,
         size=max((report.size for report in reports.values()), default=1),
     )
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -213,7 +213,7 @@
         context.fingerprint = request_fingerprint(
             context.workspace, request.method, request.raw_path, context.body
         )
-        if self.steering_state.poison.check(context.fingerprint, context.arrived_at) is not None:
+        if self.steering_state.poison.check(context.fingerprint, uptime.now()) is not None:
             return _CRASHED_SERVERS
         self.steering_state.retry_budget(context.service, context.arrived_at).record_request(
             uptime.now()
@@ -298,6 +298,8 @@
         send_count = context.send_count + (first.outcome is AttemptOutcome.UNSENT)
         if send_count >= context.route.attempts:
             return None
+        if self.steering_state.poison.is_rejected(context.fingerprint, now):
+            return None
         state = self._choose_server(context, now)
         if state is None or not self.steering_state.retry_budget(context.service, now).take_token():
             return None
@@ -330,8 +332,13 @@
         return None
 
     def _choose_server(self, context: RequestContext, now: float) -> ServerState | None:
+        selector = self.steering_state.selector
+        # A server that is sick may crash by itself, so that a suspect goes to another one first.
+        crashed = self.steering_state.poison.crashed_backends(context.fingerprint, now)
+        excluded = [[*context.tried, *crashed], context.tried] if crashed else [context.tried]
         choices = (
-            self.steering_state.selector.choose(criteria, context.tried, now)
+            selector.choose(criteria, names, now)
+            for names in excluded
             for criteria in self._criteria(context)
         )
         return next((state for state in choices if state is not None), None)
@@ -354,7 +361,7 @@
             return True
         if context.send_count >= context.route.attempts:
             return False
-        if self.steering_state.poison.check(context.fingerprint, uptime.now()) is not None:
+        if self.steering_state.poison.is_rejected(context.fingerprint, uptime.now()):
             return False
         return attempt.outcome is AttemptOutcome.NOT_RUN or context.route.repeatable
 
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -36,6 +36,19 @@
     age_s: Amount = 0.0
 
 
+class Rejected(msgspec.Struct, frozen=True, array_like=True):
+    """A request that is rejected because it crashed backend servers.
+
+    :param fingerprint: of the request.
+    :param crashes: number of crashes at which it was in flight.
+    :param age_s: time in seconds since the last of them.
+    """
+
+    fingerprint: bytes
+    crashes: Count
+    age_s: Amount
+
+
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
     """A host's status, as it reports it to the others.
 
@@ -75,6 +88,8 @@
     :param evidence: results of requests by service with a version move, counted since the order.
     :param crashes: crashes of the last seconds.
     :param cleared: fingerprints of suspects that a server has run to their end meanwhile.
+    :param rejected: requests that crashed servers, for hosts that have not seen the crashes; only
+        aggregators send them.
     :param copy_state: state of the sender's copy; the aggregator's own copy may be behind.
     :param size: largest number of registered hosts that the sender has recently known.
     """
@@ -85,6 +100,7 @@
     evidence: dict[str, Evidence]
     crashes: list[Crash]
     cleared: list[bytes] = []
+    rejected: list[Rejected] = []
     copy_state: CopyState | None = None
     size: FleetSize = 1
 
@@ -98,6 +114,8 @@
     :param evidence: results of requests by service with a version move.
     :param crashes: crashes of the last seconds.
     :param cleared: fingerprints of suspects that a server has run to their end meanwhile.
+    :param rejected: requests that crashed servers, for hosts that have not seen the crashes; only
+        aggregators send them.
     :param copy_state: state of the aggregator's copy.
     :param size: the largest of the reported sizes.
     """
@@ -109,6 +127,7 @@
     crashes: list[Crash]
     copy_state: CopyState
     cleared: list[bytes] = []
+    rejected: list[Rejected] = []
     size: FleetSize = 1
 
 
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -11,7 +11,7 @@
 from radishbridge.entry import uptime
 from radishbridge.entry.copy import ObjectCopy, ObjectKey
 from radishbridge.entry.fleet import Fleet
-from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostStatus
+from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostStatus, Rejected
 from radishbridge.entry.protocol import (
     DecodedObject,
     Decoder,
@@ -22,7 +22,7 @@
 )
 from radishbridge.records import Failure
 from radishbridge.routing import Crash as ServerCrash
-from radishbridge.routing import PoisonList
+from radishbridge.routing import PoisonList, Rejection
 from radishbridge.steering import (
     Configuration,
     Evidence,
@@ -53,10 +53,8 @@
 CRASH_REPORT_S = 3.0
 # Maximum number of crashes in a report. A lost data centre has several hundred requests in flight.
 CRASHES_REPORTED_MAX = 256
-# Servers that a request has to crash before it is refused, and for how long it is then refused, in
-# seconds: callers repeat such a request within their own time limits.
+# Crashes at which a request has to be in flight before it is refused.
 POISON_CRASHES = 3
-POISON_PERIOD_S = 30.0
 # Weight of the newest response in the mean size of a service's responses.
 SIZE_SAMPLE_WEIGHT = 0.05
 # Mean size in bytes above which a service's responses count as large, and responses needed to tell.
@@ -209,7 +207,7 @@
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
         self.response_sizes: dict[str, ResponseSizes] = {}
-        self.poison = PoisonList(POISON_PERIOD_S, POISON_CRASHES)
+        self.poison = PoisonList(crashes_max=POISON_CRASHES)
         self.crashes: list[DetectedCrash] = []
         self.cleared: dict[bytes, float] = {}
         self.ready = asyncio.Event()
@@ -268,6 +266,8 @@
         for crash in summary.crashes:
             known = ServerCrash(crash.server, crash.incarnation, now - crash.age_s)
             self.poison.record_crash(crash.fingerprint, known, now)
+        for rejected in summary.rejected:
+            self.poison.learn(Rejection(*msgspec.structs.astuple(rejected)), now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
             fault = move.find_fault(evidence, now)
@@ -360,6 +360,10 @@
             evidence={service: move.evidence for service, move in self.moves.items()},
             crashes=self._crashes_to_report(now),
             cleared=list(self.cleared),
+            rejected=[
+                Rejected(fingerprint, crashes, round(age_s, 2))
+                for fingerprint, crashes, age_s in self.poison.rejections(now)
+            ],
         )
 
     def _crashes_to_report(self, now: float) -> list[Crash]:
--- a/packages/routing/src/radishbridge/routing/__init__.py
+++ b/packages/routing/src/radishbridge/routing/__init__.py
@@ -20,7 +20,7 @@
     RankedHost,
     rank_hosts,
 )
-from radishbridge.routing.poison import Crash, PoisonList, request_fingerprint
+from radishbridge.routing.poison import Crash, PoisonList, Rejection, request_fingerprint
 from radishbridge.routing.protocol import AttemptOutcome, Permit, Router, ServiceRoute
 from radishbridge.routing.retry import FailedAttempt, RetryBudget, RetryLimiter
 from radishbridge.routing.router import LocalRouter
@@ -42,6 +42,7 @@
     "Permit",
     "PoisonList",
     "RankedHost",
+    "Rejection",
     "RetryBudget",
     "RetryLimiter",
     "Router",
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,13 +6,13 @@
 
 import pytest
 from entry_world import reply, running
-from fleet_world import make_status
+from fleet_world import Hosts, make_report, make_status
 from steering_world import make_server
 
 from radishbridge.entry import Bounds, SteeringState, uptime
 from radishbridge.entry.crashes import PROBE_INTERVAL_S, CrashDetector
 from radishbridge.entry.fleet import merge_reports
-from radishbridge.entry.messages import CopyState, FleetSummary
+from radishbridge.entry.messages import CopyState, FleetSummary, Rejected
 from radishbridge.records import Failure, ResultCode
 from radishbridge.routing import Crash, request_fingerprint
 
@@ -154,10 +154,57 @@
     async def test_a_report_that_arrives_late_is_about_the_same_crash(self, host):
         other = Host("other")
         await host.crash(0, POISON)
-        host.report_to(other)
         (detected,) = host.steering_state.crashes
         before = detected.crash._replace(crashed_at=detected.crash.crashed_at - 2.9)
         host.steering_state.crashes = [detected._replace(crash=before)]
-        other.steering_state.poison.crashes[POISON] = [before]
+        other.steering_state.poison.record_crash(POISON, before, uptime.now())
         host.report_to(other)
         assert other.steering_state.poison.crash_count(POISON) == 1
+
+
+class TestRequestThatIsRepeatedWithoutEnd:
+    """Guards against letting a request that crashes servers through again after a while."""
+
+    async def test_a_host_that_starts_later_rejects_it_too(self, host):
+        for number in range(3):
+            await host.crash(number, POISON)
+        host.steering_state.crashes.clear()
+        started = Host("started")
+        host.report_to(started)
+        assert started.rejects(POISON)
+
+    async def test_only_aggregators_pass_rejections_on(self):
+        hosts = Hosts(4)
+        rejected = [Rejected(POISON, 3, 1.0)]
+        for fleet in hosts.fleets:
+            name = fleet.own.peer_address
+            fleet.make_report = lambda name=name: make_report(name, rejected=rejected)
+        hosts.run(1.0)
+        aggregators = set(hosts.fleets[0]._aggregators(hosts.now))
+        sent = {
+            name
+            for fleet in hosts.fleets
+            for name, received in fleet.reports.items()
+            if received.report.rejected and name != fleet.own.peer_address
+        }
+        assert sent == aggregators
+
+    async def test_a_suspect_goes_to_another_server_than_the_one_that_crashed(self):
+        async with running(reply(), reply()) as (world, backends):
+            fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
+            for number, backend in enumerate(backends):
+                crash = Crash(f"server-{1 - number}", 1, uptime.now())
+                world.steering_state.poison.record_crash(fingerprint, crash, uptime.now())
+                before = len(backend.requests)
+                assert (await world.request())[0] == 200
+                assert len(backend.requests) == before + 1
+                world.steering_state.poison.cleared.clear()
+
+    async def test_a_rejected_request_is_not_sent(self):
+        async with running(reply()) as (world, backends):
+            fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
+            for number in range(3):
+                crash = Crash(f"server-{number}", 1, uptime.now())
+                world.steering_state.poison.record_crash(fingerprint, crash, uptime.now())
+            assert (await world.request())[0] == 503
+            assert not backends[0].requests
