Bound the memory of all unfinished responses together

Cause: each response is bounded, but ResponseMemory never aborted one below 1 MB, whatever their number.

Test: test_responses_below_the_size_always_allowed_stay_within_the_memory_limit timed out before, since none of 40 responses was aborted. test_small_response_is_still_received now stands above the limit for large responses, which is where its size matters.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -142,6 +142,7 @@
         exceeded = self._exceeded_limit(len(data))
         if exceeded:
             self._fail(exceeded)
+        self.memory.enforce_limit()
 
     def eof_received(self) -> bool:
         """Complete a response without a length, which an orderly close ends."""
@@ -190,6 +191,10 @@
         if self.transport is not None:
             self.unacknowledged_bytes = abandon(self.transport)
 
+    def abort_response(self, reason: str) -> None:
+        """Stop receiving the response, close the connection and release its memory."""
+        self._fail(reason)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -221,6 +226,7 @@
             return
         self.body_bytes += len(body)
         self.memory.add(len(body))
+        self.memory.unfinished.add(self)
         self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -242,6 +248,7 @@
 
     def _discard_body(self) -> None:
         self.memory.release(self.body_bytes)
+        self.memory.unfinished.discard(self)
         self.body = []
         self.body_bytes = 0
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -60,7 +60,7 @@
 class EndlessServer:
     """Sends a first part and then the same bytes until the host closes the connection.
 
-    :param rest: bytes that are repeated.
+    :param rest: bytes that are repeated; if empty, nothing follows and the connection stays open.
     """
 
     def __init__(self, first: bytes, rest: bytes) -> None:
@@ -73,6 +73,9 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.first)
+            if not self.rest:
+                await reader.read()
+                writer.close()
             while not writer.is_closing():
                 writer.write(self.rest)
                 self.sent_bytes += len(self.rest)
@@ -163,13 +166,33 @@
         # Each may reach the size that is always allowed, plus one read of the socket.
         assert memory.peak_bytes < self.LIMIT_BYTES + 12 * (ALWAYS_ALLOWED_BYTES + 262_144)
 
+    async def test_responses_below_the_size_always_allowed_stay_within_the_memory_limit(self):
+        # Guards against a sum without bound, since none of the responses is large by itself.
+        memory = PeakMemory(self.LIMIT_BYTES)
+        first = OK + b"Content-Length: 1000000\r\n\r\n"
+        async with serving(first + b"a" * 900_000, b"") as (_, address):
+            exchanges = [asyncio.create_task(exchange(address, memory)) for _ in range(40)]
+            async with asyncio.timeout(CALLER_TIMEOUT_S):
+                while sum(one.done() for one in exchanges) < 30:
+                    await asyncio.sleep(0.01)
+            async with serving_once(CHUNKED + b"4\r\ngood\r\n0\r\n\r\n") as other:
+                assert isinstance(await exchange(other, memory), BackendResponse)
+            for one in exchanges:
+                one.cancel()
+            results = await asyncio.gather(*exchanges, return_exceptions=True)
+        aborted = [result for result in results if isinstance(result, Failure)]
+        assert len(aborted) == memory.aborted >= 30
+        assert memory.peak_bytes < self.LIMIT_BYTES + 262_144
+        assert memory.buffered_bytes == 0
+        assert not memory.unfinished
+
     async def test_small_response_is_still_received(self):
-        memory = ResponseMemory(0)
-        memory.add(1)
+        memory = ResponseMemory(1_048_576)
+        memory.add(memory.large_limit_bytes + 1)
         async with serving_once(CHUNKED + b"4\r\ngood\r\n0\r\n\r\n") as address:
             response = await exchange(address, memory)
         assert isinstance(response, BackendResponse)
-        assert memory.buffered_bytes == 1
+        assert memory.buffered_bytes == memory.large_limit_bytes + 1
 
 
 class TestCaller:
