Follow what backend servers say in their answers

Change: the head of a final response with the request's id is read for both, before the body is in. steering/notices.py keeps what each incarnation has said, apart from its entry: an equal or older entry, one that is back after an outage of the store, or a copy of another host does not undo it; a newer incarnation starts clean. A server that leaves gets no request from then on (choice, retries, hedges, and requests that waited for a connection), and its idle connections are closed. A paused server gets none until the pause ends, plus a spread by host; after it the host's requests in flight rise from one to the server's slots within a second. If all servers of a request are paused, it is refused at once with a Retry-After of the first end. A retry that was not sent gives its token back. Values that can't be understood mean nothing and are logged once for each server; a pause counts for an hour at most.

The soak plays both notices and a return under the same id, drawn apart from its other faults, and its judge checks both rules. Not built: holding a request until a pause ends; it is refused at once.

--- a/packages/entry/src/radishbridge/entry/__init__.py
+++ b/packages/entry/src/radishbridge/entry/__init__.py
@@ -23,6 +23,7 @@
     MoveReport,
     RequestMetadata,
     ResponseMetadata,
+    ResponseNotice,
     StoredObject,
 )
 from radishbridge.entry.rate_admission import RateAdmission
@@ -51,6 +52,7 @@
     "RequestForwarder",
     "RequestMetadata",
     "ResponseMetadata",
+    "ResponseNotice",
     "SteeringState",
     "StoreFollower",
     "StoredObject",
--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -11,6 +11,7 @@
     BackendConnection,
     BackendPool,
     BackendResponse,
+    HeaderList,
     request_head,
 )
 from radishbridge.entry.context import AbandonedAttempt, AttemptOutcome, RequestContext
@@ -24,7 +25,7 @@
 logger = logging.getLogger(__name__)
 
 _SERVER_LEFT = Failure(
-    ResultCode.NO_BACKEND, "the backend server was drained or removed while the connection opened"
+    ResultCode.NO_BACKEND, "the backend server left or paused while the connection opened"
 )
 
 SERVER_ERROR = 500
@@ -42,10 +43,12 @@
     :param check_before_send: returns why the request must no longer be sent; ``None`` if it may.
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
+    :param asked_for_pause: the response said that the server wants no requests for a while.
     :param is_silent: the server sent no response for longer than usual.
     """
 
     __slots__ = (
+        "asked_for_pause",
         "check_before_send",
         "context",
         "crash_detector",
@@ -80,6 +83,7 @@
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
         self.is_silent = False
+        self.asked_for_pause = False
 
     async def run(self) -> BackendResponse | Failure:
         """Send the request and return the response, or why there is none."""
@@ -104,7 +108,7 @@
         if failure is not None:
             self.pool.release(server.address, connection)
             return failure
-        if not self.steering_state.selector.takes_requests(self.state):
+        if not self.steering_state.selector.takes_requests(self.state, uptime.now()):
             connection.close()
             return _SERVER_LEFT
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
@@ -130,7 +134,23 @@
         head = request_head(
             request.method, request.raw_path, headers, len(context.body) if sized else None
         )
-        return await connection.exchange(head, context.body, request.method == "HEAD")
+        return await connection.exchange(
+            head, context.body, request.method == "HEAD", self._read_head
+        )
+
+    def _read_head(self, status: int, headers: HeaderList) -> None:
+        # Read before the body, which may take long.
+        notice = self.header_codec.read_notice(status, headers)
+        if notice is None or notice.request_id != self.context.metadata.request_id:
+            return
+        server = self.state.server
+        if notice.is_leaving and self.steering_state.record_leaving(server):
+            self.pool.close_idle(server.address)
+        if notice.pause_s:
+            self.asked_for_pause = True
+            self.steering_state.record_pause(server, notice.pause_s)
+        if notice.odd_header:
+            self.steering_state.record_odd_header(server, notice.odd_header)
 
     def _process_response(
         self, response: BackendResponse, connection: BackendConnection
@@ -147,6 +167,8 @@
         self.state.record_response(now)
         if metadata.load is not None:
             self.state.record_load(metadata.load, now)
+        if self.state.is_leaving:
+            connection.close()
         self.pool.release(self.state.server.address, connection)
         if metadata.not_run or metadata.misdirected:
             return self._record_refusal(metadata, now)
@@ -173,6 +195,8 @@
             self._count_failure("the address belongs to another server now", FAILURES_TO_EJECT)
             return Failure(ResultCode.BACKEND_REFUSED, "the address belongs to another server now")
         load = metadata.load
+        if self.asked_for_pause:
+            return Failure(ResultCode.BACKEND_REFUSED, "the backend server asked for a pause")
         if load is None or load.running + load.waiting < SHEDDING_UTILIZATION_MIN * load.slots:
             self._count_failure("it shed a request although it had free slots")
         return Failure(ResultCode.BACKEND_REFUSED, "the backend server shed the request")
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -47,6 +47,11 @@
 _KEEPALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 HeaderList = list[tuple[bytes, bytes]]
+HeadListener = t.Callable[[int, HeaderList], None]
+
+
+def _ignore_head(status: int, headers: HeaderList) -> None:
+    """Listen to no heads."""
 
 
 class BackendResponse:
@@ -69,6 +74,7 @@
         abandoned; ``None`` before that, or if the kernel can't tell.
     :param idle_since: monotonic time of the last response, or of the connection's creation.
     :param announced_idle_s: idle time that the server's ``Keep-Alive`` header allows.
+    :param on_head: called with status and headers of a final response, before its body is in.
     :param received_bytes: bytes received for the current request, head and framing included.
     :param body_bytes: bytes of the response's body received so far.
     """
@@ -85,6 +91,7 @@
         "loop",
         "memory",
         "must_close",
+        "on_head",
         "parser",
         "received_bytes",
         "status",
@@ -104,6 +111,7 @@
         self.announced_idle_s = IDLE_MAX_S
         self.parser = httptools.HttpResponseParser(self)
         self.is_head_request = False
+        self.on_head: HeadListener = _ignore_head
         self.status = 0
         self.headers: HeaderList = []
         self.body: list[bytes] = []
@@ -157,11 +165,16 @@
         self._fail("the connection was reset" if exc else "the connection was closed")
 
     async def exchange(
-        self, head: bytes, body: bytes, is_head_request: bool
+        self,
+        head: bytes,
+        body: bytes,
+        is_head_request: bool,
+        on_head: HeadListener = _ignore_head,
     ) -> BackendResponse | Failure:
         """Send one request and return its response; cancellation closes the connection."""
         assert self.transport is not None
         self._reset_response(is_head_request)
+        self.on_head = on_head
         self.waiter = self.loop.create_future()
         self.transport.write(head + body)
         try:
@@ -216,6 +229,8 @@
         if self.complete:
             return
         self.status = self.parser.get_status_code()
+        if self.waiter is not None and self._has_final_status():
+            self.on_head(self.status, self.headers)
         if self.is_head_request and self._has_final_status():
             self.complete = True
             self.must_close = True
@@ -338,6 +353,11 @@
         if not connection.must_close:
             self.idle.setdefault(address, collections.deque()).append(connection)
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to a server that gets no more requests."""
+        for connection in self.idle.pop(address, ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = uptime.now()
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -282,6 +282,9 @@
             )
             if attempt.outcome is AttemptOutcome.UNSENT:
                 connect_failures += 1
+                if context.send_count:
+                    # Nothing was sent, so that the retry has not been made.
+                    self.steering_state.retry_budget(context.service, now).return_token()
             if not self._may_retry(context, attempt, connect_failures):
                 return self._give_up(context, last_result)
 
@@ -370,9 +373,18 @@
     ) -> BackendResponse | Failure:
         if isinstance(last_result, BackendResponse):
             return last_result
-        context.retry_after_s = self._retry_delay_s()
+        context.retry_after_s = self._retry_delay_s() + self._pause_s(context)
         return context.failure_for_caller(last_result)
 
+    def _pause_s(self, context: RequestContext) -> float:
+        # The first end of a pause if all servers that may run the request have asked for one.
+        now = uptime.now()
+        selector = self.steering_state.selector
+        return min(
+            (selector.seconds_until_pause_ends(one, now) for one in self._criteria(context)),
+            default=0.0,
+        )
+
     def _retry_delay_s(self) -> float:
         return RETRY_AFTER_S + RETRY_AFTER_JITTER_S * self.rng.random()
 
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -163,6 +163,21 @@
     is_encoded: bool
 
 
+class ResponseNotice(t.NamedTuple):
+    """What the head of a backend server's response says of the server itself.
+
+    :param request_id: id of the request that it answers; empty if not given.
+    :param is_leaving: the server is shutting down.
+    :param pause_s: time in seconds for which the server wants no requests; 0 if it does not say.
+    :param odd_header: a header about these two that can't be understood; empty if there is none.
+    """
+
+    request_id: str
+    is_leaving: bool
+    pause_s: float
+    odd_header: str
+
+
 Headers = t.Sequence[tuple[bytes, bytes]]
 
 
@@ -182,3 +197,6 @@
 
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Decode the headers of a backend server's response."""
+
+    def read_notice(self, status: int, headers: Headers) -> ResponseNotice | None:
+        """Decode what a response says of its server; ``None`` if it says nothing."""
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -55,6 +55,8 @@
 CRASHES_REPORTED_MAX = 256
 # Crashes at which a request has to be in flight before it is refused.
 POISON_CRASHES = 3
+# Maximum number of servers whose odd headers are logged once each.
+ODD_SERVERS_MAX = 1_024
 # Weight of the newest response in the mean size of a service's responses.
 SIZE_SAMPLE_WEIGHT = 0.05
 # Mean size in bytes above which a service's responses count as large, and responses needed to tell.
@@ -137,6 +139,7 @@
     :param fleet_demands: demand of all hosts by workspace in the last summary.
     :param crashes: crashes that this host has detected, with each request that was in flight.
     :param cleared: monotonic time by fingerprint at which a suspect was run to its end.
+    :param odd_servers: servers of whose headers one was logged as not understood.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
     :param unreadable: objects whose newest version cannot be decoded.
@@ -160,6 +163,7 @@
         "host",
         "is_leaving",
         "moves",
+        "odd_servers",
         "orders",
         "poison",
         "proven",
@@ -210,6 +214,7 @@
         self.poison = PoisonList(crashes_max=POISON_CRASHES)
         self.crashes: list[DetectedCrash] = []
         self.cleared: dict[bytes, float] = {}
+        self.odd_servers: set[str] = set()
         self.ready = asyncio.Event()
         self.is_leaving = False
         self.unreadable: dict[ObjectKey, Unreadable] = {}
@@ -486,6 +491,50 @@
         if self.poison.clear(fingerprint, now):
             self.cleared[fingerprint] = now
 
+    def record_leaving(self, server: Server) -> bool:
+        """Record that a server has said that it is leaving; return whether that was not known."""
+        if not self.selector.record_leaving(server):
+            return False
+        logger.info(
+            "server is leaving",
+            extra={
+                "server": server.name,
+                "incarnation": server.incarnation,
+                "service": server.service,
+                "source": "response",
+            },
+        )
+        return True
+
+    def record_pause(self, server: Server, pause_s: float) -> None:
+        """Record that a server wants no requests of this host for a while.
+
+        :param pause_s: in seconds.
+        """
+        if self.selector.record_pause(server, pause_s, self.clock()):
+            logger.info(
+                "server asked for a pause",
+                extra={
+                    "server": server.name,
+                    "incarnation": server.incarnation,
+                    "service": server.service,
+                    "pause_s": round(pause_s, 2),
+                    "source": "response",
+                },
+            )
+
+    def record_odd_header(self, server: Server, reason: str) -> None:
+        """Log the first header of a server that can't be understood."""
+        if server.name in self.odd_servers:
+            return
+        if len(self.odd_servers) >= ODD_SERVERS_MAX:
+            self.odd_servers.clear()
+        self.odd_servers.add(server.name)
+        logger.warning(
+            "response header not understood",
+            extra={"server": server.name, "service": server.service, "reason": reason},
+        )
+
     def move_phase(self, service: str, evidence: Evidence, now: float) -> MovePhase:
         """Return the phase of a service's move by the evidence of all hosts."""
         return decide_phase(self.moves[service], evidence, now)
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -19,6 +19,7 @@
     decide_phase,
     stable_versions,
 )
+from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import unit_hash
 from radishbridge.steering.rates import (
     DemandMeter,
@@ -46,6 +47,7 @@
     "Move",
     "MoveOrder",
     "MovePhase",
+    "Notice",
     "RateLimiter",
     "RateSlice",
     "RetryBudget",
@@ -53,6 +55,7 @@
     "Selector",
     "Server",
     "ServerCriteria",
+    "ServerNotices",
     "ServerState",
     "ServiceRule",
     "SlowStart",
--- a/packages/steering/src/radishbridge/steering/retries.py
+++ b/packages/steering/src/radishbridge/steering/retries.py
@@ -56,6 +56,11 @@
         self.updated_at = now
         self.tokens = min(self.max_tokens, self.tokens + self.ratio + refill)
 
+    def return_token(self) -> None:
+        """Return the token of a retry that was not made."""
+        self.tokens += 1.0
+        self.granted -= 1
+
     def take_token(self) -> bool:
         """Take one token for a retry.
 
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import statistics
 import typing as t
@@ -14,7 +15,8 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
-from radishbridge.steering.placement import RegionWeights, rank_servers
+from radishbridge.steering.notices import Notice, ServerNotices
+from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
 from radishbridge.steering.servers import Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
@@ -89,6 +91,7 @@
     __slots__ = (
         "drained",
         "median_latencies",
+        "notices",
         "own_region_services",
         "pools",
         "rankings",
@@ -105,6 +108,7 @@
         self.region = region
         self.own_region_services: set[str] = set()
         self.states: dict[str, ServerState] = {}
+        self.notices = ServerNotices()
         self.drained: frozenset[str] = frozenset()
         self.rules: dict[str, ServiceRule] = {}
         self.weights: dict[str, RegionWeights] = {}
@@ -120,7 +124,8 @@
         """
         state = self.states.get(server.name)
         if state is None or _is_restarted(state.server, server):
-            self.states[server.name] = ServerState(server, now)
+            state = self.states[server.name] = ServerState(server, now)
+            state.notice = self.notices.find(server)
             self.clear_caches()
             return True
         # While servers start, their entries change often, mostly in what is left of the slow start.
@@ -134,6 +139,60 @@
         if self.states.pop(name, None) is not None:
             self.clear_caches()
 
+    def record_leaving(self, server: Server) -> bool:
+        """Stop sending requests to a server that has said that it is leaving.
+
+        :return: whether that was not known.
+        """
+        return self._apply_notice(server, self.notices.record_leaving(server))
+
+    def record_pause(self, server: Server, pause_s: float, now: float) -> bool:
+        """Stop sending requests to a server for the time that it has asked for.
+
+        :param pause_s: in seconds.
+        :return: whether it was not paused already.
+        """
+        position = unit_hash(f"{self.slow_start.host} {server.name}", "pause")
+        return self._apply_notice(server, self.notices.record_pause(server, pause_s, position, now))
+
+    def _apply_notice(self, server: Server, notice: Notice | None) -> bool:
+        if notice is None:
+            return False
+        state = self.states.get(server.name)
+        if state is not None and notice.covers(state.server):
+            state.notice = notice
+            if notice.is_leaving:
+                self.clear_caches()
+        return True
+
+    def count_by_notice(self, now: float) -> dict[tuple[str, str], int]:
+        """Return the number of servers that leave or are paused, by service and state."""
+        noted = [state for state in self.states.values() if state.notice is not None]
+        return collections.Counter(
+            (state.server.service, kind)
+            for state in noted
+            for kind, holds in (
+                ("leaving", state.is_leaving),
+                ("paused", state.notice is not None and state.notice.is_paused(now)),
+            )
+            if holds
+        )
+
+    def seconds_until_pause_ends(self, criteria: ServerCriteria, now: float) -> float:
+        """Return the seconds until the first of a request's servers takes work again.
+
+        It is 0 if there is none, or if one of them takes work now.
+        """
+        examined = itertools.islice(
+            self._ranking(criteria), SERVERS_PER_OBJECT + FALLBACK_SERVERS_MAX
+        )
+        first_end = float("inf")
+        for state in examined:
+            if state.notice is None or not state.notice.is_paused(now):
+                return 0.0
+            first_end = min(first_end, state.notice.paused_until)
+        return 0.0 if first_end == float("inf") else first_end - now
+
     def set_drained(self, data_centers: t.Iterable[str]) -> None:
         """Set the data centres that get no requests."""
         self.drained = frozenset(data_centers)
@@ -217,12 +276,16 @@
         available = (
             state
             for state in candidates
-            if not state.is_ejected(now) and not state.is_silent(median_s, now)
+            if not state.is_ejected(now)
+            and not state.is_silent(median_s, now)
+            and not state.is_paused(now)
         )
         first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         if not first:
             available = (
-                state for state in self._ranking(criteria) if state.server.name not in tried
+                state
+                for state in self._ranking(criteria)
+                if state.server.name not in tried and not state.is_paused(now)
             )
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
@@ -235,7 +298,7 @@
             itertools.repeat(FALLBACK_OCCUPANCY_LIMIT, FALLBACK_SERVERS_MAX),
         )
         return any(
-            state.occupancy(now) < limit and not state.is_ejected(now)
+            state.occupancy(now) < limit and not state.is_ejected(now) and not state.is_paused(now)
             for state, limit in zip(self._ranking(criteria), limits, strict=False)
         )
 
@@ -312,22 +375,26 @@
         pool = self.pools.get(pool_key)
         if pool is None:
             pool = self.pools[pool_key] = [
-                state for state in self.states.values() if self._matches(state.server, pool_key)
+                state for state in self.states.values() if self._matches(state, pool_key)
             ]
         return pool
 
-    def takes_requests(self, state: ServerState) -> bool:
+    def takes_requests(self, state: ServerState, now: float) -> bool:
         """Return whether a previously chosen server may still get a request."""
         current = self.states.get(state.server.name)
-        return current is state and self._is_usable(state.server)
+        if current is not state or not self._is_usable(state):
+            return False
+        return state.notice is None or not state.notice.is_paused(now)
 
-    def _is_usable(self, server: Server) -> bool:
-        return not server.draining and server.data_center not in self.drained
+    def _is_usable(self, state: ServerState) -> bool:
+        server = state.server
+        return not (server.draining or state.is_leaving or server.data_center in self.drained)
 
-    def _matches(self, server: Server, pool_key: _PoolKey) -> bool:
+    def _matches(self, state: ServerState, pool_key: _PoolKey) -> bool:
+        server = state.server
         return (
             server.service == pool_key.service
-            and self._is_usable(server)
+            and self._is_usable(state)
             and (pool_key.home_regions is None or server.region in pool_key.home_regions)
             and (pool_key.versions is None or server.version in pool_key.versions)
             and (pool_key.names is None or server.name in pool_key.names)
--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from radishbridge.steering.notices import Notice
+
 # Consecutive failures that eject a server; healthy servers have single failures.
 FAILURES_TO_EJECT = 3
 # First and longest ejection in seconds: short, because a crashed server restarts within seconds.
@@ -84,6 +86,7 @@
         report.
     :param failure_rate: moving average of failed responses, 0 to 1.
     :param is_probing: a request is testing the server after an ejection.
+    :param notice: what the server has said in its responses; ``None`` for nothing.
     :param warm_objects: time at which this host was last served each object, by key.
     """
 
@@ -99,6 +102,7 @@
         "latency_samples",
         "load_reported_at",
         "mean_latency_s",
+        "notice",
         "other_hosts_load",
         "server",
         "silent_since",
@@ -121,6 +125,7 @@
         self.mean_latency_s = 0.0
         self.last_success_at = now
         self.warm_objects: dict[str, float] = {}
+        self.notice: Notice | None = None
 
     def replace(self, server: Server, now: float) -> None:
         """Replace the entry with a newer one of the same incarnation."""
@@ -141,6 +146,20 @@
             return False
         return now < self.ejected_until or self.is_probing
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the server has said in a response that it is leaving."""
+        return self.notice is not None and self.notice.is_leaving
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the server has asked for a pause that lasts, or its load is returning.
+
+        After a pause the limit of this host's requests in flight rises by steps.
+        """
+        if self.notice is None:
+            return False
+        return self.in_flight >= self.notice.in_flight_limit(self.server.slots, now)
+
     def occupancy(self, now: float) -> float:
         """Return the requests that the server runs or queues, per slot.
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from soak.callers import Key
-from soak.history import History, Outcome
+from soak.history import Arrival, History, Notice, Outcome, process_name
 
 # Statuses that promise that the request was not executed and will not be.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -20,6 +20,9 @@
 # Time within which servers stop executing requests whose caller disconnected, and how many may
 # take longer.
 CANCELLATION_BOUND_S, CANCELLATION_SLACK_REQUESTS = 0.5, 3
+# Time after a server has asked for a pause in which requests may still reach it, and the number of
+# requests of one host that may reach it in the rest of the pause.
+PAUSE_NOTICED_BOUND_S, PAUSE_SLACK_REQUESTS = 0.5, 2
 # Minimum fraction of the requests that succeed once nothing is disturbed any more.
 RECOVERED_FRACTION_MIN = 0.25
 
@@ -61,6 +64,8 @@
         _executed_over_rate(history, rates),
         _executed_on_drained_server(history, outcome_by_id, drains),
         _executed_after_disconnect(history, outcome_by_id),
+        _sent_to_leaving_server(history, outcome_by_id),
+        _sent_to_paused_server(history, outcome_by_id),
         _not_recovered(history, undisturbed_from),
     )
     return [*always_checked, *(time_bounded if check_timing else ())]
@@ -182,6 +187,69 @@
         yield f"GONE {len(late)} executions after the caller disconnected, the first {late[0]}"
 
 
+def _sent_to_leaving_server(
+    history: History, outcome_by_id: t.Mapping[str, Outcome]
+) -> t.Iterator[str]:
+    """Find requests to a server that were sent after their host had passed on that it leaves."""
+    passed_on: dict[tuple[str, str, int], float] = {}
+    for notice in history.notices:
+        outcome = outcome_by_id.get(notice.request_id)
+        if notice.pause_s or outcome is None or not outcome.status:
+            continue
+        key = (outcome.host, notice.server, notice.incarnation)
+        passed_on[key] = min(outcome.ended_at, passed_on.get(key, outcome.ended_at))
+    for host, arrival, sent_at in _arrivals_by_host(history, outcome_by_id):
+        at = passed_on.get((host, arrival.server, arrival.incarnation))
+        if at is None or sent_at <= at + DRAIN_BOUND_S:
+            continue
+        if history.is_undisturbed(process_name(host), at, arrival.at):
+            yield (
+                f"DRAIN {arrival.request_id} of {host} reached {arrival.server} "
+                f"{sent_at - at:.2f} s after it said that it leaves"
+            )
+
+
+def _sent_to_paused_server(
+    history: History, outcome_by_id: t.Mapping[str, Outcome]
+) -> t.Iterator[str]:
+    """Find pauses in which more than two requests of the host reached the server."""
+    arrivals: dict[tuple[str, str, int], list[Arrival]] = collections.defaultdict(list)
+    for host, arrival, _ in _arrivals_by_host(history, outcome_by_id):
+        arrivals[host, arrival.server, arrival.incarnation].append(arrival)
+    for notice in history.notices:
+        outcome = outcome_by_id.get(notice.request_id)
+        if not notice.pause_s or outcome is None:
+            continue
+        early = [
+            arrival
+            for arrival in arrivals[outcome.host, notice.server, notice.incarnation]
+            if notice.at + PAUSE_NOTICED_BOUND_S < arrival.at < notice.at + notice.pause_s
+        ]
+        if len(early) > PAUSE_SLACK_REQUESTS and _could_notice(history, outcome.host, notice):
+            yield (
+                f"BUDGET {len(early)} requests of {outcome.host} reached {notice.server} in a "
+                f"pause of {notice.pause_s:.2f} s, the first {early[0].request_id}"
+            )
+
+
+def _could_notice(history: History, host: str, notice: Notice) -> bool:
+    end = notice.at + notice.pause_s
+    return all(
+        history.is_undisturbed(component, notice.at, end)
+        for component in (process_name(host), link_name(notice.server))
+    )
+
+
+def _arrivals_by_host(
+    history: History, outcome_by_id: t.Mapping[str, Outcome]
+) -> t.Iterator[tuple[str, Arrival, float]]:
+    """Return arrivals with the host that sent the request and the time the caller sent it."""
+    for arrival in history.arrivals:
+        outcome = outcome_by_id.get(arrival.request_id)
+        if outcome is not None:
+            yield outcome.host, arrival, outcome.sent_at
+
+
 def link_name(server: str) -> str:
     """Return the name under which disturbances of the link to a server are recorded."""
     return f"link to {server}"
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -16,6 +16,31 @@
     at: float
 
 
+class Arrival(t.NamedTuple):
+    """A request reached a backend server, which may have turned it away.
+
+    :param incarnation: start of the server's process in Unix milliseconds.
+    """
+
+    request_id: str
+    server: str
+    incarnation: int
+    at: float
+
+
+class Notice(t.NamedTuple):
+    """A backend server said in a response that it is leaving, or that it wants a pause.
+
+    :param pause_s: length of the pause in seconds; 0 if it is leaving.
+    """
+
+    request_id: str
+    server: str
+    incarnation: int
+    at: float
+    pause_s: float
+
+
 class ExecutionEnd(t.NamedTuple):
     """A backend server responded to a request or stopped executing it."""
 
@@ -65,6 +90,8 @@
 
     def __init__(self) -> None:
         self.executions: list[Execution] = []
+        self.arrivals: list[Arrival] = []
+        self.notices: list[Notice] = []
         self.execution_ends: list[ExecutionEnd] = []
         self.outcomes: list[Outcome] = []
         self.response_bodies: dict[str, bytes] = {}
@@ -81,6 +108,16 @@
         now = time.monotonic()
         self.disturbances.setdefault(component, []).append(Span(now, now + duration_s))
 
+    def record_interruption(self, host: str, duration_s: float) -> None:
+        """Record that a host's process starts, ends or is paused."""
+        self.record_disturbance(host, duration_s)
+        self.record_disturbance(process_name(host), duration_s)
+
     def is_undisturbed(self, component: str, start: float, end: float) -> bool:
         """Return whether a component was undisturbed from ``start`` to ``end``."""
         return not any(span.overlaps(start, end) for span in self.disturbances.get(component, ()))
+
+
+def process_name(host: str) -> str:
+    """Return the name under which interruptions of a host's process are recorded."""
+    return f"process of {host}"
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -99,7 +99,7 @@
 
     def start(self) -> None:
         """Start the process."""
-        self.history.record_disturbance(self.name, CONTACT_BOUND_S)
+        self.history.record_interruption(self.name, CONTACT_BOUND_S)
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(HOST_PROGRAM), "--config", str(self.settings_path)],
@@ -112,7 +112,7 @@
 
         :param disturbance_s: time for which the host counts as disturbed, in seconds.
         """
-        self.history.record_disturbance(self.name, disturbance_s)
+        self.history.record_interruption(self.name, disturbance_s)
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal_number)
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from soak.history import Execution, ExecutionEnd, History
+from soak.history import Arrival, Execution, ExecutionEnd, History, Notice
 from soak.proxy import Proxy
 
 SLOTS = 4
@@ -22,9 +22,11 @@
 class Server:
     """One backend server behind a proxy, whose address it registers.
 
-    ``mode`` decides how it handles requests: ``slow`` and ``hang`` delay the response, ``shed``
-    refuses requests with 503, and ``lose``, ``extra`` and ``fail`` affect half of the responses:
-    the connection is aborted, an unrequested second response follows, or the status is 500.
+    It may say in its responses that it is leaving, whatever its entry says, or turn requests away
+    until ``paused_until``. ``mode`` decides how it handles others: ``slow`` and ``hang`` delay the
+    response, ``shed`` refuses requests with 503, and ``lose``, ``extra`` and ``fail`` affect half
+    of the responses: the connection is aborted, an unrequested second response follows, or the
+    status is 500.
     """
 
     def __init__(self, name: str, service: str, data_center: str, history: History) -> None:
@@ -34,6 +36,8 @@
         self.history = history
         self.rng = random.Random(name)
         self.mode: Mode = "normal"
+        self.is_leaving = False
+        self.paused_until = float("-inf")
         self.started_at_ms = time.time_ns() // 1_000_000
         self.in_flight = 0
         self.free_slots = asyncio.Semaphore(SLOTS)
@@ -74,6 +78,10 @@
         request_id = request.headers.get("Request-Id", "")
         if request.headers.get("Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers={"Not-Executed": "1"})
+        now = time.monotonic()
+        self.history.arrivals.append(Arrival(request_id, self.name, self.started_at_ms, now))
+        if now < self.paused_until:
+            return self._ask_for_pause(request_id, now)
         if self.mode == "shed" or self.in_flight >= SLOTS + QUEUE_LENGTH_MAX:
             return web.Response(status=503, headers={"Not-Executed": "1", "Request-Id": request_id})
         self.in_flight += 1
@@ -86,6 +94,21 @@
                 ExecutionEnd(request_id, self.name, time.monotonic())
             )
 
+    def _ask_for_pause(self, request_id: str, now: float) -> web.Response:
+        pause_s = self.paused_until - now
+        self._record_notice(request_id, pause_s)
+        headers = {
+            "Not-Executed": "1",
+            "Request-Id": request_id,
+            "Retry-After": f"{pause_s:.3f}",
+        }
+        return web.Response(status=503, headers=headers)
+
+    def _record_notice(self, request_id: str, pause_s: float) -> None:
+        now = time.monotonic()
+        notice = Notice(request_id, self.name, self.started_at_ms, now, pause_s)
+        self.history.notices.append(notice)
+
     async def _execute(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
         tenant = request.headers.get("Tenant", "")
         now = time.monotonic()
@@ -109,6 +132,9 @@
             "Response-Signature": signature,
             "Server-Load": f"{self.in_flight},0,{SLOTS}",
         }
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+            self._record_notice(request_id, 0.0)
         transport = request.transport
         if self.mode == "lose" and transport is not None and self.rng.random() < 0.5:
             transport.abort()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -254,6 +254,7 @@
         ]
         callers = Callers(self.hosts, self.keys, self.history, self.seed)
         callers_task = asyncio.create_task(callers.run(caller_count))
+        notices_task = asyncio.create_task(self._give_notices())
         await asyncio.sleep(CONTACT_BOUND_S)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -261,6 +262,7 @@
             self.history.add_note(fault.__name__)
             fault()
             await asyncio.sleep(self.rng.expovariate(1.0 / 0.7))
+        notices_task.cancel()
         while self.tasks:
             await asyncio.sleep(0.1)
         undisturbed_from = time.monotonic() + RECOVERY_BOUND_S
@@ -286,6 +288,39 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def _give_notices(self) -> None:
+        # Drawn apart from the other faults, whose order belongs to the seed.
+        rng = random.Random(f"notices-{self.seed}")
+        while True:
+            await asyncio.sleep(rng.expovariate(1.0 / 1.5))
+            server = rng.choice(self.servers)
+            if rng.random() < 0.5:
+                self.history.add_note(f"{server.name} asks for a pause")
+                server.paused_until = time.monotonic() + rng.uniform(0.5, 4.0)
+            elif self._may_leave(server):
+                self.history.add_note(f"{server.name} leaves")
+                self._start_task(self._leave(server))
+
+    def _may_leave(self, server: Server) -> bool:
+        others = [
+            one for one in self.servers if one.service == server.service and not one.is_leaving
+        ]
+        return len(others) > 2
+
+    async def _leave(self, server: Server) -> None:
+        """Let a server say that it leaves, and start it again under its id some seconds later."""
+        server.is_leaving = True
+        await asyncio.sleep(5.0)
+        if server not in self.servers:
+            return
+        self.servers.remove(server)
+        self.stopped_servers.append(server)
+        await server.stop()
+        successor = Server(server.name, server.service, server.data_center, self.history)
+        await successor.start()
+        self.servers.append(successor)
+        await self.store.put("servers", successor.name, spec=successor.registration())
+
     async def _restart(self, host: Host, signal_number: signal.Signals) -> None:
         # Another fault may end this process and start the next one between two polls.
         process = host.process
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from soak.__main__ import run
 from soak.callers import Key
 from soak.checks import Drain, check
-from soak.history import Execution, ExecutionEnd, History, Outcome, Span
+from soak.history import Arrival, Execution, ExecutionEnd, History, Notice, Outcome, Span
 from soak.world import World
 
 KEYS = {"good": Key("good", "school"), "old": Key("old", "school", revoked_at=10.0)}
@@ -109,6 +109,36 @@
         violations = check(history, KEYS, RATES, [], 80.0)
         assert [text.split()[0] for text in violations] == found
 
+    @pytest.mark.parametrize(
+        ("pause_s", "after_s", "count", "interrupted", "incarnation", "found"),
+        [
+            (0.0, 2.7, 1, False, 7, ["DRAIN"]),
+            (0.0, 2.3, 1, False, 7, []),
+            (0.0, 2.7, 1, True, 7, []),
+            (0.0, 2.7, 1, False, 8, []),
+            (4.0, 0.6, 3, False, 7, ["BUDGET"]),
+            (4.0, 0.6, 2, False, 7, []),
+            (4.0, 0.4, 3, False, 7, []),
+            (4.0, 4.1, 3, False, 7, []),
+            (4.0, 0.6, 3, True, 7, []),
+            (4.0, 0.6, 3, False, 8, []),
+        ],
+    )
+    def test_requests_after_a_notice_of_a_server(
+        self, pause_s, after_s, count, interrupted, incarnation, found
+    ):
+        history = History()
+        history.notices = [Notice("first", "i-2", 7, 50.1, pause_s)]
+        at = 50.1 + after_s
+        ids = [str(number) for number in range(count)]
+        history.outcomes = [outcome("first"), outcome("last", sent_at=90.0)]
+        history.outcomes += [outcome(one, sent_at=at, ended_at=at + 0.1) for one in ids]
+        history.arrivals = [Arrival(one, "i-2", incarnation, at) for one in ids]
+        if interrupted:
+            history.disturbances["process of host-0"] = [Span(50.2, 50.3)]
+        violations = check(history, KEYS, RATES, [], 80.0)
+        assert [text.split()[0] for text in violations] == found
+
     def test_time_bounds_are_not_checked_in_ci(self):
         history = History()
         history.executions = [execution(at=45.0, server="i-1")]
