Give a host that nobody counts no share of the rates

Cause: a host that gets the others' copies but can't register took an equal share of each rate, as hosts that are missing from a summary do. The others leave such a share only to registered hosts: aggregators dropped its reports, and FleetShare.hosts did not count it. Before it knew any host it even aggregated for itself alone and used the whole rate.

Change: a host has a share if its entry is in the list of hosts, so that the others leave one to it, or if the last summary includes it. Aggregators include reports of up to 32 unregistered hosts and send their summaries to them, so that added hosts share by demand within seconds, store or not. An unregistered host has no role: it neither aggregates nor owns slices.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -66,8 +66,9 @@
 COPY_DIFFERENCE_MAX_S = 0.5
 # Maximum number of unregistered hosts whose messages are accepted, and the minimum interval in
 # seconds between accepting two of them. One such host is enough to deliver all that this host's
-# copy lacks; in a fleet that starts, all hosts are unregistered for some 0.3 s.
-UNREGISTERED_PEERS_MAX = 8
+# copy lacks; in a fleet that starts, all hosts are unregistered for some 0.3 s. Hosts that are added
+# while the store is down get a share of the rates only once they are accepted.
+UNREGISTERED_PEERS_MAX = 32
 UNREGISTERED_PEER_INTERVAL_S = 0.2
 # Time in seconds for which the largest number of registered hosts counts as the size of the fleet:
 # in a rolling restart each host is missing from the list for some 10 s.
@@ -178,6 +179,7 @@
         mesh.subscribe(Relayed, self._on_relayed)
         mesh.subscribe(CopyRequest, self._on_copy_request)
         mesh.subscribe(CopyAnswer, self._on_copy_answer)
+        self.fleet_share.is_included = False
         self.update_hosts({})
 
     def update_hosts(self, entries: t.Mapping[str, HostEntry]) -> None:
@@ -187,6 +189,7 @@
         """
         now = self.clock()
         before = {**self.departing, **self.entries}
+        self.fleet_share.is_registered = self.own.peer_address in entries
         self.entries = {**entries, self.own.peer_address: self.own}
         self.departing = {
             name: entry
@@ -200,6 +203,14 @@
         self._update_directory()
         self._count_hosts(now)
 
+    def role_candidates(self) -> list[str]:
+        """Return the hosts that may have roles, on which all hosts have to agree.
+
+        Without its entry this host is unknown to the others.
+        """
+        own = self.own.peer_address
+        return [name for name in self.entries if name != own or self.fleet_share.is_registered]
+
     def _has_recent_contact(self, name: str, now: float) -> bool:
         return now - self.last_contact.get(name, float("-inf")) <= REPORT_MAX_AGE_S
 
@@ -346,7 +357,7 @@
             name: received.report
             for name, received in self.reports.items()
             if now - received.received_at <= REPORT_MAX_AGE_S
-            and (name in self.entries or name in self.departing)
+            and (name in self.entries or name in self.departing or name in self.unregistered_peers)
         }
         if own in aggregators or len(recent) > 1:
             summary = merge_reports(recent, self.copy.state())
@@ -377,7 +388,7 @@
         starting = now - self.started_at < STARTUP_GRACE_S
         names = [
             name
-            for name in self.entries
+            for name in self.role_candidates()
             if name == self.own.peer_address
             or now - self.last_contact.get(name, float("-inf")) < REPORT_MAX_AGE_S
             or starting
@@ -394,6 +405,10 @@
         hops = choose_hops(self.own, self._known_entries(), statuses, senders)
         for name in hops.others:
             self.mesh.send(name, message)
+        # Hosts that can't register, as while the store is down, share the rates with the others.
+        for name in self.unregistered_peers:
+            if self._has_recent_contact(name, self.clock()):
+                self.mesh.send(name, message)
         relayed = Relayed(origin=self.own.peer_address, message=message)
         for name in hops.relays:
             self.mesh.send(name, relayed)
--- a/packages/entry/src/radishbridge/entry/rate_admission.py
+++ b/packages/entry/src/radishbridge/entry/rate_admission.py
@@ -292,7 +292,7 @@
         leaving = {status.name for status in summary.hosts if status.is_leaving}
         candidates = tuple(
             name
-            for name in sorted(self.fleet.entries)
+            for name in sorted(self.fleet.role_candidates())
             if name not in leaving and now - self.fleet.last_seen[name] < OWNER_SILENT_S
         )
         if candidates == self.candidates:
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -1,9 +1,10 @@
 """Fleet-wide rate limits without a remote call per request: each host uses a share of each rate.
 
 Load pattern: callers of one workspace move between hosts within seconds, and one workspace sends
-many times its rate. Shares follow the demand that hosts report. A host that is missing from the
-summaries keeps an equal share, which the other hosts do not use, so that the shares never add up to
-more than the rate.
+many times its rate. Shares follow the demand that hosts report. A registered host that is missing
+from the summaries keeps an equal share, which the other hosts do not use. A host that is neither
+registered nor in the summaries has none, since the others do not know of it. So the shares never
+add up to more than the rate.
 """
 
 from __future__ import annotations
@@ -62,18 +63,20 @@
 
     :param hosts: number of hosts that may be running, whether or not the last summary covers them.
     :param hosts_reporting: number of hosts that the last summary covers.
+    :param is_registered: the other hosts know of this host, and leave a share to it.
     :param summary_at: monotonic time of the last summary in seconds.
     :param is_included: the last summary includes a report of this host whose demands it still
         keeps.
     """
 
-    __slots__ = ("hosts", "hosts_reporting", "is_included", "summary_at")
+    __slots__ = ("hosts", "hosts_reporting", "is_included", "is_registered", "summary_at")
 
     def __init__(self, now: float) -> None:
         self.hosts = 1
         self.hosts_reporting = 1
         self.summary_at = now
         self.is_included = True
+        self.is_registered = True
 
     def reachable_fraction(self, now: float) -> float:
         """Return the fraction of all hosts that the summaries cover, 0 to 1.
@@ -83,6 +86,8 @@
         summary_age_s = now - self.summary_at
         if summary_age_s > SUMMARY_AGE_MAX_S:
             return 0.0
+        if not self.is_registered and not (self.is_included and summary_age_s <= SUMMARY_FRESH_S):
+            return 0.0
         reporting = self.hosts_reporting if summary_age_s <= SUMMARY_FRESH_S else 1
         return min(1.0, reporting / max(1, self.hosts))
 
@@ -96,8 +101,9 @@
         if now - self.summary_at > SUMMARY_FRESH_S:
             return reachable
         if not self.is_included:
-            # The other hosts leave an equal share to each host that the summary does not cover.
-            return 1.0 / max(1, self.hosts)
+            # The other hosts leave an equal share to each registered host that the summary does not
+            # cover.
+            return 1.0 / max(1, self.hosts) if self.is_registered else 0.0
         own_demand += BASE_DEMAND_PER_S
         total_demand = max(
             total_demand + BASE_DEMAND_PER_S * min(self.hosts_reporting, self.hosts), own_demand
--- a/tests/test_rate_limits_under_faults.py
+++ b/tests/test_rate_limits_under_faults.py
@@ -10,6 +10,7 @@
 from rate_limits import limit_in_window, most_in_window
 
 from radishbridge.entry import Bounds, RateAdmission, SteeringState
+from radishbridge.peers import HostAddress
 from radishbridge.steering import Configuration, WorkspaceRule
 
 # One workspace whose rate is divided among hosts, and one whose rate is cut into slices; both send
@@ -37,10 +38,14 @@
 
 
 class Callers:
-    """Callers that move between all hosts, disconnected ones included."""
+    """Callers that move between all hosts, disconnected ones included.
 
-    def __init__(self, world: World) -> None:
+    :param moving: they move to other hosts every few seconds; otherwise they use all evenly.
+    """
+
+    def __init__(self, world: World, moving: bool = True) -> None:
         self.world = world
+        self.moving = moving
         self.admitted: dict[str, list[float]] = collections.defaultdict(list)
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -50,7 +55,7 @@
         while True:
             await asyncio.sleep(STEP_S)
             hosts = list(self.world.hosts.values())
-            host_count = 1 + int(time.monotonic() / 3.0) % len(hosts)
+            host_count = 1 + int(time.monotonic() / 3.0) % len(hosts) if self.moving else len(hosts)
             for rule in RULES:
                 due_requests[rule.name] += DEMAND_FACTOR * rule.rate_per_s * STEP_S
                 while due_requests[rule.name] >= 1.0:
@@ -99,3 +104,44 @@
                 assert len(callers.admitted[rule.name]) >= 0.3 * rule.rate_per_s * 32.0
 
         virtual_time.run(scenario(), monkeypatch)
+
+
+class TestHostsAddedDuringAnOutageOfTheStore:
+    """Guards against new hosts that use a share of a rate that the other hosts use as well."""
+
+    @pytest.mark.parametrize(("old", "new"), [(9, 6), (6, 4), (3, 9), (20, 8)])
+    def test_no_window_admits_more_than_the_limit(self, old, new, monkeypatch):
+        async def scenario() -> None:
+            world = World(old, MeteredHost)
+            for number in range(old):
+                world.start(number)
+            callers = Callers(world, moving=False)
+            callers_task = asyncio.create_task(callers.run())
+            await world.run_for(8.0)
+            seeds = {
+                name: HostAddress(name=name, region="", data_center="", address=name)
+                for name in list(world.hosts)[:3]
+            }
+            for number in range(old, old + new):
+                world.start(number)
+            for host in world.hosts.values():
+                host.link.is_unresponsive = True
+            started_at = time.monotonic()
+            added = list(world.hosts.values())[old:]
+            for host in added:
+                host.fleet.seeds = dict(seeds)
+                host.fleet.update_hosts({})
+            for _ in range(20):
+                for host in added:
+                    host.fleet.request_copies()
+                await world.run_for(0.4)
+            callers_task.cancel()
+            await asyncio.gather(*callers.tasks, return_exceptions=True)
+            await world.stop()
+            for rule in RULES:
+                admitted = callers.admitted[rule.name]
+                assert most_in_window(admitted) <= limit_in_window(rule)
+                since = [at for at in admitted if at >= started_at]
+                assert len(since) >= 0.6 * rule.rate_per_s * 8.0
+
+        virtual_time.run(scenario(), monkeypatch)
