--- a/tests/test_entry_forwarder.py
+++ b/tests/test_entry_forwarder.py
@@ -215,6 +215,18 @@
             world.steering_state.ready.set()
             assert (await request)[0] == 200
 
+    @pytest.mark.parametrize("name", ["Request-Id", "Affinity-Key"])
+    @pytest.mark.parametrize(("value", "status"), [(b"\xff\xfe", 400), ("schüler-ü".encode(), 200)])
+    async def test_bytes_that_are_not_utf8_are_the_callers_fault(self, name, value, status):
+        async with running(reply()) as (world, _):
+            host, _, port = world.url.removeprefix("http://").partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            other = "Request-Id: r1\r\n" if name != "Request-Id" else ""
+            head = f"GET /devices/7 HTTP/1.1\r\nHost: one.example\r\n{other}{name}: ".encode()
+            writer.write(head + value + b"\r\n\r\n")
+            assert f"HTTP/1.1 {status}".encode() in await reader.readline()
+            writer.close()
+
     async def test_unknown_route_is_refused(self):
         async with running(reply()) as (world, _):
             assert (await world.request("/nothing/"))[0] == 404
