Split crash reports and summaries from the steering state and the fleet; show notices in the status

Change: entry/crash_reports.py keeps the list of requests that crash servers in step with the other hosts, entry/summaries.py merges reports; both only moved. /v1/status lists the servers that leave or pause by their own word.

Test: tests/test_server_notices_fleet.py asks both hosts' status.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -173,7 +173,7 @@
         if metadata.not_run or metadata.misdirected:
             return self._record_refusal(metadata, now)
         if metadata.is_signed:
-            self.steering_state.record_completed_run(self.context.fingerprint, now)
+            self.steering_state.crash_reports.record_completed_run(self.context.fingerprint, now)
         success = FIRST_SUCCESS <= response.status < FIRST_REDIRECT
         if success and (not metadata.is_signed or metadata.is_encoded):
             return self._record_exchange_failure(
--- a/packages/entry/src/radishbridge/entry/crashes.py
+++ b/packages/entry/src/radishbridge/entry/crashes.py
@@ -6,7 +6,7 @@
 
 from radishbridge.entry import uptime
 from radishbridge.entry.backends import BackendPool
-from radishbridge.entry.steering_state import SteeringState
+from radishbridge.entry.crash_reports import CrashReports
 from radishbridge.records import Failure
 from radishbridge.steering import Server
 
@@ -28,10 +28,10 @@
     :param probed_at: time by server of its last probe.
     """
 
-    __slots__ = ("pool", "probed_at", "steering_state", "suspects", "tasks")
+    __slots__ = ("crash_reports", "pool", "probed_at", "suspects", "tasks")
 
-    def __init__(self, steering_state: SteeringState, pool: BackendPool) -> None:
-        self.steering_state = steering_state
+    def __init__(self, crash_reports: CrashReports, pool: BackendPool) -> None:
+        self.crash_reports = crash_reports
         self.pool = pool
         self.suspects: dict[str, set[bytes]] = {}
         self.probed_at: dict[str, float] = {}
@@ -62,6 +62,6 @@
         self.probed_at[server.name] = now
         suspects = self.suspects.pop(server.name)
         if isinstance(connection, Failure):
-            self.steering_state.record_crash(suspects, server, now)
+            self.crash_reports.record_crash(suspects, server, now)
         else:
             self.pool.release(server.address, connection)
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -23,18 +23,17 @@
     CopyAnswer,
     CopyRequest,
     CopyState,
-    Crash,
     FleetReport,
     FleetSummary,
     HostStatus,
     ObjectsChanged,
-    Rejected,
     Relayed,
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
+from radishbridge.entry.summaries import merge_reports
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
 from radishbridge.records import is_address
-from radishbridge.steering import Evidence, FleetShare, HomeDemand
+from radishbridge.steering import FleetShare
 
 # Interval between reports and between summaries, in seconds. Fleets of more than LARGE_FLEET_HOSTS
 # report less often, because each of their hosts takes part in only a few decisions a second.
@@ -73,8 +72,6 @@
 # Time in seconds for which the largest number of registered hosts counts as the size of the fleet:
 # in a rolling restart each host is missing from the list for some 10 s.
 PEAK_SIZE_HOLD_S = 60.0
-# Maximum number of crashes in a summary, which all hosts get over links that may be thin.
-CRASHES_SUMMARIZED_MAX = 1_024
 # Maximum number of hosts that are asked for their copy when this host starts while the store is
 # unavailable.
 COPY_REQUESTS_MAX = 3
@@ -528,50 +525,6 @@
         return (seed for name, seed in self.seeds.items() if name not in self.entries)
 
 
-def merge_reports(reports: t.Mapping[str, FleetReport], copy_state: CopyState) -> FleetSummary:
-    """Return the summary of several hosts' reports.
-
-    :param reports: reports by host.
-    :param copy_state: state of the aggregator's copy.
-    """
-    demands: dict[str, float] = {}
-    home_bound: dict[str, dict[str, HomeDemand]] = {}
-    evidence: dict[str, Evidence] = {}
-    crashes: dict[Crash, None] = {}
-    cleared: set[bytes] = set()
-    rejected: dict[bytes, Rejected] = {}
-    for report in reports.values():
-        _add_to(demands, report.demands)
-        for service, by_region in report.home_bound.items():
-            total = home_bound.setdefault(service, {})
-            for region, demand in by_region.items():
-                total[region] = total.get(region, HomeDemand()) + demand
-        for service, reported in report.evidence.items():
-            evidence.setdefault(service, Evidence()).merge(reported)
-        crashes.update(dict.fromkeys(report.crashes))
-        cleared.update(report.cleared)
-        for one in report.rejected:
-            known = rejected.get(one.fingerprint)
-            if known is None or one.crashes > known.crashes:
-                rejected[one.fingerprint] = one
-    return FleetSummary(
-        hosts=[report.status for report in reports.values()],
-        demands=demands,
-        home_bound=home_bound,
-        evidence=evidence,
-        crashes=list(itertools.islice(crashes, CRASHES_SUMMARIZED_MAX)),
-        cleared=list(cleared),
-        rejected=list(rejected.values()),
-        copy_state=copy_state,
-        size=max((report.size for report in reports.values()), default=1),
-    )
-
-
-def _add_to(total: dict[str, float], added: t.Mapping[str, float]) -> None:
-    for name, amount in added.items():
-        total[name] = total.get(name, 0.0) + amount
-
-
 def _host_address(entry: HostEntry) -> HostAddress:
     return HostAddress(
         name=entry.peer_address,
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -116,7 +116,7 @@
         self.steering_state = steering_state
         self.header_codec = header_codec
         self.pool = pool
-        self.crash_detector = CrashDetector(steering_state, pool)
+        self.crash_detector = CrashDetector(steering_state.crash_reports, pool)
         self.rates = rates
         self.access_log = access_log
         self.limits = limits
@@ -213,7 +213,10 @@
         context.fingerprint = request_fingerprint(
             context.workspace, request.method, request.raw_path, context.body
         )
-        if self.steering_state.poison.check(context.fingerprint, uptime.now()) is not None:
+        if (
+            self.steering_state.crash_reports.poison.check(context.fingerprint, uptime.now())
+            is not None
+        ):
             return _CRASHED_SERVERS
         self.steering_state.retry_budget(context.service, context.arrived_at).record_request(
             uptime.now()
@@ -301,7 +304,7 @@
         send_count = context.send_count + (first.outcome is AttemptOutcome.UNSENT)
         if send_count >= context.route.attempts:
             return None
-        if self.steering_state.poison.is_rejected(context.fingerprint, now):
+        if self.steering_state.crash_reports.poison.is_rejected(context.fingerprint, now):
             return None
         state = self._choose_server(context, now)
         if state is None or not self.steering_state.retry_budget(context.service, now).take_token():
@@ -337,7 +340,9 @@
     def _choose_server(self, context: RequestContext, now: float) -> ServerState | None:
         selector = self.steering_state.selector
         # A server that is sick may crash by itself, so that a suspect goes to another one first.
-        crashed = self.steering_state.poison.crashed_backends(context.fingerprint, now)
+        crashed = self.steering_state.crash_reports.poison.crashed_backends(
+            context.fingerprint, now
+        )
         excluded = [[*context.tried, *crashed], context.tried] if crashed else [context.tried]
         choices = (
             selector.choose(criteria, names, now)
@@ -364,7 +369,7 @@
             return True
         if context.send_count >= context.route.attempts:
             return False
-        if self.steering_state.poison.is_rejected(context.fingerprint, uptime.now()):
+        if self.steering_state.crash_reports.poison.is_rejected(context.fingerprint, uptime.now()):
             return False
         return attempt.outcome is AttemptOutcome.NOT_RUN or context.route.repeatable
 
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -10,8 +10,9 @@
 
 from radishbridge.entry import uptime
 from radishbridge.entry.copy import ObjectCopy, ObjectKey
+from radishbridge.entry.crash_reports import CrashReports
 from radishbridge.entry.fleet import Fleet
-from radishbridge.entry.messages import Crash, FleetReport, FleetSummary, HostStatus, Rejected
+from radishbridge.entry.messages import FleetReport, FleetSummary, HostStatus
 from radishbridge.entry.protocol import (
     DecodedObject,
     Decoder,
@@ -21,8 +22,6 @@
     StoredObject,
 )
 from radishbridge.records import Failure
-from radishbridge.routing import Crash as ServerCrash
-from radishbridge.routing import PoisonList, Rejection
 from radishbridge.steering import (
     Configuration,
     Evidence,
@@ -49,12 +48,6 @@
 # Number of this host's last reports whose demands are kept. A summary includes a report up to 1.1 s
 # old and arrives up to 1.2 s later, at five reports a second.
 REPORT_DEMANDS_KEPT = 16
-# Time in seconds for which a crash is reported to the other hosts, since some reports may be lost.
-CRASH_REPORT_S = 3.0
-# Maximum number of crashes in a report. A lost data centre has several hundred requests in flight.
-CRASHES_REPORTED_MAX = 256
-# Crashes at which a request has to be in flight before it is refused.
-POISON_CRASHES = 3
 # Maximum number of servers whose odd headers are logged once each.
 ODD_SERVERS_MAX = 1_024
 # Weight of the newest response in the mean size of a service's responses.
@@ -86,13 +79,6 @@
     slow_start_slack: float = 5.0
 
 
-class DetectedCrash(t.NamedTuple):
-    """A crash that this host detected, and a request that was in flight at it."""
-
-    fingerprint: bytes
-    crash: ServerCrash
-
-
 class Unreadable(t.NamedTuple):
     """A version of an object that cannot be decoded, and why."""
 
@@ -137,8 +123,7 @@
     :param reported_demands: demand by workspace in this host's last reports, by number of the
         report.
     :param fleet_demands: demand of all hosts by workspace in the last summary.
-    :param crashes: crashes that this host has detected, with each request that was in flight.
-    :param cleared: monotonic time by fingerprint at which a suspect was run to its end.
+    :param crash_reports: crashes of servers, and the requests that are refused for them.
     :param odd_servers: servers of whose headers one was logged as not understood.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
@@ -149,10 +134,9 @@
     __slots__ = (
         "accrue_from",
         "bounds",
-        "cleared",
         "clock",
         "configuration",
-        "crashes",
+        "crash_reports",
         "decoder",
         "drains",
         "entries",
@@ -165,7 +149,6 @@
         "moves",
         "odd_servers",
         "orders",
-        "poison",
         "proven",
         "rate_limiters",
         "ready",
@@ -211,9 +194,7 @@
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
         self.response_sizes: dict[str, ResponseSizes] = {}
-        self.poison = PoisonList(crashes_max=POISON_CRASHES)
-        self.crashes: list[DetectedCrash] = []
-        self.cleared: dict[bytes, float] = {}
+        self.crash_reports = CrashReports()
         self.odd_servers: set[str] = set()
         self.ready = asyncio.Event()
         self.is_leaving = False
@@ -266,13 +247,7 @@
         for service, by_region in summary.home_bound.items():
             self._apply_home_demand(service, by_region, now)
         self.selector.update_median_latencies()
-        for fingerprint in summary.cleared:
-            self.poison.clear(fingerprint, now)
-        for crash in summary.crashes:
-            known = ServerCrash(crash.server, crash.incarnation, now - crash.age_s)
-            self.poison.record_crash(crash.fingerprint, known, now)
-        for rejected in summary.rejected:
-            self.poison.learn(Rejection(*msgspec.structs.astuple(rejected)), now)
+        self.crash_reports.apply_summary(summary, now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
             fault = move.find_fault(evidence, now)
@@ -350,37 +325,16 @@
         home_bound: dict[str, dict[str, HomeDemand]] = {}
         for home, meter in self.home_meters.items():
             home_bound.setdefault(home.service, {})[home.region] = meter.demand(now)
-        self.crashes = [
-            detected
-            for detected in self.crashes
-            if now - detected.crash.crashed_at < CRASH_REPORT_S
-        ]
-        self.cleared = {
-            fingerprint: at for fingerprint, at in self.cleared.items() if now - at < CRASH_REPORT_S
-        }
         return FleetReport(
             status=msgspec.structs.replace(status, report_number=self.report_number),
             demands=demands,
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
-            crashes=self._crashes_to_report(now),
-            cleared=list(self.cleared),
-            rejected=[
-                Rejected(fingerprint, crashes, round(age_s, 2))
-                for fingerprint, crashes, age_s in self.poison.rejections(now)
-            ],
+            crashes=self.crash_reports.crashes_to_report(now),
+            cleared=self.crash_reports.cleared_to_report(now),
+            rejected=self.crash_reports.rejected_to_report(now),
         )
 
-    def _crashes_to_report(self, now: float) -> list[Crash]:
-        # The request that causes crashes is among those that were in flight at most of them.
-        detected = sorted(
-            self.crashes, key=lambda one: self.poison.crash_count(one.fingerprint), reverse=True
-        )
-        return [
-            Crash(fingerprint, crash.backend, crash.incarnation, round(now - crash.crashed_at, 2))
-            for fingerprint, crash in detected[:CRASHES_REPORTED_MAX]
-        ]
-
     def rate_limiter(self, workspace: str, now: float) -> RateLimiter:
         """Return this host's rate limiter of a workspace."""
         limiter = self.rate_limiters.get(workspace)
@@ -467,30 +421,6 @@
         if sizes.are_large:
             self.selector.prefer_own_region(service)
 
-    def record_crash(self, suspects: t.Iterable[bytes], server: Server, now: float) -> None:
-        """Record that a server crashed while it had requests.
-
-        :param suspects: fingerprints of the requests.
-        """
-        crash = ServerCrash(server.name, server.incarnation, now)
-        new = [one for one in suspects if self.poison.record_crash(one, crash, now)]
-        self.crashes.extend(DetectedCrash(fingerprint, crash) for fingerprint in new)
-        logger.info(
-            "server crashed",
-            extra={
-                "server": server.name,
-                "incarnation": server.incarnation,
-                "service": server.service,
-                "suspects": len(new),
-                "most_crashes": max(map(self.poison.crash_count, new), default=0),
-            },
-        )
-
-    def record_completed_run(self, fingerprint: bytes, now: float) -> None:
-        """Record that a server has run a request to its end."""
-        if self.poison.clear(fingerprint, now):
-            self.cleared[fingerprint] = now
-
     def record_leaving(self, server: Server) -> bool:
         """Record that a server has said that it is leaving; return whether that was not known."""
         if not self.selector.record_leaving(server):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -43,7 +43,7 @@
     def __init__(self, name: str = "host") -> None:
         self.steering_state = SteeringState(name, None, Bounds())
         self.sockets = ServerSockets()
-        self.detector = CrashDetector(self.steering_state, self.sockets)
+        self.detector = CrashDetector(self.steering_state.crash_reports, self.sockets)
 
     async def crash(self, number: int, *in_flight: bytes, **changes) -> None:
         """Let the connections of a server's requests break, in the order given."""
@@ -59,7 +59,7 @@
             await asyncio.gather(*self.detector.tasks)
 
     def rejects(self, fingerprint: bytes) -> bool:
-        return self.steering_state.poison.check(fingerprint, uptime.now()) is not None
+        return self.steering_state.crash_reports.poison.check(fingerprint, uptime.now()) is not None
 
     def report_to(self, *others: Host) -> FleetSummary:
         """Send what this host reports to other hosts, in a summary."""
@@ -90,16 +90,16 @@
         server = make_server(0)
         host.detector.check_server(b"other", server)
         await host.finish_probes()
-        assert host.steering_state.poison.crash_count(b"other") == 0
+        assert host.steering_state.crash_reports.poison.crash_count(b"other") == 0
         before = uptime.now()
         await host.crash(0, POISON)
-        assert host.steering_state.poison.crash_count(POISON) == 1
+        assert host.steering_state.crash_reports.poison.crash_count(POISON) == 1
         # The number of probes stays bounded, however many connections break.
         assert len(host.sockets.opened) == 2
         assert uptime.now() - before >= 0.9 * PROBE_INTERVAL_S
 
     async def test_is_reported_first_if_not_all_can_be(self, host, monkeypatch):
-        monkeypatch.setattr("radishbridge.entry.steering_state.CRASHES_REPORTED_MAX", 2)
+        monkeypatch.setattr("radishbridge.entry.crash_reports.CRASHES_REPORTED_MAX", 2)
         await host.crash(0, POISON)
         await host.crash(1, b"other-1", b"other-2", b"other-3", POISON)
         assert {crash.fingerprint for crash in host.report_to().crashes} == {POISON}
@@ -111,7 +111,7 @@
     async def test_is_no_suspect_any_more_once_it_was_run(self, host):
         for number in range(3):
             await host.crash(number, b"popular", POISON)
-            host.steering_state.record_completed_run(b"popular", uptime.now())
+            host.steering_state.crash_reports.record_completed_run(b"popular", uptime.now())
         assert not host.rejects(b"popular")
         assert host.rejects(POISON)
 
@@ -120,7 +120,7 @@
         for number in range(2):
             await host.crash(number, b"popular", POISON)
         host.report_to(other)
-        host.steering_state.record_completed_run(b"popular", uptime.now())
+        host.steering_state.crash_reports.record_completed_run(b"popular", uptime.now())
         host.report_to(other)
         await other.crash(2, b"popular", POISON)
         assert not other.rejects(b"popular")
@@ -129,7 +129,7 @@
     async def test_a_response_of_the_server_itself_clears_it(self):
         async with running(reply()) as (world, _):
             fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
-            poison = world.steering_state.poison
+            poison = world.steering_state.crash_reports.poison
             poison.record_crash(fingerprint, Crash("server-8", 1, uptime.now()), uptime.now())
             assert (await world.request())[0] == 200
             assert poison.crash_count(fingerprint) == 0
@@ -149,17 +149,17 @@
         await host.crash(0, POISON)
         await other.crash(0, POISON)
         host.report_to(other)
-        assert other.steering_state.poison.crash_count(POISON) == 1
+        assert other.steering_state.crash_reports.poison.crash_count(POISON) == 1
 
     async def test_a_report_that_arrives_late_is_about_the_same_crash(self, host):
         other = Host("other")
         await host.crash(0, POISON)
-        (detected,) = host.steering_state.crashes
+        (detected,) = host.steering_state.crash_reports.detected
         before = detected.crash._replace(crashed_at=detected.crash.crashed_at - 2.9)
-        host.steering_state.crashes = [detected._replace(crash=before)]
-        other.steering_state.poison.record_crash(POISON, before, uptime.now())
+        host.steering_state.crash_reports.detected = [detected._replace(crash=before)]
+        other.steering_state.crash_reports.poison.record_crash(POISON, before, uptime.now())
         host.report_to(other)
-        assert other.steering_state.poison.crash_count(POISON) == 1
+        assert other.steering_state.crash_reports.poison.crash_count(POISON) == 1
 
 
 class TestRequestThatIsRepeatedWithoutEnd:
@@ -168,7 +168,7 @@
     async def test_a_host_that_starts_later_rejects_it_too(self, host):
         for number in range(3):
             await host.crash(number, POISON)
-        host.steering_state.crashes.clear()
+        host.steering_state.crash_reports.detected.clear()
         started = Host("started")
         host.report_to(started)
         assert started.rejects(POISON)
@@ -194,17 +194,21 @@
             fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
             for number, backend in enumerate(backends):
                 crash = Crash(f"server-{1 - number}", 1, uptime.now())
-                world.steering_state.poison.record_crash(fingerprint, crash, uptime.now())
+                world.steering_state.crash_reports.poison.record_crash(
+                    fingerprint, crash, uptime.now()
+                )
                 before = len(backend.requests)
                 assert (await world.request())[0] == 200
                 assert len(backend.requests) == before + 1
-                world.steering_state.poison.cleared.clear()
+                world.steering_state.crash_reports.poison.cleared.clear()
 
     async def test_a_rejected_request_is_not_sent(self):
         async with running(reply()) as (world, backends):
             fingerprint = request_fingerprint("", "GET", "/devices/7", b"")
             for number in range(3):
                 crash = Crash(f"server-{number}", 1, uptime.now())
-                world.steering_state.poison.record_crash(fingerprint, crash, uptime.now())
+                world.steering_state.crash_reports.poison.record_crash(
+                    fingerprint, crash, uptime.now()
+                )
             assert (await world.request())[0] == 503
             assert not backends[0].requests
--- a/tests/test_server_notices_fleet.py
+++ b/tests/test_server_notices_fleet.py
@@ -7,10 +7,12 @@
 import pathlib
 import time
 
+import aiohttp
 import pytest
 from soak.callers import Callers
 from soak.checks import DRAIN_BOUND_S, check
 from soak.history import process_name
+from soak.hosts import Host
 from soak.servers import Server
 from soak.world import TENANT_RATES, World
 
@@ -63,6 +65,12 @@
         notices = [one for one in self.world.history.notices if one.server == server.name]
         return {hosts[one.request_id] for one in notices if one.request_id in hosts}
 
+    async def status_of(self, host: Host) -> list[dict]:
+        """Return the servers that a host shows to operators as leaving or paused."""
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{host.lookup_address}/v1/status") as response:
+                return list((await response.json())["servers"])
+
     def violations(self) -> list[str]:
         history = self.world.history
         found = check(history, self.world.keys, TENANT_RATES, [], float("inf"))
@@ -87,6 +95,9 @@
             server.is_leaving = True
             await fleet.wait_until(lambda: len(fleet.hosts_told(server)) == HOSTS)
             told_at = time.monotonic()
+            for host in fleet.world.hosts:
+                shown = await fleet.status_of(host)
+                assert [one["server"] for one in shown if one["leaving"]] == [server.name]
             await asyncio.sleep(DRAIN_BOUND_S + 2.0)
         assert fleet.violations() == []
         served_since = {
