Usage reports: counts, collection, holder and sending

Some deployments are billed by usage: the platform wants one report per window with the requests that backend servers began to run, by workspace. Hosts count them by estimated start, carry the cumulative counts in their reports to the aggregators, and the first-ranked aggregator that reaches the store finalizes each window by a conditional write and sends exactly the stored bytes. Nothing of it acts, and no message grows, unless the settings name the duty.

The soak test can run with such an endpoint (--usage).

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -14,7 +14,12 @@
     HeaderList,
     request_head,
 )
-from radishbridge.entry.context import AbandonedAttempt, AttemptOutcome, RequestContext
+from radishbridge.entry.context import (
+    MAY_HAVE_RUN_OUTCOMES,
+    AbandonedAttempt,
+    AttemptOutcome,
+    RequestContext,
+)
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
 from radishbridge.entry.steering_state import SteeringState
@@ -44,6 +49,7 @@
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
     :param asked_for_pause: the response said that the server wants no requests for a while.
+    :param is_answered: a whole response has arrived.
     :param is_silent: the server sent no response for longer than usual.
     """
 
@@ -53,6 +59,7 @@
         "context",
         "crash_detector",
         "header_codec",
+        "is_answered",
         "is_silent",
         "outcome",
         "pool",
@@ -82,6 +89,7 @@
         self.started_at = uptime.now()
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
+        self.is_answered = False
         self.is_silent = False
         self.asked_for_pause = False
 
@@ -97,6 +105,9 @@
             raise
         finally:
             self.state.finish()
+            if self.steering_state.usage is not None:
+                ran = self.outcome in MAY_HAVE_RUN_OUTCOMES
+                self.steering_state.usage.finish(self, ran, self.is_answered, uptime.now())
 
     async def _run(self) -> BackendResponse | Failure:
         server = self.state.server
@@ -114,6 +125,11 @@
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
         self.sent_at = uptime.now()
         self.context.send_count += 1
+        if self.steering_state.usage is not None:
+            occupancy = self.state.occupancy(self.sent_at)
+            self.steering_state.usage.begin(
+                self, self.context.workspace, self.context.service, occupancy, self.sent_at
+            )
         try:
             response = await self._exchange(connection)
         except asyncio.CancelledError:
@@ -155,6 +171,7 @@
     def _process_response(
         self, response: BackendResponse, connection: BackendConnection
     ) -> BackendResponse | Failure:
+        self.is_answered = True
         metadata = self.header_codec.read_response(response.status, response.headers)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -36,7 +36,7 @@
     ANSWERED = "answered"
 
 
-_MAY_HAVE_RUN_OUTCOMES = frozenset(
+MAY_HAVE_RUN_OUTCOMES = frozenset(
     {AttemptOutcome.MAY_HAVE_RUN, AttemptOutcome.FAILED, AttemptOutcome.ANSWERED}
 )
 
@@ -137,7 +137,7 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether any server ran the request or may have, which holds once it is sent."""
-        return any(attempt.outcome in _MAY_HAVE_RUN_OUTCOMES for attempt in self.attempts)
+        return any(attempt.outcome in MAY_HAVE_RUN_OUTCOMES for attempt in self.attempts)
 
     @property
     def home_region(self) -> HomeRegion | None:
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -34,6 +34,7 @@
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
 from radishbridge.records import is_address
 from radishbridge.steering import FleetShare
+from radishbridge.steering.usage_counts import UsageNews, UsageReport
 
 # Interval between reports and between summaries, in seconds. Fleets of more than LARGE_FLEET_HOSTS
 # report less often, because each of their hosts takes part in only a few decisions a second.
@@ -86,6 +87,22 @@
     received_at: float
 
 
+class UsageMessages(t.Protocol):
+    """What reports and summaries say for the usage reports."""
+
+    def build_report(self, now: float) -> UsageReport:
+        """Return this host's part of its report."""
+
+    def record_report(self, name: str, report: UsageReport, is_leaving: bool, now: float) -> None:
+        """Record a host's part of its report."""
+
+    def build_news(self, now: float) -> UsageNews:
+        """Return this host's part of its summary."""
+
+    def apply_news(self, news: UsageNews, now: float) -> None:
+        """Apply an aggregator's part of its summary."""
+
+
 class Fleet:
     """This host's view of the fleet, and its reports, summaries and requests to the other hosts.
 
@@ -107,6 +124,7 @@
     :param differs_since: monotonic time by kind since which this copy has been missing something.
     :param newest_revisions: highest revision by kind that any host has reported.
     :param unregistered_peers: hosts that send messages but are missing from the list of hosts.
+    :param usage: for the usage reports; ``None`` where no such reports are made.
     """
 
     __slots__ = (
@@ -133,6 +151,7 @@
         "summary_at",
         "unregistered_peer_at",
         "unregistered_peers",
+        "usage",
     )
 
     def __init__(
@@ -169,6 +188,7 @@
         self.newest_revisions: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.unregistered_peer_at = float("-inf")
         self.unregistered_peers: dict[str, HostAddress] = {}
+        self.usage: UsageMessages | None = None
         mesh.on_unknown_sender = self._accept_unregistered
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
@@ -310,6 +330,21 @@
         candidates = high_capacity_hosts(known, HIGH_CAPACITY_HOSTS_MIN)
         return rank(role, (entry.peer_address for entry in candidates))
 
+    def usage_candidate(self, now: float) -> str | None:
+        """Return the host that should hold the duty of reporting usage; ``None`` if unknown.
+
+        It has the rank of the aggregators, since these get the counts of all hosts anyway. All
+        hosts send their reports also to a candidate that is no aggregator.
+        """
+        if now - self.summary_at > SUMMARY_MAX_AGE_S:
+            return None
+        able = [
+            status.name
+            for status in self.live_hosts(now).values()
+            if status.reaches_store and not status.is_leaving
+        ]
+        return next(iter(self.rank_for("sum", able)), None)
+
     def broadcast_changes(
         self, objects: list[StoredObject], after: int = 0, revision: int = 0
     ) -> None:
@@ -342,12 +377,16 @@
             self.make_report(), copy_state=self.copy.state(), size=self._update_peak_size(now)
         )
         own = self.own.peer_address
-        self.reports[own] = ReceivedReport(report, now)
         aggregators = self._aggregators(now)
+        receivers = aggregators
+        if self.usage is not None:
+            report = msgspec.structs.replace(report, usage=self.usage.build_report(now))
+            receivers = list(dict.fromkeys([*aggregators, self.usage_candidate(now) or own]))
+        self._record_report(own, report, now)
         if own not in aggregators:
             # Rejections last, so that the aggregators know them as well.
             report = msgspec.structs.replace(report, rejected=[])
-        for name in aggregators:
+        for name in receivers:
             if name != own:
                 self.mesh.send(name, report)
         recent = {
@@ -358,6 +397,8 @@
         }
         if own in aggregators or len(recent) > 1:
             summary = merge_reports(recent, self.copy.state())
+            if self.usage is not None:
+                summary.usage = self.usage.build_news(now)
             self._apply_summary(summary, now)
             # While a fleet starts, each host has only its own report and need not send it to all.
             # Later such summaries let hosts that lost contact find each other again.
@@ -428,9 +469,14 @@
         else:
             self._on_changed(origin, message.message)
 
+    def _record_report(self, name: str, report: FleetReport, now: float) -> None:
+        self.reports[name] = ReceivedReport(report, now)
+        if self.usage is not None and isinstance(report.usage, UsageReport):
+            self.usage.record_report(name, report.usage, report.status.is_leaving, now)
+
     def _on_report(self, peer: Peer, message: FleetReport) -> None:
         now = self.clock()
-        self.reports[peer.name] = ReceivedReport(message, now)
+        self._record_report(peer.name, message, now)
         self.last_contact[peer.name] = self.last_seen[peer.name] = now
         if message.copy_state is not None:
             self._compare_copies(peer.name, message.copy_state, now)
@@ -457,6 +503,8 @@
                 self.last_contact[status.name] = now
         self.fleet_share.hosts_reporting = max(1, len(summary.hosts))
         self.fleet_share.summary_at = now
+        if self.usage is not None and isinstance(summary.usage, UsageNews):
+            self.usage.apply_news(summary.usage, now)
         self._count_hosts(now)
         for listener in self.listeners:
             listener(summary)
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -9,6 +9,7 @@
 from radishbridge.entry.protocol import VERSION_MAX, Kind, Listing, StoredObject
 from radishbridge.peers import Heartbeat
 from radishbridge.steering import Evidence, HomeDemand
+from radishbridge.steering.usage_counts import UsageNews, UsageReport
 
 # Ranges of numbers in messages, beyond which a message counts as malformed.
 AMOUNT_MAX = 1e12
@@ -92,6 +93,7 @@
         aggregators send them.
     :param copy_state: state of the sender's copy; the aggregator's own copy may be behind.
     :param size: largest number of registered hosts that the sender has recently known.
+    :param usage: counts for the usage reports; unset where no such reports are made.
     """
 
     status: HostStatus = msgspec.field(name="sight")
@@ -103,6 +105,7 @@
     rejected: list[Rejected] = []
     copy_state: CopyState | None = None
     size: FleetSize = 1
+    usage: UsageReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
@@ -118,6 +121,7 @@
         aggregators send them.
     :param copy_state: state of the aggregator's copy.
     :param size: the largest of the reported sizes.
+    :param usage: for the usage reports; unset where no such reports are made.
     """
 
     hosts: list[HostStatus]
@@ -129,6 +133,7 @@
     cleared: list[bytes] = []
     rejected: list[Rejected] = []
     size: FleetSize = 1
+    usage: UsageNews | msgspec.UnsetType = msgspec.UNSET
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -44,6 +44,7 @@
     stable_versions,
     unit_hash,
 )
+from radishbridge.steering.usage_counts import UsageCounter
 
 # Number of this host's last reports whose demands are kept. A summary includes a report up to 1.1 s
 # old and arrives up to 1.2 s later, at five reports a second.
@@ -128,6 +129,8 @@
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
     :param unreadable: objects whose newest version cannot be decoded.
+    :param usage: counts the requests that servers begin to run; ``None`` where usage is not
+        reported.
     :param ready: set once this host knows enough to serve requests.
     """
 
@@ -159,6 +162,7 @@
         "selector",
         "slow_start",
         "unreadable",
+        "usage",
         "warm_pairs",
     )
 
@@ -199,6 +203,7 @@
         self.ready = asyncio.Event()
         self.is_leaving = False
         self.unreadable: dict[ObjectKey, Unreadable] = {}
+        self.usage: UsageCounter | None = None
 
     @property
     def is_ready(self) -> bool:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,12 +21,14 @@
     directory: pathlib.Path,
     check_timing: bool = True,
     callers: int = CALLER_COUNT,
+    reports_usage: bool = False,
 ) -> list[str]:
     """Run one seed and return the broken promises.
 
     :param check_timing: whether to check the promises with a time bound too.
+    :param reports_usage: whether the hosts report usage.
     """
-    world = World(seed, hosts, directory, check_timing)
+    world = World(seed, hosts, directory, check_timing, reports_usage)
     async with world.running():
         violations = await world.run_faults(seconds, callers)
     outcomes = world.history.outcomes
@@ -48,12 +50,20 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--callers", type=int, default=CALLER_COUNT)
+    parser.add_argument("--usage", action="store_true")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.runs):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         violations = asyncio.run(
-            run(seed, options.seconds, options.hosts, directory, callers=options.callers)
+            run(
+                seed,
+                options.seconds,
+                options.hosts,
+                directory,
+                callers=options.callers,
+                reports_usage=options.usage,
+            )
         )
         if violations:
             print(f"logs and notes of seed {seed}: {directory}")
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -44,6 +44,13 @@
 address = "{store}"
 minTtl = "1000ms"
 """
+USAGE_TEMPLATE = """
+[cloud]
+address = "{address}"
+ratePerS = 50.0
+duties = ["usage_reporting"]
+dutiesPerS = 50.0
+"""
 
 
 class Host:
@@ -57,7 +64,9 @@
         store: tuple[str, int],
         directory: pathlib.Path,
         history: History,
+        usage_address: str = "",
     ) -> None:
+        self.usage_address = usage_address
         self.name = f"host-{number}"
         self.ip = f"127.0.1.{number + 1}"
         self.base_port = base_port
@@ -95,6 +104,8 @@
             ready=self.base_port + 5,
             store=self.store_proxy.address_text,
         )
+        if self.usage_address:
+            text += USAGE_TEMPLATE.format(address=self.usage_address)
         self.settings_path.write_text(text)
 
     def start(self) -> None:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -39,6 +39,7 @@
         """Build the web application that serves the store."""
         application = web.Application()
         application.router.add_get("/v1/objects/{kind}", self.list_or_watch)
+        application.router.add_get("/v1/objects/{kind}/{name}", self.read)
         application.router.add_post("/v1/objects/{kind}", self.create)
         application.router.add_put("/v1/objects/{kind}/{name}", self.replace)
         application.router.add_put("/v1/objects/{kind}/{name}/status", self.replace_status)
@@ -94,6 +95,13 @@
             f'{{"items":[{",".join(items)}],"hasMore":false,"currentRev":{self.revision}}}'
         )
 
+    async def read(self, request: web.Request) -> web.StreamResponse:
+        """Return one object."""
+        if error := await self._apply_fault(request):
+            return error
+        stored = self.objects.get((request.match_info["kind"], request.match_info["name"]))
+        return web.Response(status=404) if stored is None else web.json_response(stored)
+
     async def create(self, request: web.Request) -> web.StreamResponse:
         """Create an object."""
         body = await request.json()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,7 @@
 from soak.proxy import Direction
 from soak.servers import Mode, Server
 from soak.store import Fault, Store
+from soak.usage import DELAY_S, UsageEndpoint
 
 REGION_BY_ZONE = {"north": "east", "south": "east", "west-1": "west"}
 SERVERS_PER_SERVICE = {"catalogue": 6, "orders": 4}
@@ -38,8 +39,14 @@
     """All components of a soak test, and the faults that may be injected into them."""
 
     def __init__(
-        self, seed: int, hosts: int, directory: pathlib.Path, check_timing: bool = True
+        self,
+        seed: int,
+        hosts: int,
+        directory: pathlib.Path,
+        check_timing: bool = True,
+        reports_usage: bool = False,
     ) -> None:
+        self.usage = UsageEndpoint() if reports_usage else None
         self.seed = seed
         self.check_timing = check_timing
         self.rng = random.Random(seed)
@@ -67,13 +74,16 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         address = runner.addresses[0][:2]
+        usage_address = "" if self.usage is None else await self.usage.start()
         for service, count in SERVERS_PER_SERVICE.items():
             for _ in range(count):
                 await self.add_server(service)
         await self.store.put("config", "main", spec=self.configuration())
         base = free_ports(1)[0]
         for number in range(self.host_count):
-            host = Host(number, base, REGION_BY_ZONE, address, self.directory, self.history)
+            host = Host(
+                number, base, REGION_BY_ZONE, address, self.directory, self.history, usage_address
+            )
             await host.prepare()
             host.start()
             self.hosts.append(host)
@@ -89,6 +99,8 @@
             for server in [*self.servers, *self.stopped_servers]:
                 await server.stop()
             await runner.cleanup()
+            if self.usage is not None:
+                await self.usage.stop()
 
     def configuration(self) -> dict[str, t.Any]:
         """Return the operators' configuration with the keys that are valid now."""
@@ -269,10 +281,24 @@
         await asyncio.sleep(RECOVERY_BOUND_S + 2.0)
         callers.stopping = True
         await callers_task
+        if self.usage is not None:
+            await asyncio.sleep(DELAY_S)
         violations = check(
             self.history, self.keys, TENANT_RATES, self.drains, undisturbed_from, self.check_timing
         )
-        return [*violations, *self.contained_errors()]
+        return [*violations, *self.usage_violations(), *self.contained_errors()]
+
+    def usage_violations(self) -> list[str]:
+        """Return the rules that the usage reports have broken, and note what is wrong in them."""
+        if self.usage is None:
+            return []
+        offset_s = time.time() - time.monotonic()
+        runs = [(run.tenant, run.at + offset_s) for run in self.history.executions]
+        accuracy = self.usage.accuracy(runs)
+        wrong = {window: fault for window, fault in accuracy.items() if fault}
+        self.history.notes.extend(f"USAGE {window}: {fault}" for window, fault in wrong.items())
+        print(f"usage: {len(accuracy)} windows, {len(wrong)} missing or wrong: {wrong}")
+        return self.usage.violations()
 
     def contained_errors(self) -> list[str]:
         """Return the errors of background tasks in the hosts' logs."""
