Usage reports: takeover while the store fails, estimates of starts, tests of the duty

The candidate kept its role while only its own calls of the store failed; each host ranked all hosts ten times a second; a host that stopped lost the counts since its last report; requests on a connection that the server had closed before counted as runs.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -26,6 +26,7 @@
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
+from radishbridge.steering.usage_counts import AttemptEnding
 
 logger = logging.getLogger(__name__)
 
@@ -49,7 +50,7 @@
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
     :param asked_for_pause: the response said that the server wants no requests for a while.
-    :param is_answered: a whole response has arrived.
+    :param ending: how the attempt ended, once it has.
     :param is_silent: the server sent no response for longer than usual.
     """
 
@@ -58,8 +59,8 @@
         "check_before_send",
         "context",
         "crash_detector",
+        "ending",
         "header_codec",
-        "is_answered",
         "is_silent",
         "outcome",
         "pool",
@@ -89,7 +90,7 @@
         self.started_at = uptime.now()
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
-        self.is_answered = False
+        self.ending = AttemptEnding.CANCELLED
         self.is_silent = False
         self.asked_for_pause = False
 
@@ -107,7 +108,8 @@
             self.state.finish()
             if self.steering_state.usage is not None:
                 ran = self.outcome in MAY_HAVE_RUN_OUTCOMES
-                self.steering_state.usage.finish(self, ran, self.is_answered, uptime.now())
+                ending = self.ending if ran else AttemptEnding.NOT_RUN
+                self.steering_state.usage.finish(self, ending, uptime.now())
 
     async def _run(self) -> BackendResponse | Failure:
         server = self.state.server
@@ -136,6 +138,7 @@
             self._record_abandoned(connection)
             raise
         if isinstance(response, Failure):
+            self.ending = AttemptEnding.BROKEN
             return self._record_exchange_failure(response)
         return self._process_response(response, connection)
 
@@ -171,7 +174,7 @@
     def _process_response(
         self, response: BackendResponse, connection: BackendConnection
     ) -> BackendResponse | Failure:
-        self.is_answered = True
+        self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -34,7 +34,7 @@
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
 from radishbridge.records import is_address
 from radishbridge.steering import FleetShare
-from radishbridge.steering.usage_counts import UsageNews, UsageReport
+from radishbridge.steering.usage_counts import UsageHolding, UsageNews, UsageReport
 
 # Interval between reports and between summaries, in seconds. Fleets of more than LARGE_FLEET_HOSTS
 # report less often, because each of their hosts takes part in only a few decisions a second.
@@ -90,6 +90,10 @@
 class UsageMessages(t.Protocol):
     """What reports and summaries say for the usage reports."""
 
+    @property
+    def holding(self) -> UsageHolding | None:
+        """What the holder of the duty has last told; ``None`` if there is none."""
+
     def build_report(self, now: float) -> UsageReport:
         """Return this host's part of its report."""
 
@@ -125,6 +129,7 @@
     :param newest_revisions: highest revision by kind that any host has reported.
     :param unregistered_peers: hosts that send messages but are missing from the list of hosts.
     :param usage: for the usage reports; ``None`` where no such reports are made.
+    :param ranked_summary: the last summary whose hosts were ranked, and the first of them.
     """
 
     __slots__ = (
@@ -144,6 +149,7 @@
         "own",
         "peak_size",
         "peak_size_at",
+        "ranked_summary",
         "reports",
         "seeds",
         "started_at",
@@ -189,6 +195,7 @@
         self.unregistered_peer_at = float("-inf")
         self.unregistered_peers: dict[str, HostAddress] = {}
         self.usage: UsageMessages | None = None
+        self.ranked_summary: tuple[FleetSummary | None, str | None] = (None, None)
         mesh.on_unknown_sender = self._accept_unregistered
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
@@ -336,14 +343,19 @@
         It has the rank of the aggregators, since these get the counts of all hosts anyway. All
         hosts send their reports also to a candidate that is no aggregator.
         """
-        if now - self.summary_at > SUMMARY_MAX_AGE_S:
+        summary = self.summary
+        if summary is None or now - self.summary_at > SUMMARY_MAX_AGE_S:
             return None
-        able = [
-            status.name
-            for status in self.live_hosts(now).values()
-            if status.reaches_store and not status.is_leaving
-        ]
-        return next(iter(self.rank_for("sum", able)), None)
+        # Ranking all hosts takes a hash for each of them, and their list changes only with the
+        # summary.
+        known, candidate = self.ranked_summary
+        if known is not summary:
+            staying = [status for status in summary.hosts if not status.is_leaving]
+            able = [status.name for status in staying if status.reaches_store]
+            names = able or [status.name for status in staying]
+            candidate = next(iter(self.rank_for("sum", names)), None)
+            self.ranked_summary = (summary, candidate)
+        return candidate
 
     def broadcast_changes(
         self, objects: list[StoredObject], after: int = 0, revision: int = 0
--- a/packages/entry/src/radishbridge/entry/usage.py
+++ b/packages/entry/src/radishbridge/entry/usage.py
@@ -8,7 +8,7 @@
 import typing as t
 
 from radishbridge.entry import uptime
-from radishbridge.entry.fleet import SUMMARY_MAX_AGE_S, Fleet
+from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.usage_metrics import UsageMetrics
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering.usage import (
@@ -25,6 +25,7 @@
     FleetTime,
     UsageCounter,
     UsageGathering,
+    UsageHolding,
     UsageNews,
     UsageReport,
 )
@@ -70,10 +71,12 @@
     :param rules: what operators set for the duty.
     :param incarnation: differs for each start of this host.
     :param duty: this host's part in the duty.
+    :param dropped_through: newest window whose counts of all hosts were dropped.
     """
 
     __slots__ = (
         "counter",
+        "dropped_through",
         "duty",
         "gathering",
         "incarnation",
@@ -98,10 +101,16 @@
         self.incarnation = duty.incarnation
         self.wall_clock = wall_clock
         self.sequence = 0
+        self.dropped_through = 0
         self.time = FleetTime(wall_clock() - now)
         self.counter = UsageCounter(rules.window_s, rules.useful_s, self.time)
         self.gathering = UsageGathering(rules.window_s)
 
+    @property
+    def holding(self) -> UsageHolding | None:
+        """What the holder of the duty has last told; ``None`` if there is none."""
+        return self.gathering.holding
+
     def build_report(self, now: float) -> UsageReport:
         """Return this host's counts for the aggregators."""
         self.sequence += 1
@@ -139,8 +148,14 @@
     def _observe(self, now: float) -> None:
         holding = self.gathering.holding
         if holding is not None:
-            self.duty.observe(holding.revision, now)
-            self.gathering.drop(holding.finalized_through, now, self.rules.useful_s)
+            self.duty.observe(holding.revision, holding.token, now)
+        rules = self.rules
+        useful_from = rules.window_of(self.time.at(now) - rules.useful_s)
+        finalized_through = 0 if holding is None else holding.finalized_through
+        # Once a window, since it goes through all hosts.
+        if max(useful_from - 1, finalized_through) > self.dropped_through:
+            self.dropped_through = max(useful_from - 1, finalized_through)
+            self.gathering.drop(self.dropped_through, now, rules.useful_s)
 
 
 class UsageReporter:
@@ -176,8 +191,10 @@
         """Perform the next step; return whether there was one."""
         exchange = self.exchange
         now = self.clock()
-        live = self._reporting_hosts(now)
-        is_candidate = bool(live) and self.fleet.usage_candidate(now) == exchange.name
+        is_candidate = self.fleet.usage_candidate(now) == exchange.name
+        if not is_candidate and not exchange.duty.may_send(now):
+            return False
+        live = list(self.fleet.live_hosts(now))
         step = exchange.duty.decide(is_candidate, exchange.gathering, live, exchange.time, now)
         if isinstance(step, ReadRecord):
             await self._read()
@@ -187,17 +204,13 @@
             await self._send(step)
         return step is not None
 
-    def _reporting_hosts(self, now: float) -> list[str]:
-        if now - self.fleet.summary_at > SUMMARY_MAX_AGE_S:
-            return []
-        return list(self.fleet.live_hosts(now))
-
     async def _read(self) -> None:
+        began_at = self.clock()
         result = await self.platform.read()
         duty = self.exchange.duty
         if isinstance(result, Failure):
             self._log_store_failure("read", result)
-            duty.on_store_failure(self.clock())
+            duty.on_store_failure(began_at, self.clock())
         else:
             duty.on_read(result, self.clock())
 
@@ -207,7 +220,7 @@
         now = self.clock()
         if isinstance(result, Failure):
             self._log_store_failure("write", result)
-            duty.on_store_failure(now)
+            duty.on_store_failure(duty.sent_at, now)
         elif isinstance(result, Conflict):
             logger.info("usage record changed by another host", extra={"token": step.record.token})
             duty.on_conflict(result.stored, now)
--- a/packages/steering/src/radishbridge/steering/usage.py
+++ b/packages/steering/src/radishbridge/steering/usage.py
@@ -41,6 +41,10 @@
 # First and longest pause between two calls to the store after a failure, in seconds.
 STORE_PAUSE_S = 0.2
 STORE_PAUSE_MAX_S = 1.0
+# Time in seconds for which calls have to fail before the store counts as unreachable, so that
+# another host takes the duty over, and time since the last failure after which it is tried again.
+UNREACHABLE_AFTER_S = 1.0
+ASSUME_REACHABLE_AFTER_S = 5.0
 
 
 class UsageRules(msgspec.Struct, frozen=True, kw_only=True):
@@ -209,6 +213,10 @@
     :param confirmed: windows whose report the platform has accepted from this host.
     :param tried: windows whose report this host has sent, accepted or not.
     :param finalized: how this host finalized the windows of the record.
+    :param highest_token: the highest fencing token that this host has seen.
+    :param failing_since: monotonic time since which calls of the store fail; infinite if the last
+        one worked.
+    :param failed_at: monotonic time of the last failure.
     :param left_out: windows that the last write left out, with the reason.
     """
 
@@ -216,7 +224,10 @@
         "address",
         "call_failures",
         "confirmed",
+        "failed_at",
+        "failing_since",
         "finalized",
+        "highest_token",
         "holder",
         "incarnation",
         "left_out",
@@ -254,8 +265,11 @@
         self.tried: set[int] = set()
         self.finalized: dict[int, Finalized] = {}
         self.left_out: dict[int, str] = {}
+        self.highest_token = 0
         self.call_failures = 0
         self.store_failures = 0
+        self.failing_since = float("inf")
+        self.failed_at = float("-inf")
         self.next_call_at = float("-inf")
         self.next_store_at = float("-inf")
 
@@ -268,6 +282,11 @@
         record = stored.record
         return UsageHolding(record.holder, record.token, stored.revision, record.finalized_through)
 
+    def reaches_store(self, now: float) -> bool:
+        """Return whether the store answers this host's calls, or may do so again."""
+        is_failing = now - self.failing_since >= UNREACHABLE_AFTER_S
+        return not is_failing or now - self.failed_at > ASSUME_REACHABLE_AFTER_S
+
     def may_send(self, now: float) -> bool:
         """Return whether this host may send; checked immediately before the bytes are sent."""
         return not self.must_read and now < self.valid_until
@@ -295,7 +314,7 @@
         stored = self.stored
         if stored is None:
             started = self.rules.window_of(time.at(now)) - 1
-            return self._write(0, 1, max(0, started), (), now)
+            return self._write(0, self.highest_token + 1, max(0, started), (), now)
         record = stored.record
         ready = self._ready_windows(record, gathering, live, time, now)
         is_own = self._is_own(record)
@@ -305,8 +324,9 @@
             return None
         return self._write_next(stored, ready, gathering, time, now)
 
-    def observe(self, revision: int, now: float) -> None:
-        """Record that the holder has told of a revision of the record."""
+    def observe(self, revision: int, token: int, now: float) -> None:
+        """Record that the holder has told of a revision of the record and its fencing token."""
+        self.highest_token = max(self.highest_token, token)
         if revision > self.observed_revision:
             self.observed_revision = revision
             self.observed_at = now
@@ -320,13 +340,13 @@
         :param stored: ``None`` if there is no record.
         :param now: time after the response.
         """
-        self.store_failures = 0
+        self._reached()
         self.must_read = False
         self._replace(stored, now)
 
     def on_written(self, step: WriteRecord, revision: int, now: float) -> None:
         """Record that a write has succeeded."""
-        self.store_failures = 0
+        self._reached()
         if self.stored is not None:
             self._count_left_out(self.stored.record, step.record)
         self._replace(StoredUsage(revision, step.record), now)
@@ -336,15 +356,28 @@
 
         :param stored: the record that the store has; ``None`` if it did not say.
         """
-        self.store_failures = 0
+        self._reached()
         if stored is None:
-            self.on_store_failure(now)
+            self.must_read = True
+            self._pause(now)
             return
         self._replace(stored, now)
 
-    def on_store_failure(self, now: float) -> None:
-        """Record that a call to the store has failed, or that its outcome is unknown."""
+    def on_store_failure(self, began_at: float, now: float) -> None:
+        """Record that a call to the store has failed, or that its outcome is unknown.
+
+        :param began_at: time before the call.
+        """
         self.must_read = True
+        self.failing_since = min(self.failing_since, began_at)
+        self.failed_at = now
+        self._pause(now)
+
+    def _reached(self) -> None:
+        self.store_failures = 0
+        self.failing_since = float("inf")
+
+    def _pause(self, now: float) -> None:
         pause_s = min(STORE_PAUSE_MAX_S, STORE_PAUSE_S * 2.0**self.store_failures)
         self.store_failures += 1
         self.next_store_at = now + pause_s * self.rng.uniform(0.5, 1.0)
@@ -394,6 +427,7 @@
             self.observed_revision = stored.revision
             self.observed_at = now
         record = stored.record
+        self.highest_token = max(self.highest_token, record.token)
         # An earlier write of this host may have taken effect late. It permits nothing, since it
         # is not known when it was sent.
         if self._is_own(record) and record.sequence == self.sequence:
@@ -421,10 +455,11 @@
         return SendReport(reports[0], self.holder, stored.record.token, self.valid_until)
 
     def _must_renew(self, time_s: float, now: float) -> bool:
-        # While the platform does not answer, one write for every two leases is enough.
         if self.stored is None or now < self.next_call_at:
             return False
-        is_due = now >= self.sent_at + 2.0 * self.rules.lease_s
+        # While the platform does not answer, one write for every two leases is enough.
+        leases = 2.0 if self.call_failures else 1.0
+        is_due = now >= self.sent_at + leases * self.rules.lease_s - CALL_TIME_MIN_S
         return is_due and bool(self._unconfirmed(self.stored.record, time_s))
 
     def _may_take_over(self, record: UsageRecord, now: float) -> bool:
--- a/packages/steering/src/radishbridge/steering/usage_counts.py
+++ b/packages/steering/src/radishbridge/steering/usage_counts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 import statistics
 import typing as t
@@ -25,6 +26,10 @@
 # Servers that refuse a request do so at once. An attempt that a server with a free slot has held
 # for this long, in seconds, is running.
 REFUSAL_TIMEOUT_S = 0.5
+# A connection that breaks this soon after a request was sent on it, in seconds and as a fraction of
+# the usual run time, had been closed by the server before: the request did not run.
+LOST_AT_ONCE_S = 0.1
+LOST_RUN_FRACTION = 0.5
 # Weight of the newest sample in the mean run time of a service.
 RUN_TIME_WEIGHT = 0.1
 # A host whose last report is older than this, in seconds, is silent: at least two were lost.
@@ -105,6 +110,18 @@
         return now + self.offset_s
 
 
+class AttemptEnding(enum.Enum):
+    """How an attempt that was sent has ended.
+
+    ``BROKEN`` is a connection that ended before the whole response, ``NOT_RUN`` a refusal.
+    """
+
+    ANSWERED = "answered"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_RUN = "not run"
+
+
 class _Running(t.NamedTuple):
     """An attempt without a response.
 
@@ -147,7 +164,7 @@
         self.counts: dict[int, dict[str, int]] = {}
         self.running: dict[object, _Running] = {}
         self.run_times: dict[str, float] = {}
-        self.dropped_through = 0
+        self.dropped_through = -1
 
     def begin(
         self, attempt: object, workspace: str, service: str, occupancy: float, now: float
@@ -163,17 +180,15 @@
         wait_s = queue * self.run_times.get(service, 0.0)
         self.running[attempt] = _Running(workspace, service, now, now + wait_s, queue > 0.0)
 
-    def finish(self, attempt: object, ran: bool, has_response: bool, now: float) -> None:
-        """Record that an attempt has ended; one that was not begun is ignored.
-
-        :param ran: the server ran the request or may have.
-        :param has_response: the server has responded.
-        """
+    def finish(self, attempt: object, ending: AttemptEnding, now: float) -> None:
+        """Record that an attempt has ended; one that was not begun is ignored."""
         running = self.running.pop(attempt, None)
-        if running is None or not ran:
+        if running is None or ending is AttemptEnding.NOT_RUN:
+            return
+        if ending is AttemptEnding.BROKEN and self._was_lost_at_once(running, now):
             return
         starts_at = running.starts_at
-        if has_response:
+        if ending is AttemptEnding.ANSWERED:
             starts_at = self._start_before_response(running, now)
         if starts_at <= now:
             self._add(self.counts, running.workspace, starts_at)
@@ -204,6 +219,10 @@
                 self._add(counts, running.workspace, running.starts_at)
         return counts
 
+    def _was_lost_at_once(self, running: _Running, now: float) -> bool:
+        run_time_s = self.run_times.get(running.service, 0.0)
+        return now - running.sent_at < min(LOST_AT_ONCE_S, LOST_RUN_FRACTION * run_time_s)
+
     def _start_before_response(self, running: _Running, now: float) -> float:
         known_s = self.run_times.get(running.service)
         if running.is_queued:
@@ -324,18 +343,18 @@
     ) -> Unsettled:
         """Return the hosts whose counts of a window may still change.
 
-        Hosts that fell silent before the window began have ended or were cut off for so long that
-        they are not waited for.
+        Hosts that fell silent more than a window before it began have ended, or were cut off for
+        so long that they are not waited for.
 
         :param live: names of the hosts that are known to run.
         """
-        window_began_at = window * self.window_s - time.offset_s
+        awaited_from = (window - 1) * self.window_s - time.offset_s
         late = []
         silent = []
         newest: dict[str, float] = {}
         for gathered in self.hosts.values():
             newest[gathered.name] = max(gathered.heard_at, newest.get(gathered.name, float("-inf")))
-            if gathered.settled_through >= window or gathered.heard_at < window_began_at:
+            if gathered.settled_through >= window or gathered.heard_at < awaited_from:
                 continue
             is_silent = now - gathered.heard_at > SILENT_AFTER_S
             if is_silent and not gathered.is_leaving:
--- a/tests/soak/usage.py
+++ b/tests/soak/usage.py
@@ -89,7 +89,7 @@
 
     def violations(self) -> list[str]:
         """Return the rules of the duty that the calls have broken."""
-        return [*_repeated_windows(self.calls), *_tokens(self.calls), *_returns(self.calls)]
+        return find_violations(self.calls)
 
     def accuracy(self, executions: t.Iterable[tuple[str, float]]) -> dict[int, str]:
         """Return by window what is wrong with its report; empty text if nothing is.
@@ -107,6 +107,11 @@
         }
 
 
+def find_violations(calls: t.Sequence[Call]) -> list[str]:
+    """Return the rules of the duty that calls have broken, in the order of their arrival."""
+    return [*_repeated_windows(calls), *_tokens(calls), *_returns(calls)]
+
+
 def _judge(window: int, truth: Counts, call: Call | None) -> str:
     if call is None:
         return f"missing, {dict(truth)}"
@@ -122,7 +127,7 @@
 
 
 def _repeated_windows(calls: t.Iterable[Call]) -> t.Iterator[str]:
-    first: dict[int, Counts] = {}
+    first: dict[int, t.Any] = {}
     for call in calls:
         if first.setdefault(call.window, call.counts) != call.counts:
             yield f"VIOLATION window {call.window} has two counts"
