--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -14,13 +14,19 @@
     HeaderList,
     request_head,
 )
-from radishbridge.entry.context import AbandonedAttempt, AttemptOutcome, RequestContext
+from radishbridge.entry.context import (
+    MAY_HAVE_RUN_OUTCOMES,
+    AbandonedAttempt,
+    AttemptOutcome,
+    RequestContext,
+)
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
+from radishbridge.steering.usage_counts import AttemptEnding
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +50,7 @@
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
     :param asked_for_pause: the response said that the server wants no requests for a while.
+    :param ending: how the attempt ended, once it has.
     :param is_silent: the server sent no response for longer than usual.
     """
 
@@ -52,6 +59,7 @@
         "check_before_send",
         "context",
         "crash_detector",
+        "ending",
         "header_codec",
         "is_silent",
         "outcome",
@@ -82,6 +90,7 @@
         self.started_at = uptime.now()
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
+        self.ending = AttemptEnding.CANCELLED
         self.is_silent = False
         self.asked_for_pause = False
 
@@ -97,6 +106,10 @@
             raise
         finally:
             self.state.finish()
+            if self.steering_state.usage is not None:
+                ran = self.outcome in MAY_HAVE_RUN_OUTCOMES
+                ending = self.ending if ran else AttemptEnding.NOT_RUN
+                self.steering_state.usage.finish(self, ending, uptime.now())
 
     async def _run(self) -> BackendResponse | Failure:
         server = self.state.server
@@ -114,12 +127,18 @@
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
         self.sent_at = uptime.now()
         self.context.send_count += 1
+        if self.steering_state.usage is not None:
+            occupancy = self.state.occupancy(self.sent_at)
+            self.steering_state.usage.begin(
+                self, self.context.workspace, self.context.service, occupancy, self.sent_at
+            )
         try:
             response = await self._exchange(connection)
         except asyncio.CancelledError:
             self._record_abandoned(connection)
             raise
         if isinstance(response, Failure):
+            self.ending = AttemptEnding.BROKEN
             return self._record_exchange_failure(response)
         return self._process_response(response, connection)
 
@@ -155,6 +174,7 @@
     def _process_response(
         self, response: BackendResponse, connection: BackendConnection
     ) -> BackendResponse | Failure:
+        self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
