Select servers that report pace by expected time

Load reports with four figures were dropped, so that on the two deployments whose servers send them each host knew only its own requests, and sent to full servers what others would have answered in time. Reports with three or four figures are read now. For services whose servers report pace, a host estimates the time until completion from queue, pace and the lengths of warm and cold runs, and compares it with target latency and deadline. Other services select as before.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -19,7 +19,7 @@
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.records import Failure, ResultCode
-from radishbridge.steering import ServerState
+from radishbridge.steering import Choice, ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
 
 logger = logging.getLogger(__name__)
@@ -40,6 +40,7 @@
     """One request sent to one backend server.
 
     :param state: the server, whose load and health are updated from the outcome.
+    :param choice: by which the server was selected.
     :param check_before_send: returns why the request must no longer be sent; ``None`` if it may.
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
@@ -50,6 +51,7 @@
     __slots__ = (
         "asked_for_pause",
         "check_before_send",
+        "choice",
         "context",
         "crash_detector",
         "header_codec",
@@ -66,6 +68,7 @@
         self,
         context: RequestContext,
         state: ServerState,
+        choice: Choice,
         header_codec: HeaderCodec,
         pool: BackendPool,
         steering_state: SteeringState,
@@ -74,6 +77,7 @@
     ) -> None:
         self.context = context
         self.state = state
+        self.choice = choice
         self.header_codec = header_codec
         self.pool = pool
         self.steering_state = steering_state
@@ -166,7 +170,7 @@
             )
         self.state.record_response(now)
         if metadata.load is not None:
-            self.state.record_load(metadata.load, now)
+            self.steering_state.selector.record_load(self.state, metadata.load, now)
         if self.state.is_leaving:
             connection.close()
         self.pool.release(self.state.server.address, connection)
@@ -207,6 +211,8 @@
             self._count_failure("it responded with a server error")
         else:
             self.state.record_success(latency_s, now)
+            selector = self.steering_state.selector
+            selector.record_run(self.state, self.choice, now - self.sent_at)
             if self.context.route.has_affinity:
                 self.state.mark_object_warm(self.context.routing_key, now)
         self._record_latency(failed)
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -29,6 +29,7 @@
 from radishbridge.routing import request_fingerprint
 from radishbridge.steering import (
     CallerLimits,
+    Choice,
     HomeRegion,
     RouteRule,
     ServerCriteria,
@@ -272,8 +273,8 @@
             failure = self._check_before_send(context)
             if failure is not None:
                 return self._give_up(context, failure)
-            state = self._choose_server(context, now)
-            if state is None:
+            choice = self._choose_server(context, now)
+            if choice.state is None:
                 return self._give_up(context, last_result)
             if (
                 context.send_count
@@ -281,7 +282,7 @@
             ):
                 return self._give_up(context, last_result)
             attempt, last_result = await self._run_with_hedging(
-                self._create_attempt(context, state)
+                self._create_attempt(context, choice.state, choice)
             )
             if attempt.outcome is AttemptOutcome.UNSENT:
                 connect_failures += 1
@@ -306,15 +307,20 @@
             return None
         if self.steering_state.crash_reports.poison.is_rejected(context.fingerprint, now):
             return None
-        state = self._choose_server(context, now)
-        if state is None or not self.steering_state.retry_budget(context.service, now).take_token():
+        choice = self._choose_server(context, now)
+        if choice.state is None:
             return None
-        return self._create_attempt(context, state)
+        if not self.steering_state.retry_budget(context.service, now).take_token():
+            return None
+        return self._create_attempt(context, choice.state, choice)
 
-    def _create_attempt(self, context: RequestContext, state: ServerState) -> Attempt:
+    def _create_attempt(
+        self, context: RequestContext, state: ServerState, choice: Choice | None = None
+    ) -> Attempt:
         return Attempt(
             context,
             state,
+            choice or Choice(state),
             self.header_codec,
             self.pool,
             self.steering_state,
@@ -337,7 +343,7 @@
             return _SHUTTING_DOWN
         return None
 
-    def _choose_server(self, context: RequestContext, now: float) -> ServerState | None:
+    def _choose_server(self, context: RequestContext, now: float) -> Choice:
         selector = self.steering_state.selector
         # A server that is sick may crash by itself, so that a suspect goes to another one first.
         crashed = self.steering_state.crash_reports.poison.crashed_backends(
@@ -345,18 +351,29 @@
         )
         excluded = [[*context.tried, *crashed], context.tried] if crashed else [context.tried]
         choices = (
-            selector.choose(criteria, names, now)
+            selector.decide(criteria, names, now)
             for names in excluded
             for criteria in self._criteria(context)
         )
-        return next((state for state in choices if state is not None), None)
+        refused = Choice(None)
+        for choice in choices:
+            if choice.state is not None:
+                return choice
+            refused = choice
+        return refused
 
     def _criteria(self, context: RequestContext) -> list[ServerCriteria]:
         by_preference = self.steering_state.server_criteria(
             context.service, context.route, context.routing_key
         )
+        now = uptime.now()
         return [
-            criteria._replace(home_regions=context.allowed_regions, rank=context.rank)
+            criteria._replace(
+                home_regions=context.allowed_regions,
+                rank=context.rank,
+                target_s=context.route.target_s,
+                remaining_s=context.deadline - now,
+            )
             for criteria in by_preference
         ]
 
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -11,6 +11,7 @@
     WorkspaceRule,
 )
 from radishbridge.steering.homes import HomeAdmission, HomeDemand, HomeMeter, HomeRegion
+from radishbridge.steering.load import Choice, Refusal, ServiceLoad
 from radishbridge.steering.moves import (
     Evidence,
     Move,
@@ -35,6 +36,7 @@
 
 __all__ = [
     "CallerLimits",
+    "Choice",
     "Configuration",
     "DemandMeter",
     "Evidence",
@@ -50,6 +52,7 @@
     "Notice",
     "RateLimiter",
     "RateSlice",
+    "Refusal",
     "RetryBudget",
     "RouteRule",
     "Selector",
@@ -57,6 +60,7 @@
     "ServerCriteria",
     "ServerNotices",
     "ServerState",
+    "ServiceLoad",
     "ServiceRule",
     "SlowStart",
     "WeightedService",
--- /dev/null
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -0,0 +1,262 @@
+"""Expected time until a request's completion on a server, for services whose servers report pace.
+
+Load pattern: demand exceeds capacity, so that each server has a queue. Requests that would be
+answered after their target latency are worth little and make those behind them late as well.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+from radishbridge.steering.servers import ServerState
+
+# Length of a run on a warm object relative to one on a cold object. The platform states this
+# ratio, so that one length per service is enough to know both.
+WARM_RUN_FRACTION = 0.3
+# A run shorter than this fraction of a cold one counts as warm: the geometric mean of both.
+WARM_RUN_FRACTION_MAX = 0.55
+# Longest run, relative to a cold one, that is counted in full: 3 % of the runs of some services
+# take seven times as long, which says nothing of the others.
+RUN_OUTLIER_FACTOR = 2.0
+# Weight of the newest run in the mean length of cold runs, and in the fractions of warm ones.
+RUN_SAMPLE_WEIGHT = 0.05
+# Runs needed before the expected time is used; until then servers are selected by occupancy.
+RUN_SAMPLES_MIN = 10
+# Runs whose expected wait was more than this fraction of a cold run are not measured: the error of
+# the wait is then as large as the difference of a warm and a cold run.
+MEASURED_WAIT_MAX = 0.5
+# Fractions of warm runs that are assumed before any were measured, on the first, the second and
+# any further server of an object. Only the first two get requests for it regularly.
+WARM_FRACTIONS_INITIAL = (0.7, 0.5, 0.0)
+# Fraction of warm runs on a server that has served the object to this host a few seconds ago.
+KNOWN_WARM_FRACTION = 0.9
+# Weight of a run's length, relative to the time of the request itself, on a server whose slots are
+# all in use: the slot is not available to others for that time.
+SLOT_TIME_WEIGHT = 1.0
+# Weight of the newest report in the mean load of a service's servers.
+MEAN_LOAD_SAMPLE_WEIGHT = 0.02
+# Expected time, relative to the target latency, above which a request is refused: it would
+# probably be late, and all requests that arrive behind it as well. The estimate's error is about
+# the rest.
+TARGET_TOLERANCE = 1.2
+# Reduction of that time for each more urgent priority level of the service's requests, and the
+# maximum reduction: under overload the last places stay free for the more urgent levels.
+RANK_TARGET_PENALTY = 0.15
+RANK_TARGET_PENALTY_MAX = 0.3
+# Fraction of the remaining time until the deadline that a request may be expected to take where
+# its target latency cannot be met even by a free slot.
+DEADLINE_FRACTION = 0.5
+# Requests per slot up to which a server that does not usually serve the object may run it. A run
+# on a cold object then uses slots that would be free; above, it would displace several warm runs.
+IDLE_OCCUPANCY_MAX = 0.6
+
+
+class Refusal(enum.Enum):
+    """Why no server was selected."""
+
+    NO_SERVER = "no server"
+    DEADLINE = "deadline"
+    DISPLACES = "displaces others"
+
+
+class Choice(t.NamedTuple):
+    """The selected server, or why there is none.
+
+    :param state: ``None`` if the request is refused.
+    :param position: position of the server among the object's servers; 2 for any other server.
+    :param wait_s: expected wait in the server's queue in seconds.
+    :param expected_s: expected time until completion in seconds; of the best server, if refused.
+    :param excess_s: expected time until the best server could accept the request.
+    """
+
+    state: ServerState | None
+    position: int = 0
+    wait_s: float = 0.0
+    expected_s: float = 0.0
+    refusal: Refusal = Refusal.NO_SERVER
+    excess_s: float = 0.0
+
+
+class RunLengths:
+    """Lengths of a service's runs at the usual pace, from this host's own responses.
+
+    :param cold_s: mean length of a run on a cold object in seconds.
+    :param warm_fractions: fractions of warm runs by the server's position for the object.
+    :param warm_fraction: fraction of warm runs on all servers.
+    """
+
+    __slots__ = ("cold_s", "samples", "warm_fraction", "warm_fractions")
+
+    def __init__(self) -> None:
+        self.cold_s = 0.0
+        self.samples = 0
+        self.warm_fraction = WARM_FRACTIONS_INITIAL[0]
+        self.warm_fractions = list(WARM_FRACTIONS_INITIAL)
+
+    @property
+    def warm_s(self) -> float:
+        """Return the mean length of a run on a warm object in seconds."""
+        return WARM_RUN_FRACTION * self.cold_s
+
+    @property
+    def mean_s(self) -> float:
+        """Return the mean length of all runs in seconds."""
+        return self._mixed_s(self.warm_fraction)
+
+    def expected_s(self, warm_fraction: float) -> float:
+        """Return the expected length of a run that is warm with some probability, in seconds."""
+        return self._mixed_s(warm_fraction)
+
+    def add(self, run_s: float, position: int) -> None:
+        """Count a run.
+
+        :param run_s: its length in seconds at the usual pace, without the wait in the queue.
+        :param position: position of its server for the object.
+        """
+        is_warm = run_s < WARM_RUN_FRACTION_MAX * self.cold_s
+        as_cold_s = run_s / WARM_RUN_FRACTION if is_warm else run_s
+        if self.cold_s:
+            as_cold_s = min(as_cold_s, RUN_OUTLIER_FACTOR * self.cold_s)
+        self.samples += 1
+        gain = max(RUN_SAMPLE_WEIGHT, 1.0 / self.samples)
+        self.cold_s += gain * (as_cold_s - self.cold_s)
+        self.warm_fraction += RUN_SAMPLE_WEIGHT * (is_warm - self.warm_fraction)
+        by_position = self.warm_fractions[position]
+        self.warm_fractions[position] += RUN_SAMPLE_WEIGHT * (is_warm - by_position)
+
+    def _mixed_s(self, warm_fraction: float) -> float:
+        return warm_fraction * self.warm_s + (1.0 - warm_fraction) * self.cold_s
+
+
+class ServiceLoad:
+    """Load of a service whose servers report pace.
+
+    :param mean_load: mean of the requests per slot that servers reported for other hosts.
+    """
+
+    __slots__ = ("mean_load", "refusals", "runs")
+
+    def __init__(self) -> None:
+        self.runs = RunLengths()
+        self.mean_load = 0.0
+        self.refusals: dict[Refusal, int] = dict.fromkeys(Refusal, 0)
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether enough runs were measured to estimate times."""
+        return self.runs.samples >= RUN_SAMPLES_MIN
+
+    def record_report(self, state: ServerState) -> None:
+        """Count the load that a server has just reported."""
+        load = state.other_hosts_load / max(1, state.server.slots)
+        self.mean_load += MEAN_LOAD_SAMPLE_WEIGHT * (load - self.mean_load)
+
+    def record_run(self, latency_s: float, choice: Choice, pace: float) -> None:
+        """Count a response.
+
+        :param latency_s: time from sending the request to its response in seconds.
+        """
+        wait_s = choice.wait_s
+        if self.is_known and wait_s > MEASURED_WAIT_MAX * self.runs.cold_s:
+            return
+        self.runs.add(max(0.0, latency_s - wait_s) / pace, choice.position)
+
+    def estimate(self, state: ServerState, position: int, key: str, now: float) -> Estimate:
+        """Return the expected time of a request on a server.
+
+        :param position: position of the server for the request's object; 2 for any other server.
+        :param key: key of the object; empty if the server's objects don't matter.
+        """
+        slots = max(1, state.server.slots)
+        load = state.expected_load(self.mean_load, now)
+        ahead = max(0.0, load - slots + 1.0)
+        pace = state.pace
+        wait_s = ahead * pace * self.runs.mean_s / slots
+        warm_fraction = self.runs.warm_fractions[position]
+        if key and state.has_warm_object(key, now):
+            warm_fraction = max(warm_fraction, KNOWN_WARM_FRACTION)
+        run_s = pace * self.runs.expected_s(warm_fraction)
+        warm_run_s = run_s if position > 1 else pace * self.runs.warm_s
+        return Estimate(state, position, load / slots, wait_s, run_s, wait_s + warm_run_s)
+
+
+class Estimate(t.NamedTuple):
+    """Expected time of a request on one server.
+
+    :param occupancy: requests per slot that it runs or queues.
+    :param wait_s: wait in its queue in seconds.
+    :param run_s: length of the run in seconds.
+    :param warm_finish_s: time until completion if the object is warm, on the servers of the object.
+    """
+
+    state: ServerState
+    position: int
+    occupancy: float
+    wait_s: float
+    run_s: float
+    warm_finish_s: float
+
+    @property
+    def cost_s(self) -> float:
+        """Return the expected time, plus the time for which others can't use the slot."""
+        return self.wait_s + self.run_s * (1.0 + SLOT_TIME_WEIGHT * min(1.0, self.occupancy))
+
+    def choice(self) -> Choice:
+        """Return the choice of this server."""
+        return Choice(self.state, self.position, self.wait_s, self.wait_s + self.run_s)
+
+
+class Limits(t.NamedTuple):
+    """Limits on the expected time of a request.
+
+    :param target_s: target latency in seconds.
+    :param remaining_s: time until the deadline in seconds.
+    :param rank: number of more urgent priority levels of the service's requests.
+    """
+
+    target_s: float
+    remaining_s: float
+    rank: int
+
+    def longest_s(self, free_slot_s: float) -> float:
+        """Return the expected time above which the request would displace others.
+
+        :param free_slot_s: time on a warm object without a queue.
+        """
+        if free_slot_s > self.target_s:
+            return DEADLINE_FRACTION * self.remaining_s
+        penalty = min(RANK_TARGET_PENALTY_MAX, RANK_TARGET_PENALTY * self.rank)
+        return min(self.remaining_s, self.target_s * (TARGET_TOLERANCE - penalty))
+
+
+def choose_by_time(
+    estimates: t.Iterable[Estimate],
+    others: t.Iterable[Estimate],
+    limits: Limits,
+    admits: t.Callable[[ServerState], bool],
+) -> Choice:
+    """Return the server on which a request is expected to complete first, or the refusal.
+
+    :param estimates: of the object's servers.
+    :param others: of further servers; read only as far as needed.
+    :param admits: whether a server's slow start admits the request.
+    """
+    by_cost = sorted(estimates, key=lambda one: one.cost_s)
+    for one in by_cost:
+        longest_s = limits.longest_s(one.warm_finish_s - one.wait_s)
+        if (one.warm_finish_s <= longest_s or not one.wait_s) and (
+            one.wait_s + one.run_s <= limits.remaining_s and admits(one.state)
+        ):
+            return one.choice()
+    for one in others:
+        in_time = one.wait_s + one.run_s <= limits.remaining_s
+        if one.occupancy < IDLE_OCCUPANCY_MAX and in_time and admits(one.state):
+            return one.choice()
+    if not by_cost:
+        return Choice(None)
+    best = min(by_cost, key=lambda one: one.warm_finish_s)
+    excess_s = best.warm_finish_s - limits.longest_s(best.warm_finish_s - best.wait_s)
+    expected_s = best.wait_s + best.run_s
+    refusal = Refusal.DEADLINE if expected_s > limits.remaining_s else Refusal.DISPLACES
+    return Choice(None, best.position, best.wait_s, expected_s, refusal, max(0.0, excess_s))
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,9 +15,10 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
+from radishbridge.steering.load import Choice, Limits, ServiceLoad, choose_by_time
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
-from radishbridge.steering.servers import Server, ServerState
+from radishbridge.steering.servers import LoadReport, Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
 # Number of servers that serve an object. Two servers on which it is warm balance its load; each
@@ -63,6 +64,8 @@
     :param has_affinity: servers respond faster for an object that is warm.
     :param names: the only servers that may run it; ``None`` for all.
     :param rank: number of more urgent priority levels of the service's requests.
+    :param target_s: target latency in seconds.
+    :param remaining_s: time until the request's deadline in seconds.
     """
 
     service: str
@@ -72,6 +75,8 @@
     has_affinity: bool = True
     names: frozenset[str] | None = None
     rank: int = 0
+    target_s: float = float("inf")
+    remaining_s: float = float("inf")
 
 
 class _PoolKey(t.NamedTuple):
@@ -86,10 +91,13 @@
 
     :param slow_start: limits the requests to cold servers.
     :param region: this host's region.
+    :param loads: load by service whose servers report pace. Their servers are selected by expected
+        time, all others by occupancy.
     """
 
     __slots__ = (
         "drained",
+        "loads",
         "median_latencies",
         "notices",
         "own_region_services",
@@ -116,6 +124,7 @@
         self.pools: dict[_PoolKey, list[ServerState]] = {}
         self.rankings: dict[tuple[_PoolKey, str], list[ServerState]] = {}
         self.version_counts: dict[str, dict[str, int]] = {}
+        self.loads: dict[str, ServiceLoad] = {}
 
     def put(self, server: Server, now: float) -> bool:
         """Add or update a server.
@@ -264,11 +273,38 @@
             if sum(state.latency_samples for state in states) >= MEDIAN_SAMPLES_MIN
         }
 
+    def record_load(self, state: ServerState, report: LoadReport, now: float) -> None:
+        """Record the load that a server reported with a response."""
+        state.record_load(report, now)
+        service = state.server.service
+        if report.has_pace and service not in self.loads:
+            self.loads[service] = ServiceLoad()
+        load = self.loads.get(service)
+        if load is not None:
+            load.record_report(state)
+
+    def record_run(self, state: ServerState, choice: Choice, latency_s: float) -> None:
+        """Record the response of a server to a request that it ran.
+
+        :param choice: by which the server was selected.
+        :param latency_s: time from sending the request to the response in seconds.
+        """
+        load = self.loads.get(state.server.service)
+        if load is not None:
+            load.record_run(latency_s, choice, state.pace)
+
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
     ) -> ServerState | None:
         """Return a server with capacity for one more request; ``None`` if there is none.
 
+        :param tried: names of servers that must not be chosen again.
+        """
+        return self.decide(criteria, tried, now).state
+
+    def decide(self, criteria: ServerCriteria, tried: t.Collection[str], now: float) -> Choice:
+        """Return the choice of a server with capacity for one more request, or of none.
+
         :param tried: names of servers that must not be chosen again.
         """
         median_s = self.median_latencies.get(criteria.service, 0.0)
@@ -289,10 +325,44 @@
             )
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
-        return self._pick(first, others, criteria, median_s, now)
+        load = self.loads.get(criteria.service)
+        if load is not None and load.is_known:
+            return self._choose_by_time(load, first, others, criteria, now)
+        return Choice(self._pick(first, others, criteria, median_s, now))
+
+    def _choose_by_time(
+        self,
+        load: ServiceLoad,
+        first: list[ServerState],
+        others: t.Iterator[ServerState],
+        criteria: ServerCriteria,
+        now: float,
+    ) -> Choice:
+        key = criteria.key if criteria.has_affinity else ""
+        estimates = [
+            load.estimate(state, position, key, now) for position, state in enumerate(first)
+        ]
+        if criteria.service in self.own_region_services:
+            others_read = list(others)
+            others = iter(others_read)
+            remote = self._first_remote(others_read)
+            if remote is not None:
+                estimates.append(load.estimate(remote, 1, key, now))
+        choice = choose_by_time(
+            estimates,
+            (load.estimate(state, SERVERS_PER_OBJECT, key, now) for state in others),
+            Limits(criteria.target_s, criteria.remaining_s, criteria.rank),
+            lambda state: self._admits(state, now),
+        )
+        if choice.state is None:
+            load.refusals[choice.refusal] += 1
+        return choice
 
     def has_room(self, criteria: ServerCriteria, now: float) -> bool:
         """Return whether a server would be chosen now, without taking its place."""
+        load = self.loads.get(criteria.service)
+        if load is not None and load.is_known:
+            return self._has_room_in_time(load, criteria, now)
         limits = itertools.chain(
             itertools.repeat(_occupancy_limit(criteria.rank), SERVERS_PER_OBJECT),
             itertools.repeat(FALLBACK_OCCUPANCY_LIMIT, FALLBACK_SERVERS_MAX),
@@ -302,6 +372,23 @@
             for state, limit in zip(self._ranking(criteria), limits, strict=False)
         )
 
+    def _has_room_in_time(self, load: ServiceLoad, criteria: ServerCriteria, now: float) -> bool:
+        examined = (
+            load.estimate(state, min(position, SERVERS_PER_OBJECT), criteria.key, now)
+            for position, state in enumerate(
+                itertools.islice(self._ranking(criteria), SERVERS_PER_OBJECT + FALLBACK_SERVERS_MAX)
+            )
+            if not state.is_ejected(now) and not state.is_paused(now)
+        )
+        estimates = list(examined)
+        choice = choose_by_time(
+            (one for one in estimates if one.position < SERVERS_PER_OBJECT),
+            (one for one in estimates if one.position == SERVERS_PER_OBJECT),
+            Limits(criteria.target_s, criteria.remaining_s, criteria.rank),
+            lambda state: True,
+        )
+        return choice.state is not None
+
     def _pick(
         self,
         first: list[ServerState],
--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -17,6 +17,17 @@
 LATENCY_SAMPLE_WEIGHT = 0.2
 # Half-life in seconds of the load that a server reported for other hosts.
 LOAD_HALF_LIFE_S = 0.3
+# Half-life in seconds with which the load that a server reported for other hosts approaches the
+# mean of its service, where servers report pace. Queues there last for several runs of a second.
+LOAD_MEAN_HALF_LIFE_S = 1.5
+# Half-life in seconds of a server's mean pace, and the maximum weight of one report. Machines are
+# slower for periods of about 0.6 s, which mostly end before the next request is sent; only what
+# remains over many of them is a property of the server.
+PACE_HALF_LIFE_S = 5.0
+PACE_SAMPLE_WEIGHT_MAX = 0.1
+# Range of the pace that is believed.
+PACE_MIN = 0.1
+PACE_MAX = 20.0
 # Moving average of failed responses at which a server is ejected, and the weight of the newest
 # response: about half of the last six. Single lost responses stay far below it.
 FAILURE_RATE_TO_EJECT = 0.5
@@ -68,11 +79,17 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load that a backend server reports with a response."""
+    """Load that a backend server reports with a response.
+
+    :param pace: how long work takes on the server's machine now, relative to the usual time.
+    :param has_pace: the server reported its pace.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
+    has_pace: bool = False
 
 
 class ServerState:
@@ -84,6 +101,7 @@
     :param silent_since: time of the last response, or of the first request in flight if later.
     :param other_hosts_load: requests of other hosts that the server ran or queued at the last load
         report.
+    :param pace: mean time that work takes on the server's machine, relative to the usual time.
     :param failure_rate: moving average of failed responses, 0 to 1.
     :param is_probing: a request is testing the server after an ejection.
     :param notice: what the server has said in its responses; ``None`` for nothing.
@@ -104,6 +122,7 @@
         "mean_latency_s",
         "notice",
         "other_hosts_load",
+        "pace",
         "server",
         "silent_since",
         "warm_objects",
@@ -115,7 +134,8 @@
         self.in_flight = 0
         self.silent_since = now
         self.other_hosts_load = 0.0
-        self.load_reported_at = now
+        self.load_reported_at = float("-inf")
+        self.pace = 1.0
         self.consecutive_failures = 0
         self.failure_rate = 0.0
         self.ejections = 0
@@ -169,6 +189,18 @@
         other_hosts_load = self.other_hosts_load * math.exp2(-age_s / LOAD_HALF_LIFE_S)
         return (self.in_flight + other_hosts_load) / max(1, self.server.slots)
 
+    def expected_load(self, mean_load: float, now: float) -> float:
+        """Return the requests that the server is expected to run or queue.
+
+        The load of other hosts approaches the mean of the service as the last load report ages.
+
+        :param mean_load: mean load of other hosts on the service's servers, in requests per slot.
+        """
+        mean = mean_load * self.server.slots
+        age_s = max(0.0, now - self.load_reported_at)
+        deviation = (self.other_hosts_load - mean) * math.exp2(-age_s / LOAD_MEAN_HALF_LIFE_S)
+        return self.in_flight + max(0.0, mean + deviation)
+
     def start(self, now: float) -> None:
         """Record that a request is sent to the server."""
         if not self.in_flight:
@@ -210,6 +242,10 @@
         The report may or may not count the request whose response carried it.
         """
         self.other_hosts_load = max(0.0, float(report.running + report.waiting - self.in_flight))
+        if report.has_pace:
+            age_s = max(0.0, now - self.load_reported_at)
+            gain = min(PACE_SAMPLE_WEIGHT_MAX, 1.0 - math.exp2(-age_s / PACE_HALF_LIFE_S))
+            self.pace += gain * (min(PACE_MAX, max(PACE_MIN, report.pace)) - self.pace)
         self.load_reported_at = now
 
     def has_warm_object(self, key: str, now: float) -> bool:
