Model servers that report pace, and hosts that share load reports

The model had no pace, no waves of demand and no way to compare what hosts learn from each other. New policies: occupancy (three figures of a report) and blind (none).

--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -4,8 +4,8 @@
 
 import random
 
-from bench._simulation import Policy
-from radishbridge.steering import LoadReport, Selector, Server, ServerCriteria, SlowStart
+from bench._simulation import Policy, TimeLimits
+from radishbridge.steering import Choice, LoadReport, Selector, Server, ServerCriteria, SlowStart
 
 # Interval between updates of the servers' median latencies; the same as in the entry host.
 MEDIAN_UPDATE_INTERVAL_S = 0.2
@@ -14,21 +14,35 @@
 class SteeringPolicy:
     """The decisions of an entry host: ``radishbridge.steering.Selector``."""
 
-    __slots__ = ("medians_updated_at", "selector")
+    __slots__ = ("choice", "choices", "medians_updated_at", "rng", "selector")
 
     def __init__(self, host: str, region: str, servers: list[Server], rng: random.Random) -> None:
         self.selector = Selector(SlowStart(host, 1.5, 5.0), region)
         self.medians_updated_at = 0.0
+        self.rng = rng
+        self.choice = Choice(None)
+        self.choices: dict[tuple[str, str], Choice] = {}
         for server in servers:
             self.selector.put(server, 0.0)
 
-    def choose(self, key: str, tried: list[str], now: float) -> str | None:
+    def choose(self, key: str, tried: list[str], now: float, limits: TimeLimits) -> str | None:
         """Return the server for an attempt."""
         if now - self.medians_updated_at > MEDIAN_UPDATE_INTERVAL_S:
             self.medians_updated_at = now
             self.selector.update_median_latencies()
-        state = self.selector.choose(ServerCriteria("service", key, None, None), tried, now)
-        return None if state is None else state.server.name
+        criteria = ServerCriteria(
+            "service", key, None, None, target_s=limits.target_s, remaining_s=limits.remaining_s
+        )
+        self.choice = self.selector.decide(criteria, tried, now)
+        if self.choice.state is None:
+            return None
+        name = self.choice.state.server.name
+        self.choices[name, key] = self.choice
+        return name
+
+    def retry_after_s(self) -> float | None:
+        """Return the delay to state with the last refusal."""
+        return None
 
     def record_sent(self, server: str, now: float) -> None:
         """Record that a request is sent to a server."""
@@ -45,12 +59,47 @@
             return
         state.record_success(latency_s, now)
         state.mark_object_warm(key, now)
+        choice = self.choices.get((server, key))
+        if choice is not None:
+            self.selector.record_run(state, choice, latency_s)
 
     def record_load(self, server: str, load: LoadReport, now: float) -> None:
         """Record the load that a server reported."""
         state = self.selector.states[server]
         state.record_response(now)
-        state.record_load(load, now)
+        self.selector.record_load(state, load, now)
+
+    def record_shared(self, loads: dict[str, LoadReport], age_s: float, now: float) -> None:
+        """Record the loads that servers reported to other hosts."""
+        for server, load in loads.items():
+            if load.has_pace:
+                state = self.selector.states[server]
+                state.record_shared_load(load, age_s, now)
+                if "service" in self.selector.loads:
+                    self.selector.loads["service"].record_report(state)
+
+
+class OccupancyPolicy(SteeringPolicy):
+    """Selects by occupancy, as for servers that report three figures."""
+
+    __slots__ = ()
+
+    def record_load(self, server: str, load: LoadReport, now: float) -> None:
+        """Record the load that a server reported, without its pace."""
+        super().record_load(server, LoadReport(load.running, load.waiting, load.slots), now)
+
+    def record_shared(self, loads: dict[str, LoadReport], age_s: float, now: float) -> None:
+        """Ignore the loads reported to other hosts."""
+
+
+class BlindPolicy(SteeringPolicy):
+    """Selects by occupancy and knows only its own requests."""
+
+    __slots__ = ()
+
+    def record_load(self, server: str, load: LoadReport, now: float) -> None:
+        """Record that the server responded."""
+        self.selector.states[server].record_response(now)
 
 
 class RandomPolicy:
@@ -65,7 +114,7 @@
         self.rng = rng
         self.in_flight = dict.fromkeys(self.names, 0)
 
-    def choose(self, key: str, tried: list[str], now: float) -> str | None:
+    def choose(self, key: str, tried: list[str], now: float, limits: TimeLimits) -> str | None:
         """Return a random server that hasn't been tried."""
         return self.rng.choice([name for name in self.names if name not in tried])
 
@@ -82,13 +131,20 @@
     def record_load(self, server: str, load: LoadReport, now: float) -> None:
         """Ignore the reported load."""
 
+    def record_shared(self, loads: dict[str, LoadReport], age_s: float, now: float) -> None:
+        """Ignore the reported loads."""
+
+    def retry_after_s(self) -> float | None:
+        """Return ``None``, for the usual delay."""
+        return None
+
 
 class NearestPolicy(RandomPolicy):
     """Chooses the server with the fewest in-flight requests, local servers first."""
 
     __slots__ = ()
 
-    def choose(self, key: str, tried: list[str], now: float) -> str | None:
+    def choose(self, key: str, tried: list[str], now: float, limits: TimeLimits) -> str | None:
         """Return the server with the fewest requests of this host, preferring its own region."""
         untried = [name for name in self.names if name not in tried]
         return min(
@@ -106,7 +162,7 @@
 
     __slots__ = ()
 
-    def choose(self, key: str, tried: list[str], now: float) -> str | None:
+    def choose(self, key: str, tried: list[str], now: float, limits: TimeLimits) -> str | None:
         """Return the first untried server in the object's ranking."""
         ranking = self.selector._ranking(ServerCriteria("service", key, None, None))
         return next(
@@ -116,6 +172,8 @@
 
 POLICIES: dict[str, type[Policy]] = {
     "steering": SteeringPolicy,
+    "occupancy": OccupancyPolicy,
+    "blind": BlindPolicy,
     "unbounded": UnboundedPolicy,
     "nearest": NearestPolicy,
     "random": RandomPolicy,
