--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -94,6 +94,8 @@
     :param copy_state: state of the sender's copy; the aggregator's own copy may be behind.
     :param size: largest number of registered hosts that the sender has recently known.
     :param usage: counts for the usage reports; unset where no such reports are made.
+    :param loads: what servers that report pace reported since the last report, encoded by
+        ``load_exchange``; unset without such servers.
     """
 
     status: HostStatus = msgspec.field(name="sight")
@@ -106,6 +108,7 @@
     copy_state: CopyState | None = None
     size: FleetSize = 1
     usage: UsageReport | msgspec.UnsetType = msgspec.UNSET
+    loads: bytes | msgspec.UnsetType = msgspec.UNSET
 
 
 class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
@@ -122,6 +125,7 @@
     :param copy_state: state of the aggregator's copy.
     :param size: the largest of the reported sizes.
     :param usage: for the usage reports; unset where no such reports are made.
+    :param loads: what servers that report pace reported to any host since the last summary.
     """
 
     hosts: list[HostStatus]
@@ -134,6 +138,7 @@
     rejected: list[Rejected] = []
     size: FleetSize = 1
     usage: UsageNews | msgspec.UnsetType = msgspec.UNSET
+    loads: bytes | msgspec.UnsetType = msgspec.UNSET
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
