Run pipelined safe requests of a connection side by side

Cause: aiohttp handles the requests of a connection one after the other, so that each pipelined request waited for the runs of all before it, although servers were idle. Its deadline and its recorded time began only with its turn.

Each waits for its turn before its response is written. A request that may run only once waits for its turn before it is sent. The deadline and the recorded time count from the arrival of the head. A response that would close the connection keeps it open until the forwarded requests behind it have been answered; requests that have not been forwarded count as not read. A caller's disconnect cancels all of its requests.

--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -23,6 +23,7 @@
 from radishbridge.entry.request_body import BodyReader, is_large
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.headers import HOP_BY_HOP
+from radishbridge.host.pipelining import arrival_time, wait_to_respond, wait_to_run
 from radishbridge.host.shutdown import ShutdownSchedule
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
@@ -128,7 +129,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Process one request and return its response."""
-        context = RequestContext(request, uptime.now())
+        context = RequestContext(request, arrival_time(request, uptime.now()))
         self.in_flight += 1
         try:
             result = await self._process(context)
@@ -136,6 +137,8 @@
             # A caller that closed only its sending side gets a reset instead of a refusal.
             if context.code is ResultCode.CALLER_GONE and request.transport is not None:
                 reset(request.transport)
+            size = len(result.body) if isinstance(result, BackendResponse) else 0
+            await wait_to_respond(request, size)
             if self.leaving:
                 response.force_close()
             return response
@@ -152,6 +155,8 @@
             await self._wait_for_startup()
         failure = self._check_request(context)
         if failure is None:
+            if not context.route.repeatable:
+                await wait_to_run(context.request)
             failure = await self._check_rate(context)
         if failure is not None:
             return failure
--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -6,9 +6,12 @@
 import logging
 import typing as t
 
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 
+from radishbridge.host.pipelining import Handler, Pipeline, Pipelining
 from radishbridge.host.problem import problem_response
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
@@ -22,23 +25,36 @@
 
 logger = logging.getLogger(__name__)
 
-Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
-
 
 class CallerConnection(web.RequestHandler):
     """One connection of a caller.
 
     :param workspace: workspace of the last request with a key, empty before the first one.
-    :param in_flight: number of requests that are being answered.
+    :param answering: number of requests whose turn it is, 0 or 1.
+    :param pipeline: the requests behind that one; ``None`` if they do not start early.
     """
 
-    __slots__ = ("in_flight", "on_closed", "workspace")
+    __slots__ = ("answering", "on_closed", "pipeline", "workspace")
 
     def __init__(self, server: CallerServer, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(server, loop=loop, **server.options)
         self.workspace = ""
-        self.in_flight = 0
+        self.answering = 0
         self.on_closed = server.remove_connection
+        self.pipeline: Pipeline | None = None
+        if server.pipelining is not None:
+            self.pipeline = Pipeline(server.pipelining, self, server.handler)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being answered, with those that have started early."""
+        return self.answering + (0 if self.pipeline is None else self.pipeline.started)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests, and start those that may run beside the one being answered."""
+        super().data_received(data)
+        if self.pipeline is not None and self._messages:
+            self.pipeline.record_arrivals()
 
     def close_idle(self) -> None:
         """Close the connection unless a request is being answered; written bytes are still sent."""
@@ -46,8 +62,10 @@
             self.transport.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Remove the connection from the server's counts."""
+        """Cancel the connection's requests and remove it from the server's counts."""
         super().connection_lost(exc)
+        if self.pipeline is not None:
+            self.pipeline.cancel()
         self.on_closed(self)
 
     @property
@@ -83,6 +101,8 @@
             raise ConnectionError("a part of the response was already sent")
         response = problem_response(_parse_failure(status, exc))
         response.force_close()
+        if self.pipeline is not None:
+            self.pipeline.settle_close(response)
         return response
 
 
@@ -91,12 +111,16 @@
 
     :param handler: answers one request.
     :param limits: limits on sizes in bytes and times in seconds.
+    :param pipelining: bounds of the requests that start early; ``None`` if none do.
     :param busy: connections on which a request is being answered.
     """
 
-    def __init__(self, handler: Handler, limits: LimitSettings) -> None:
+    def __init__(
+        self, handler: Handler, limits: LimitSettings, pipelining: Pipelining | None = None
+    ) -> None:
         super().__init__(self._handle, handler_cancellation=True)
         self.handler = handler
+        self.pipelining = pipelining
         self.options: dict[str, t.Any] = {
             "access_log": None,
             "auto_decompress": False,
@@ -134,13 +158,28 @@
         connection = request.protocol
         if not isinstance(connection, CallerConnection):
             return await self.handler(request)
-        connection.in_flight += 1
+        connection.answering += 1
         self.busy.add(connection)
         try:
-            return await self.handler(request)
+            if connection.pipeline is None:
+                return await self.handler(request)
+            return await connection.pipeline.answer(request)
         finally:
-            connection.in_flight -= 1
-            self.busy.discard(connection)
+            connection.answering -= 1
+            if not connection.in_flight:
+                self.busy.discard(connection)
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        if isinstance(protocol, CallerConnection) and protocol.pipeline is not None:
+            return protocol.pipeline.take(message, payload, writer, task)
+        return super()._make_request(message, payload, protocol, writer, task)
 
     def register_connection(
         self, request: web.BaseRequest, workspace: str, limit: int
@@ -167,6 +206,7 @@
     def remove_connection(self, connection: CallerConnection) -> None:
         """Stop counting a connection that was closed."""
         self.open_connections -= 1
+        self.busy.discard(connection)
         self._decrement(connection.workspace)
         connection.workspace = ""
 
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -13,8 +13,16 @@
 from prometheus_client import CollectorRegistry
 from steering_world import make_route, make_server
 
-from radishbridge.entry import AccessLog, BackendPool, Bounds, RequestForwarder, SteeringState
+from radishbridge.entry import (
+    AccessLog,
+    BackendPool,
+    Bounds,
+    RequestForwarder,
+    SteeringState,
+    uptime,
+)
 from radishbridge.host.connections import CallerServer
+from radishbridge.host.pipelining import Pipelining
 from radishbridge.host.tasks import Supervisor
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import LimitSettings
@@ -143,7 +151,8 @@
         forwarder = RequestForwarder(
             steering_state, PlatformHeaderCodec(), pool, rates, access_log, limits, random.Random(1)
         )
-        server = CallerServer(forwarder.handle, limits)
+        pipelining = Pipelining(uptime.now, lambda: not forwarder.leaving, pool.memory)
+        server = CallerServer(forwarder.handle, limits, pipelining)
         Supervisor(stack).start("disconnects", server.watch_disconnects)
         address = await _listen(stack, server)
         session = await stack.enter_async_context(aiohttp.ClientSession())
