Keep connections to servers for longer where their services ask for it

Cause: a connection is reused for 3 s at most, although servers announce that they keep it for 10 s. A host sends most servers of the overloaded deployments one request in 4 to 10 s, so that most requests need a new connection.

For services in IdleRules.long_idle_services, empty by default, repeatable requests reuse a connection for up to 0.8 of the announced time and 10 s, with two such connections per server. A request that may run once gets none that was idle for over 0.8 s, as before, and no longer closes one that others may use. Some servers drop idle connections without notice. A request on a long idle connection that breaks within 0.3 s and before any response byte is sent again on a new connection to the same server, as a retry of the route and of the budget, since it may have run. The server is not blamed for it, but checked for a crash, and its connections are kept no longer than 3 s from then on, so that a host loses at most a few retries per server. Elsewhere nothing changes.

BackendPool.has_idle(address) tells whether a repeatable request would need no new connection. Metrics: new connections per 1,000 requests, dropped ones.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -41,6 +41,8 @@
 
     :param state: the server, whose load and health are updated from the outcome.
     :param check_before_send: returns why the request must no longer be sent; ``None`` if it may.
+    :param needs_new_connection: no idle connection is used, after the server dropped one.
+    :param connection_dropped: the server had dropped the connection while it was idle.
     :param started_at: monotonic time in seconds at which the attempt began.
     :param sent_at: monotonic time in seconds at which the request was sent.
     :param asked_for_pause: the response said that the server wants no requests for a while.
@@ -50,10 +52,12 @@
     __slots__ = (
         "asked_for_pause",
         "check_before_send",
+        "connection_dropped",
         "context",
         "crash_detector",
         "header_codec",
         "is_silent",
+        "needs_new_connection",
         "outcome",
         "pool",
         "sent_at",
@@ -71,6 +75,7 @@
         steering_state: SteeringState,
         crash_detector: CrashDetector,
         check_before_send: t.Callable[[RequestContext], Failure | None],
+        needs_new_connection: bool = False,
     ) -> None:
         self.context = context
         self.state = state
@@ -79,6 +84,8 @@
         self.steering_state = steering_state
         self.crash_detector = crash_detector
         self.check_before_send = check_before_send
+        self.needs_new_connection = needs_new_connection
+        self.connection_dropped = False
         self.started_at = uptime.now()
         self.sent_at = self.started_at
         self.outcome = AttemptOutcome.UNSENT
@@ -100,7 +107,7 @@
 
     async def _run(self) -> BackendResponse | Failure:
         server = self.state.server
-        connection = await self.pool.acquire(server.address, not self.context.route.repeatable)
+        connection = await self._connect()
         if isinstance(connection, Failure):
             self._count_failure(connection.reason, FAILURES_TO_EJECT)
             return connection
@@ -120,9 +127,17 @@
             self._record_abandoned(connection)
             raise
         if isinstance(response, Failure):
+            if connection.was_dropped_while_idle(self.sent_at, uptime.now()):
+                return self._record_drop(response)
             return self._record_exchange_failure(response)
         return self._process_response(response, connection)
 
+    async def _connect(self) -> BackendConnection | Failure:
+        address = self.state.server.address
+        if self.needs_new_connection:
+            return await self.pool.open(address)
+        return await self.pool.acquire(address, not self.context.route.repeatable)
+
     async def _exchange(self, connection: BackendConnection) -> BackendResponse | Failure:
         context = self.context
         request = context.request
@@ -169,6 +184,7 @@
             self.state.record_load(metadata.load, now)
         if self.state.is_leaving:
             connection.close()
+        connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
         if metadata.not_run or metadata.misdirected:
             return self._record_refusal(metadata, now)
@@ -217,6 +233,18 @@
         self._record_latency(True)
         return failure
 
+    def _record_drop(self, failure: Failure) -> Failure:
+        # Neither a failure of the server nor a latency; but a crash looks the same.
+        server = self.state.server
+        self.crash_detector.check_server(self.context.fingerprint, server)
+        self.connection_dropped = True
+        self.pool.rules.record_drop(server.address)
+        logger.info(
+            "server dropped an idle connection",
+            extra={"id": self.context.metadata.request_id, "server": server.name},
+        )
+        return failure
+
     def record_silence(self) -> None:
         """Count the server's silence as a failure of it; the attempt continues."""
         self.is_silent = True
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -15,6 +15,7 @@
 import httptools
 
 from radishbridge.entry import uptime
+from radishbridge.entry.idle import ANNOUNCED_IDLE_FRACTION, DROP_NOTICED_S, IDLE_MAX_S, IdleRules
 from radishbridge.entry.memory import ResponseMemory
 from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
@@ -22,13 +23,6 @@
 # A new connection takes one round trip, at most some 50 ms between regions. The rest allows for a
 # lost packet, which the kernel retransmits after about 0.2 s on paths that it knows.
 CONNECT_TIMEOUT_S = 0.6
-# A connection that was idle for longer is not reused. A server may close connections sooner than
-# it announces, and a non-repeatable request that was sent on a closed one can't be retried, so
-# that the second, shorter bound holds for those.
-IDLE_MAX_S = 3.0
-IDLE_MAX_NON_REPEATABLE_S = 0.8
-# Fraction of the idle timeout announced by a server for which a connection is reused.
-ANNOUNCED_IDLE_FRACTION = 0.6
 # TCP keepalive, which detects an unreachable peer: delay of the first probe, interval of the next
 # ones, and number of unanswered probes after which the connection is closed.
 TCP_KEEPALIVE_IDLE_S = 1
@@ -73,7 +67,11 @@
     :param unacknowledged_bytes: bytes that the server had not acknowledged when the request was
         abandoned; ``None`` before that, or if the kernel can't tell.
     :param idle_since: monotonic time of the last response, or of the connection's creation.
-    :param announced_idle_s: idle time that the server's ``Keep-Alive`` header allows.
+    :param idle_before_s: how long it was idle before the current request; 0 for its first one.
+    :param may_idle_long: it belongs to a service in ``IdleRules.long_idle_services``.
+    :param announced_idle_s: idle time that the server's ``Keep-Alive`` header announces; ``None``
+        if it announces none.
+    :param lost_unanswered: it broke before any byte of the response.
     :param on_head: called with status and headers of a final response, before its body is in.
     :param received_bytes: bytes received for the current request, head and framing included.
     :param body_bytes: bytes of the response's body received so far.
@@ -85,10 +83,13 @@
         "body_bytes",
         "complete",
         "headers",
+        "idle_before_s",
         "idle_since",
         "is_head_request",
         "keep_alive",
         "loop",
+        "lost_unanswered",
+        "may_idle_long",
         "memory",
         "must_close",
         "on_head",
@@ -108,7 +109,10 @@
         self.must_close = False
         self.unacknowledged_bytes: int | None = None
         self.idle_since = uptime.now()
-        self.announced_idle_s = IDLE_MAX_S
+        self.idle_before_s = 0.0
+        self.may_idle_long = False
+        self.announced_idle_s: float | None = None
+        self.lost_unanswered = False
         self.parser = httptools.HttpResponseParser(self)
         self.is_head_request = False
         self.on_head: HeadListener = _ignore_head
@@ -162,6 +166,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight."""
         self.must_close = True
+        self.lost_unanswered = self.waiter is not None and not self.received_bytes
         self._fail("the connection was reset" if exc else "the connection was closed")
 
     async def exchange(
@@ -183,14 +188,27 @@
             self.abandon()
             raise
 
-    def is_reusable(self, now: float, idle_max_s: float) -> bool:
+    def is_reusable(
+        self, now: float, idle_max_s: float, fraction: float = ANNOUNCED_IDLE_FRACTION
+    ) -> bool:
         """Return whether the connection may be used for another request.
 
         :param idle_max_s: longest idle time allowed, unless the server announced a shorter one.
+        :param fraction: part of the announced idle time that is allowed.
         """
         if self.must_close or self.transport is None or self.transport.is_closing():
             return False
-        return now - self.idle_since < min(idle_max_s, self.announced_idle_s)
+        announced_s = self.announced_idle_s
+        allowed_s = IDLE_MAX_S if announced_s is None else announced_s * fraction
+        return now - self.idle_since < min(idle_max_s, allowed_s)
+
+    def was_dropped_while_idle(self, sent_at: float, now: float) -> bool:
+        """Return whether a long idle connection broke as soon as a request was sent on it.
+
+        :param sent_at: monotonic time in seconds at which the request was sent.
+        """
+        is_long = self.idle_before_s >= IDLE_MAX_S
+        return is_long and self.lost_unanswered and now - sent_at < DROP_NOTICED_S
 
     def close(self) -> None:
         """Close the connection."""
@@ -310,7 +328,7 @@
             lowered = name.lower()
             if lowered == b"keep-alive" and (found := _KEEPALIVE_TIMEOUT.search(value)):
                 # Unlike ``int``, ``float`` accepts any number of digits.
-                self.announced_idle_s = float(found.group(1)) * ANNOUNCED_IDLE_FRACTION
+                self.announced_idle_s = float(found.group(1))
             elif lowered == b"connection" and b"close" in value.lower():
                 self.keep_alive = False
 
@@ -320,15 +338,19 @@
 
     :param idle: idle connections by address, the one used last at the end.
     :param opened: connections opened since the start, failed ones included.
+    :param acquired: requests that asked for a connection since the start.
+    :param rules: how long connections may be idle.
     """
 
-    __slots__ = ("idle", "loop", "memory", "opened")
+    __slots__ = ("acquired", "idle", "loop", "memory", "opened", "rules")
 
     def __init__(self, memory: ResponseMemory | None = None) -> None:
         self.memory = memory or ResponseMemory()
         self.loop = asyncio.get_running_loop()
         self.idle: dict[str, collections.deque[BackendConnection]] = {}
         self.opened = 0
+        self.acquired = 0
+        self.rules = IdleRules()
 
     async def acquire(self, address: str, at_most_once: bool) -> BackendConnection | Failure:
         """Return an idle or a new connection.
@@ -338,16 +360,30 @@
             used very recently is reused.
         """
         now = uptime.now()
+        self.acquired += 1
         connections = self.idle.get(address)
         while connections:
-            connection = connections.pop()
-            if connection.is_reusable(
-                now, IDLE_MAX_NON_REPEATABLE_S if at_most_once else IDLE_MAX_S
-            ):
-                return connection
-            connection.close()
+            connection = connections[-1]
+            if self.rules.is_reusable(address, connection, now, at_most_once):
+                connection.idle_before_s = now - connection.idle_since
+                return connections.pop()
+            if connection.may_idle_long and self.rules.is_reusable(address, connection, now):
+                # A later request that is repeatable may use it.
+                break
+            connections.pop().close()
         return await self.open(address)
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether a repeatable request to a server would need no new connection."""
+        connections = self.idle.get(address)
+        if not connections:
+            return False
+        return self.rules.is_reusable(address, connections[-1], uptime.now())
+
+    def new_per_1000(self) -> float:
+        """Return the connections opened per 1,000 requests since the start."""
+        return 1000.0 * self.opened / self.acquired if self.acquired else 0.0
+
     def release(self, address: str, connection: BackendConnection) -> None:
         """Keep a connection for another request, unless it must be closed."""
         if not connection.must_close:
@@ -355,6 +391,7 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a server that gets no more requests."""
+        self.rules.dropping.discard(address)
         for connection in self.idle.pop(address, ()):
             connection.close()
 
@@ -362,7 +399,7 @@
         """Close connections that were idle for too long."""
         now = uptime.now()
         for address, connections in list(self.idle.items()):
-            while connections and not connections[0].is_reusable(now, IDLE_MAX_S):
+            while connections and not self.rules.may_stay(address, connections, now):
                 connections.popleft().close()
             if not connections:
                 del self.idle[address]
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -272,12 +272,13 @@
     async def _run_attempts(self, context: RequestContext) -> BackendResponse | Failure:
         last_result: BackendResponse | Failure = _NO_CAPACITY
         connect_failures = 0
+        dropped_by: ServerState | None = None
         while True:
             now = uptime.now()
             failure = self._check_before_send(context)
             if failure is not None:
                 return self._give_up(context, failure)
-            state = self._choose_server(context, now)
+            state = dropped_by or self._choose_server(context, now)
             if state is None:
                 return self._give_up(context, last_result)
             if (
@@ -286,8 +287,9 @@
             ):
                 return self._give_up(context, last_result)
             attempt, last_result = await self._run_with_hedging(
-                self._create_attempt(context, state)
+                self._create_attempt(context, state, needs_new_connection=dropped_by is not None)
             )
+            dropped_by = attempt.state if attempt.connection_dropped else None
             if attempt.outcome is AttemptOutcome.UNSENT:
                 connect_failures += 1
                 if context.send_count:
@@ -316,7 +318,9 @@
             return None
         return self._create_attempt(context, state)
 
-    def _create_attempt(self, context: RequestContext, state: ServerState) -> Attempt:
+    def _create_attempt(
+        self, context: RequestContext, state: ServerState, needs_new_connection: bool = False
+    ) -> Attempt:
         return Attempt(
             context,
             state,
@@ -325,6 +329,7 @@
             self.steering_state,
             self.crash_detector,
             self._check_before_send,
+            needs_new_connection,
         )
 
     def _check_before_send(self, context: RequestContext) -> Failure | None:
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -148,7 +148,10 @@
             assert script.connections == 2
 
     async def test_connection_that_receives_bytes_while_idle_is_not_reused(self):
+        writers: list[asyncio.StreamWriter] = []
+
         async def send_unrequested_bytes(reader, writer):
+            writers.append(writer)
             await reader.readuntil(b"\r\n\r\n")
             writer.write(COMPLETE)
             await asyncio.sleep(0.01)
@@ -162,6 +165,9 @@
         while not connection.must_close:
             await asyncio.sleep(0.005)
         assert not connection.is_reusable(time.monotonic(), 3.0)
+        # A writer that is collected after the event loop was closed raises an error.
+        writers[0].close()
+        await writers[0].wait_closed()
         server.close()
 
     async def test_non_repeatable_request_reuses_only_recently_used_connections(self):
