--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -23,6 +23,7 @@
 from radishbridge.entry.request_body import BodyReader, is_large
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.headers import HOP_BY_HOP
+from radishbridge.host.pipelining import arrival_time, wait_to_respond, wait_to_run
 from radishbridge.host.shutdown import ShutdownSchedule
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
@@ -129,7 +130,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Process one request and return its response."""
-        context = RequestContext(request, uptime.now())
+        context = RequestContext(request, arrival_time(request, uptime.now()))
         self.in_flight += 1
         try:
             result = await self._process(context)
@@ -137,6 +138,8 @@
             # A caller that closed only its sending side gets a reset instead of a refusal.
             if context.code is ResultCode.CALLER_GONE and request.transport is not None:
                 reset(request.transport)
+            size = len(result.body) if isinstance(result, BackendResponse) else 0
+            await wait_to_respond(request, size)
             if self.leaving:
                 response.force_close()
             return response
@@ -153,6 +156,8 @@
             await self._wait_for_startup()
         failure = self._check_request(context)
         if failure is None:
+            if not context.route.repeatable:
+                await wait_to_run(context.request)
             failure = await self._check_rate(context)
         if failure is not None:
             return failure
@@ -268,12 +273,13 @@
     async def _run_attempts(self, context: RequestContext) -> BackendResponse | Failure:
         last_result: BackendResponse | Failure = _NO_CAPACITY
         connect_failures = 0
+        dropped_choice: Choice | None = None
         while True:
             now = uptime.now()
             failure = self._check_before_send(context)
             if failure is not None:
                 return self._give_up(context, failure)
-            choice = self._choose_server(context, now)
+            choice = dropped_choice or self._choose_server(context, now)
             if choice.state is None:
                 return self._give_up(context, last_result)
             if (
@@ -282,8 +288,9 @@
             ):
                 return self._give_up(context, last_result)
             attempt, last_result = await self._run_with_hedging(
-                self._create_attempt(context, choice.state, choice)
+                self._create_attempt(context, choice.state, choice, dropped_choice is not None)
             )
+            dropped_choice = attempt.choice if attempt.connection_dropped else None
             if attempt.outcome is AttemptOutcome.UNSENT:
                 connect_failures += 1
                 if context.send_count:
@@ -315,17 +322,22 @@
         return self._create_attempt(context, choice.state, choice)
 
     def _create_attempt(
-        self, context: RequestContext, state: ServerState, choice: Choice | None = None
+        self,
+        context: RequestContext,
+        state: ServerState,
+        choice: Choice,
+        needs_new_connection: bool = False,
     ) -> Attempt:
         return Attempt(
             context,
             state,
-            choice or Choice(state),
+            choice,
             self.header_codec,
             self.pool,
             self.steering_state,
             self.crash_detector,
             self._check_before_send,
+            needs_new_connection,
         )
 
     def _check_before_send(self, context: RequestContext) -> Failure | None:
