--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -325,13 +325,13 @@
         self,
         context: RequestContext,
         state: ServerState,
-        choice: Choice,
+        choice: Choice | None = None,
         needs_new_connection: bool = False,
     ) -> Attempt:
         return Attempt(
             context,
             state,
-            choice,
+            choice or Choice(state),
             self.header_codec,
             self.pool,
             self.steering_state,
