Usage reports: count an attempt from its arrival at the server

An attempt was counted from the time of sending, which puts those that cross a window's border on their way to another region into the wrong window. Half of the connection's shortest round trip, as the kernel measures it, is added. A request that was cancelled while its bytes were unacknowledged is not counted, since the reset discards them.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -23,6 +23,7 @@
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
 from radishbridge.entry.steering_state import SteeringState
+from radishbridge.host.sockets import round_trip_s
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerState
 from radishbridge.steering.servers import FAILURES_TO_EJECT
@@ -128,9 +129,13 @@
         self.sent_at = uptime.now()
         self.context.send_count += 1
         if self.steering_state.usage is not None:
-            occupancy = self.state.occupancy(self.sent_at)
             self.steering_state.usage.begin(
-                self, self.context.workspace, self.context.service, occupancy, self.sent_at
+                self,
+                self.context.workspace,
+                self.context.service,
+                self.state.occupancy(self.sent_at),
+                round_trip_s(connection.transport),
+                self.sent_at,
             )
         try:
             response = await self._exchange(connection)
@@ -243,6 +248,9 @@
         self._count_failure("it sent no response for longer than usual")
 
     def _record_abandoned(self, connection: BackendConnection) -> None:
+        if connection.unacknowledged_bytes:
+            # The reset discards these bytes, so the server does not begin.
+            self.ending = AttemptEnding.NOT_RUN
         running_ms = round((uptime.now() - self.sent_at) * 1000.0)
         self.context.abandoned.append(
             AbandonedAttempt(self.state.server.name, running_ms, connection.unacknowledged_bytes)
--- a/packages/host/src/radishbridge/host/sockets.py
+++ b/packages/host/src/radishbridge/host/sockets.py
@@ -16,6 +16,11 @@
 _NO_LINGER = struct.pack("ii", 1, 0)
 _CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _INT = struct.Struct("i")
+_UNSIGNED_INT = struct.Struct("I")
+# Position of ``tcpi_min_rtt`` in Linux's ``struct tcp_info``, and the bytes up to its end.
+_MIN_RTT_OFFSET = 148
+_TCP_INFO_BYTES = 152
+_NO_SAMPLE = 2**32 - 1
 
 
 def is_closed_by_peer(transport: asyncio.BaseTransport | None) -> bool:
@@ -53,6 +58,25 @@
     return queued + transport.get_write_buffer_size()
 
 
+def round_trip_s(transport: asyncio.BaseTransport | None) -> float:
+    """Return the shortest round trip of the connection in seconds; 0 if the kernel can't tell.
+
+    The shortest one leaves out the delay of acknowledgements that wait for a response.
+    """
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return 0.0
+    if len(info) < _TCP_INFO_BYTES:
+        return 0.0
+    microseconds: int = _UNSIGNED_INT.unpack_from(info, _MIN_RTT_OFFSET)[0]
+    # Before the first sample the kernel reports the largest number.
+    return 0.0 if microseconds == _NO_SAMPLE else microseconds / 1e6
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Close a connection so that the peer sees an error instead of an orderly end."""
     # Without this option the kernel closes the connection in an orderly way although bytes are
--- a/packages/steering/src/radishbridge/steering/usage_counts.py
+++ b/packages/steering/src/radishbridge/steering/usage_counts.py
@@ -23,6 +23,8 @@
 # Time in seconds after a window's end at which a host may settle it. It covers the error of the
 # clock, so that no later attempt belongs to the window.
 SETTLE_AFTER_S = 0.1
+# Longest time in seconds that a request is assumed to take to its server.
+TRANSIT_MAX_S = 0.1
 # Servers that refuse a request do so at once. An attempt that a server with a free slot has held
 # for this long, in seconds, is running.
 REFUSAL_TIMEOUT_S = 0.5
@@ -125,6 +127,7 @@
 class _Running(t.NamedTuple):
     """An attempt without a response.
 
+    :param arrives_at: estimated time at which the server gets it.
     :param starts_at: estimated time at which the server begins to run it.
     :param is_queued: the server had no free slot when the attempt was sent.
     """
@@ -132,6 +135,7 @@
     workspace: str
     service: str
     sent_at: float
+    arrives_at: float
     starts_at: float
     is_queued: bool
 
@@ -167,18 +171,28 @@
         self.dropped_through = -1
 
     def begin(
-        self, attempt: object, workspace: str, service: str, occupancy: float, now: float
+        self,
+        attempt: object,
+        workspace: str,
+        service: str,
+        occupancy: float,
+        round_trip_s: float,
+        now: float,
     ) -> None:
         """Record that an attempt is sent.
 
         :param workspace: empty for requests without a workspace, which are not counted.
         :param occupancy: requests at the server per slot, this one included.
+        :param round_trip_s: of the connection in seconds; 0 if unknown.
         """
         if not workspace:
             return
         queue = max(0.0, occupancy - 1.0)
         wait_s = queue * self.run_times.get(service, 0.0)
-        self.running[attempt] = _Running(workspace, service, now, now + wait_s, queue > 0.0)
+        arrives_at = now + min(TRANSIT_MAX_S, round_trip_s / 2.0)
+        self.running[attempt] = _Running(
+            workspace, service, now, arrives_at, arrives_at + wait_s, queue > 0.0
+        )
 
     def finish(self, attempt: object, ending: AttemptEnding, now: float) -> None:
         """Record that an attempt has ended; one that was not begun is ignored."""
@@ -225,12 +239,13 @@
 
     def _start_before_response(self, running: _Running, now: float) -> float:
         known_s = self.run_times.get(running.service)
+        arrives_at = running.arrives_at
         if running.is_queued:
-            return running.sent_at if known_s is None else max(running.sent_at, now - known_s)
-        run_s = now - running.sent_at
+            return arrives_at if known_s is None else max(arrives_at, now - known_s)
+        run_s = now - arrives_at
         mean_s = run_s if known_s is None else known_s + RUN_TIME_WEIGHT * (run_s - known_s)
         self.run_times[running.service] = mean_s
-        return running.sent_at
+        return min(arrives_at, now)
 
     def _add(self, counts: CountsByWindow, workspace: str, starts_at: float) -> None:
         window = math.floor(self.time.at(starts_at) / self.window_s)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from radishbridge.host.sockets import is_closed_by_peer, reset, unacknowledged_bytes
+from radishbridge.host.sockets import (
+    is_closed_by_peer,
+    reset,
+    round_trip_s,
+    unacknowledged_bytes,
+)
 
 
 @contextlib.asynccontextmanager
@@ -25,6 +30,19 @@
         transport.abort()
 
 
+class TestRoundTrip:
+    """A round trip that is read from the wrong place of the kernel's structure."""
+
+    async def test_on_loopback_it_is_short_but_known(self):
+        async with connected() as (transport, peer):
+            transport.write(b"x")
+            peer.recv(1)
+            assert 0.0 < round_trip_s(transport) < 1.0
+
+    async def test_without_a_connection_it_is_unknown(self):
+        assert round_trip_s(None) == 0.0
+
+
 class TestIsClosedByPeer:
     async def test_an_open_connection(self):
         async with connected() as (transport, _):
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -40,7 +40,7 @@
 
 def run_once(counter: UsageCounter, sent_at: float, run_s: float, occupancy: float = 0.5) -> None:
     attempt = object()
-    counter.begin(attempt, "school", "catalogue", occupancy, sent_at)
+    counter.begin(attempt, "school", "catalogue", occupancy, 0.0, sent_at)
     counter.finish(attempt, AttemptEnding.ANSWERED, sent_at + run_s)
 
 
@@ -53,6 +53,13 @@
         run_once(counter, 5.1, 0.1)
         assert counter.snapshot(9.0) == {0: {"school": 1}, 1: {"school": 1}}
 
+    def test_it_began_when_the_request_arrived(self):
+        counter = make_counter()
+        counter.begin("a", "school", "catalogue", 0.5, 0.04, 4.99)
+        assert counter.snapshot(6.0) == {1: {"school": 1}}
+        counter.finish("a", AttemptEnding.ANSWERED, 6.0)
+        assert counter.snapshot(6.0) == {1: {"school": 1}}
+
     def test_one_that_waited_at_a_full_server_began_one_run_time_before_the_response(self):
         counter = make_counter()
         run_once(counter, 1.0, 1.0)
@@ -61,7 +68,7 @@
 
     def test_a_running_attempt_is_counted_before_its_response(self):
         counter = make_counter()
-        counter.begin("a", "school", "catalogue", 0.5, 4.9)
+        counter.begin("a", "school", "catalogue", 0.5, 0.0, 4.9)
         assert counter.snapshot(5.6) == {0: {"school": 1}}
         counter.finish("a", AttemptEnding.NOT_RUN, 5.7)
         assert counter.snapshot(5.8) == {}
@@ -69,14 +76,14 @@
     def test_a_queued_attempt_is_counted_from_its_expected_start(self):
         counter = make_counter()
         run_once(counter, 0.0, 1.0)
-        counter.begin("a", "school", "catalogue", 2.0, 4.5)
+        counter.begin("a", "school", "catalogue", 2.0, 0.0, 4.5)
         assert counter.snapshot(5.4) == {0: {"school": 1}}
         assert counter.snapshot(5.6) == {0: {"school": 1}, 1: {"school": 1}}
 
     def test_one_that_was_cancelled_in_the_queue_is_not_counted(self):
         counter = make_counter()
         run_once(counter, 0.0, 1.0)
-        counter.begin("a", "school", "catalogue", 3.0, 1.0)
+        counter.begin("a", "school", "catalogue", 3.0, 0.0, 1.0)
         counter.finish("a", AttemptEnding.CANCELLED, 1.5)
         assert counter.snapshot(9.0) == {0: {"school": 1}}
 
@@ -84,13 +91,13 @@
     def test_a_connection_that_breaks_at_once_had_been_closed_before(self, after_s, count):
         counter = make_counter()
         run_once(counter, 0.0, 1.0)
-        counter.begin("a", "school", "catalogue", 0.5, 2.0)
+        counter.begin("a", "school", "catalogue", 0.5, 0.0, 2.0)
         counter.finish("a", AttemptEnding.BROKEN, 2.0 + after_s)
         assert counter.snapshot(9.0) == {0: {"school": count}}
 
     def test_requests_without_a_workspace_are_not_counted(self):
         counter = make_counter()
-        counter.begin("a", "", "catalogue", 0.5, 1.0)
+        counter.begin("a", "", "catalogue", 0.5, 0.0, 1.0)
         counter.finish("a", AttemptEnding.ANSWERED, 2.0)
         assert counter.snapshot(9.0) == {}
 
@@ -115,13 +122,13 @@
 
     def test_an_attempt_that_may_be_refused_holds_it_up_for_half_a_second(self):
         counter = make_counter()
-        counter.begin("a", "school", "catalogue", 0.5, 9.9)
+        counter.begin("a", "school", "catalogue", 0.5, 0.0, 9.9)
         assert counter.settled_through(10.3) == 0
         assert counter.settled_through(10.5) == 1
 
     def test_a_queued_attempt_holds_it_up_until_its_response(self):
         counter = make_counter()
-        counter.begin("a", "school", "catalogue", 1.5, 9.9)
+        counter.begin("a", "school", "catalogue", 1.5, 0.0, 9.9)
         assert counter.settled_through(12.0) == 0
         counter.finish("a", AttemptEnding.ANSWERED, 12.0)
         assert counter.settled_through(12.0) == 1
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -134,7 +134,7 @@
     async def test_its_successor_sends_exactly_the_stored_bytes(self):
         async with running_platform() as (store, objects, endpoint, address):
             first = make_reporter(1, KilledBeforeSending(objects, address))
-            first.exchange.counter.begin("a", "school", "catalogue", 0.5, uptime.now())
+            first.exchange.counter.begin("a", "school", "catalogue", 0.5, 0.0, uptime.now())
             with pytest.raises(ProcessKilledError):
                 await run_until(first, lambda: False)
             stored = store.objects[RECORD_KIND, RECORD_NAME]["spec"]
@@ -143,7 +143,7 @@
             assert finalized["counts"] == {"school": 1}
 
             second = make_reporter(2, PlatformUsage(objects, address))
-            second.exchange.counter.begin("b", "salon", "catalogue", 0.5, uptime.now())
+            second.exchange.counter.begin("b", "salon", "catalogue", 0.5, 0.0, uptime.now())
             await run_until(second, lambda: len(endpoint.calls) >= 2)
             assert endpoint.calls[0].window == finalized["windowIndex"]
             assert endpoint.calls[0].counts == {"school": 1}
