Test pipelining with random requests, segments, answers and closes

24 plays with seeds 0 to 23 check that responses come in order, that each forwarded request is answered although the host leaves at a random moment, and that nothing is left running; 8 check the same for callers that disconnect.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import re
 import typing as t
 
@@ -400,3 +401,97 @@
             gates.open("a", "c")
             assert await caller.read_bodies(3) == [b"a", b"b", b"c"]
             assert (held.held_bytes, world.forwarder.pool.memory.buffered_bytes) == (0, 0)
+
+
+class RandomPlay:
+    """Random requests in random segments on one connection, answered in random order.
+
+    :param sent: ids of the requests in the order in which they were sent.
+    """
+
+    def __init__(self, seed: int, gates: Gates, caller: Caller) -> None:
+        self.rng = random.Random(seed)
+        self.gates = gates
+        self.caller = caller
+        self.sent = [f"r{number}" for number in range(self.rng.randint(2, 20))]
+        self.answered: list[Response] = []
+
+    def make_request(self, request_id: str) -> bytes:
+        kind = self.rng.choice(["GET"] * 6 + ["POST", "DELETE", "invalid"])
+        if kind == "POST":
+            return head(request_id, "POST", "Content-Length: 3") + b"xyz"
+        if kind == "invalid":
+            return head(request_id, "GET", "Request-Deadline-Ms: x")
+        return head(request_id, kind)
+
+    async def send(self) -> None:
+        data = b"".join(map(self.make_request, self.sent))
+        while data:
+            size = self.rng.randint(1, 400)
+            self.caller.send(data[:size])
+            data = data[size:]
+            await asyncio.sleep(0)
+
+    async def open_gates(self, leave: t.Callable[[], None]) -> None:
+        leaves_after = self.rng.randint(0, 3 * len(self.sent))
+        for step in range(10_000):
+            if step == leaves_after:
+                leave()
+            waiting = [one for one in self.gates.arrived if not self.gates.gates[one].is_set()]
+            if waiting:
+                self.gates.open(self.rng.choice(waiting))
+            await asyncio.sleep(0.001 * self.rng.random())
+
+    async def read(self) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            for _ in self.sent:
+                self.answered.append(await self.caller.read())
+                if self.answered[-1].closes:
+                    break
+
+
+class TestRandomPlays:
+    """Whatever is sent, answered and closed in which order."""
+
+    @pytest.mark.parametrize("seed", range(24))
+    async def test_responses_are_in_order_and_no_forwarded_request_is_lost(self, seed):
+        async with pipelining_world() as (world, gates, caller, _):
+            play = RandomPlay(seed, gates, caller)
+
+            def leave() -> None:
+                world.forwarder.leaving = True
+
+            opening = asyncio.create_task(play.open_gates(leave))
+            sending = asyncio.create_task(play.send())
+            await play.read()
+            await sending
+            opening.cancel()
+            answered = play.sent[: len(play.answered)]
+            for request_id, response in zip(answered, play.answered, strict=True):
+                expected = {200: request_id.encode()}.get(response.status, response.body)
+                assert response.body == expected
+            assert set(gates.arrived) <= set(answered)
+            assert len(gates.arrived) == len(set(gates.arrived))
+            assert len(answered) == len(play.sent) or play.answered[-1].closes
+            await until(lambda: not world.forwarder.in_flight)
+            state = world.server.pipelining
+            assert (len(state.running), state.held_bytes, len(state.waiting)) == (0, 0, 0)
+
+    @pytest.mark.parametrize("seed", range(8))
+    async def test_nothing_is_left_when_the_caller_disconnects(self, seed):
+        async with pipelining_world() as (world, gates, caller, _):
+            play = RandomPlay(seed, gates, caller)
+            await play.send()
+            await settle()
+            for request_id in gates.arrived[1::2]:
+                gates.open(request_id)
+            for _ in range(play.rng.randint(0, 50)):
+                await asyncio.sleep(0)
+            caller.writer.transport.abort()
+            await until(lambda: not world.forwarder.in_flight)
+            await until(lambda: not world.server.open_connections)
+            state = world.server.pipelining
+            assert (len(state.running), state.held_bytes, len(state.waiting)) == (0, 0, 0)
+            assert not world.server.busy
+            states = world.steering_state.selector.states.values()
+            assert not any(one.in_flight for one in states)
