Log how long a finished response waited for those before it

The recorded time of a pipelined request includes its wait behind others, so that a slow server and a slow request before it look the same. The line of a request now holds held_ms if its response waited for a millisecond or more.

--- a/packages/entry/src/radishbridge/entry/access_log.py
+++ b/packages/entry/src/radishbridge/entry/access_log.py
@@ -100,7 +100,7 @@
         self.unlogged = 0
 
     def _fields(self, context: RequestContext, took_s: float) -> dict[str, object]:
-        return {
+        fields = {
             "id": context.metadata.request_id,
             "route": context.route.name,
             "workspace": context.workspace,
@@ -114,6 +114,8 @@
             "took_ms": round(took_s * 1000.0),
             "left_out": self.unlogged,
         }
+        held_ms = round(context.held_s * 1000.0)
+        return {**fields, "held_ms": held_ms} if held_ms else fields
 
     def _should_log(self, context: RequestContext, took_s: float, now: float) -> bool:
         succeeded = (
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -82,6 +82,7 @@
     :param send_count: attempts whose request was sent.
     :param abandoned: attempts that were cancelled before a response came.
     :param attempts: all attempts, finished or not.
+    :param held_s: time for which the finished response waited for those before it.
     :param retry_after_s: delay in the ``Retry-After`` header of a refusal; 0 for none.
     """
 
@@ -96,6 +97,7 @@
         "configuration_version",
         "deadline",
         "fingerprint",
+        "held_s",
         "metadata",
         "rank",
         "reason",
@@ -129,6 +131,7 @@
         self.send_count = 0
         self.abandoned: list[AbandonedAttempt] = []
         self.attempts: list[HasOutcome] = []
+        self.held_s = 0.0
         self.retry_after_s = 0.0
         self.status = 0
         self.code = ResultCode.OK
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -138,7 +138,9 @@
             if context.code is ResultCode.CALLER_GONE and request.transport is not None:
                 reset(request.transport)
             size = len(result.body) if isinstance(result, BackendResponse) else 0
+            finished_at = uptime.now()
             await wait_to_respond(request, size)
+            context.held_s = uptime.now() - finished_at
             if self.leaving:
                 response.force_close()
             return response
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -334,9 +334,11 @@
 
     async def test_recorded_time_includes_the_wait_behind_others(self, monkeypatch):
         recorded: list[tuple[str, float, float]] = []
+        held_s: dict[str, float] = {}
 
         def record(self, context, now):
             recorded.append((context.metadata.request_id, context.arrived_at, now))
+            held_s[context.metadata.request_id] = context.held_s
 
         monkeypatch.setattr(AccessLog, "record", record)
         async with pipelining_world() as (_, gates, caller, _):
@@ -350,6 +352,7 @@
             assert await caller.read_bodies(2) == [b"a", b"b"]
             assert [request_id for request_id, _, _ in recorded] == ["a", "b"]
             assert all(arrived < answered_at <= ended for _, arrived, ended in recorded)
+            assert held_s["b"] > held_s["a"]
 
 
 class TestBounds:
