Answer pipelined requests before bytes that cannot be parsed

Cause: if one segment holds valid requests and then bytes that cannot be parsed, or bytes behind a request with Connection: close, the parser returns only the error. The valid requests were dropped, and the first response was a 400, after which callers do not send their request again.

Change: connections with pipelining give the parser received bytes in parts that end with a head, 32 at most. A request that still waited for its turn when its connection closed has a reason in the log.

--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -67,6 +67,7 @@
 _SHUTTING_DOWN = Failure(
     ResultCode.HOST_LEAVING, "the host is shutting down and would stop before the request ends"
 )
+_NOT_REACHED = "the connection closed before the request's turn"
 _DEADLINE_PASSED = Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
 
 logger = logging.getLogger(__name__)
@@ -158,7 +159,9 @@
         failure = self._check_request(context)
         if failure is None:
             if not context.route.repeatable:
+                context.reason = _NOT_REACHED
                 await wait_to_run(context.request)
+                context.reason = ""
             failure = await self._check_rate(context)
         if failure is not None:
             return failure
--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -11,7 +11,7 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 
-from radishbridge.host.pipelining import Handler, Pipeline, Pipelining
+from radishbridge.host.pipelining import Handler, Pipeline, Pipelining, split_requests
 from radishbridge.host.problem import problem_response
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
@@ -52,8 +52,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests, and start those that may run beside the one being answered."""
-        super().data_received(data)
-        if self.pipeline is not None and self._messages:
+        if self.pipeline is None:
+            super().data_received(data)
+            return
+        for part in split_requests(data) or [data]:
+            super().data_received(part)
+            if self.pipeline.has_parse_error:
+                break
+        if self._messages:
             self.pipeline.record_arrivals()
 
     def close_idle(self) -> None:
--- a/packages/host/src/radishbridge/host/pipelining.py
+++ b/packages/host/src/radishbridge/host/pipelining.py
@@ -22,8 +22,12 @@
 # Bytes of finished responses that wait for their turn from which no more requests start early: a
 # twelfth of the memory of the smallest host, 200 MB. Usual responses have up to some hundred KB.
 HELD_BYTES_MAX = 16 * 1_048_576
+# Parts into which received bytes are split at most: the requests that ``aiohttp`` queues.
+PARTS_MAX = 32
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
+_HEAD_END = b"\r\n\r\n"
+
 Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
 
 
@@ -169,6 +173,12 @@
         """Number of requests that have started early and whose turn has not come."""
         return sum(queued.task is not None for queued in self.queued.values())
 
+    @property
+    def has_parse_error(self) -> bool:
+        """Whether bytes that could not be parsed are behind the queued requests."""
+        messages = self.connection._messages
+        return bool(messages) and not isinstance(messages[-1][0], RawRequestMessage)
+
     def record_arrivals(self) -> None:
         """Record the arrival of requests that were just queued, and start those that may run."""
         messages = self.connection._messages
@@ -281,6 +291,16 @@
         return web.BaseRequest(message, payload, connection, writer, task, connection._loop)
 
 
+def split_requests(data: bytes) -> list[bytes]:
+    """Split received bytes after the ends of heads.
+
+    The parser drops the requests before bytes that it cannot parse if it gets them in one piece.
+    """
+    parts = data.split(_HEAD_END, PARTS_MAX - 1)
+    last = parts.pop()
+    return [part + _HEAD_END for part in parts] + ([last] if last else [])
+
+
 def arrival_time(request: web.BaseRequest, now: float) -> float:
     """Return when a request's head was read, or ``now`` for one that did not wait for others."""
     queued = _queued(request)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -317,6 +317,25 @@
             assert await caller.is_closed()
             assert "c" not in gates.arrived
 
+    @pytest.mark.parametrize("further", [b"nonsense\r\n\r\n", b"G\x00T / HTTP/1.1\r\n\r\n"])
+    async def test_they_are_answered_if_they_come_in_one_segment(self, further):
+        # The parser dropped the requests before the error, and the first response was its 400.
+        async with pipelining_world() as (_, gates, caller, _):
+            gates.open("a", "b")
+            caller.send(heads("a", "b") + further + heads("c"))
+            responses = [await caller.read() for _ in range(3)]
+            assert [one.status for one in responses] == [200, 200, 400]
+            assert await caller.is_closed()
+            assert gates.arrived == ["a", "b"]
+
+    async def test_request_that_asks_to_close_is_answered_if_more_follows(self):
+        async with pipelining_world() as (_, gates, caller, _):
+            gates.open("a", "b", "c")
+            caller.send(heads("a") + head("b", "GET", "Connection: close") + heads("c"))
+            assert await caller.read_bodies(2) == [b"a", b"b"]
+            assert await caller.is_closed()
+            assert gates.arrived == ["a", "b"]
+
 
 class TestTimes:
     """The time and the deadline of a request count from its arrival."""
