Count expected bytes of running pipelined requests

Cause: the bound of 16 MB held only for responses that had ended. 128 running requests could together return more than the memory of a small host, and the bound of response memory then aborts responses of other callers too.

Change: no request starts early while the responses that wait and those expected of running requests, by a moving mean of their sizes, have 16 MB.

Measured: the new test fails if the expected bytes are left out of the sum.

--- a/packages/host/src/radishbridge/host/pipelining.py
+++ b/packages/host/src/radishbridge/host/pipelining.py
@@ -19,9 +19,14 @@
 # Requests of all connections that run early. Each may take a descriptor for a connection to a
 # server, of at least 4,100, and some 20 KB.
 EARLY_PER_HOST_MAX = 128
-# Bytes of finished responses that wait for their turn from which no more requests start early: a
-# twelfth of the memory of the smallest host, 200 MB. Usual responses have up to some hundred KB.
+# Bytes of finished responses that wait for their turn, and of those expected from running requests,
+# from which no more requests start early: a twelfth of the memory of the smallest host, 200 MB.
 HELD_BYTES_MAX = 16 * 1_048_576
+# Expected size of a response before there were any, in bytes, so that the bound of requests is
+# reached together with that of bytes. Usual responses have up to some hundred KB.
+EXPECTED_BYTES = HELD_BYTES_MAX // EARLY_PER_HOST_MAX
+# Weight of the last response in the mean size.
+MEAN_WEIGHT = 0.1
 # Parts into which received bytes are split at most: the requests that ``aiohttp`` queues.
 PARTS_MAX = 32
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -91,12 +96,24 @@
     :param may_start: returns whether requests may start early, e.g. not during a shutdown.
     :param memory: counts the bytes of responses that wait for their turn.
     :param running: tasks of the requests that have started early and are not answered.
-    :param held_bytes: bytes of responses that wait for their turn.
+    :param held: number of finished responses that wait for their turn.
+    :param held_bytes: bytes of these.
+    :param mean_bytes: moving mean of the sizes of responses to requests that started early.
     :param started: requests that have started early since the start.
     :param waiting: connections whose next request did not start early because of a bound.
     """
 
-    __slots__ = ("clock", "held_bytes", "may_start", "memory", "running", "started", "waiting")
+    __slots__ = (
+        "clock",
+        "held",
+        "held_bytes",
+        "may_start",
+        "mean_bytes",
+        "memory",
+        "running",
+        "started",
+        "waiting",
+    )
 
     def __init__(
         self, clock: t.Callable[[], float], may_start: t.Callable[[], bool], memory: CountsBytes
@@ -105,13 +122,19 @@
         self.may_start = may_start
         self.memory = memory
         self.running: set[asyncio.Task[web.StreamResponse]] = set()
+        self.held = 0
         self.held_bytes = 0
+        self.mean_bytes = float(EXPECTED_BYTES)
         self.started = 0
         self.waiting: dict[Pipeline, None] = {}
 
     def has_room(self) -> bool:
         """Return whether another request may start early within the bounds of the host."""
-        return len(self.running) < EARLY_PER_HOST_MAX and self.held_bytes < HELD_BYTES_MAX
+        expected_bytes = (len(self.running) - self.held) * self.mean_bytes
+        return (
+            len(self.running) < EARLY_PER_HOST_MAX
+            and self.held_bytes + expected_bytes < HELD_BYTES_MAX
+        )
 
     def start(
         self, run: t.Coroutine[t.Any, t.Any, web.StreamResponse]
@@ -128,11 +151,14 @@
 
         :param size: bytes of its body.
         """
+        self.mean_bytes += MEAN_WEIGHT * (size - self.mean_bytes)
+        self.held += 1
         self.held_bytes += size
         self.memory.add(size)
         try:
             await queued.turn.wait()
         finally:
+            self.held -= 1
             self.held_bytes -= size
             self.memory.release(size)
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -412,6 +412,7 @@
         monkeypatch.setattr(pipelining, "HELD_BYTES_MAX", 1)
         async with pipelining_world() as (world, gates, caller, _):
             held = world.server.pipelining
+            held.mean_bytes = 0.0
             caller.send(heads("a", "b"))
             await gates.wait_for("a", "b")
             gates.open("b")
@@ -424,6 +425,18 @@
             assert await caller.read_bodies(3) == [b"a", b"b", b"c"]
             assert (held.held_bytes, world.forwarder.pool.memory.buffered_bytes) == (0, 0)
 
+    async def test_large_responses_are_expected_of_running_requests(self):
+        # Otherwise 128 running requests could together return more than the host's memory.
+        async with pipelining_world() as (world, gates, caller, _):
+            world.server.pipelining.mean_bytes = pipelining.HELD_BYTES_MAX / 2
+            caller.send(heads("a", "b", "c", "d"))
+            await gates.wait_for("a", "b", "c")
+            await settle()
+            assert len(gates.arrived) == 3
+            gates.open("a", "b", "c", "d")
+            assert await caller.read_bodies(4) == [b"a", b"b", b"c", b"d"]
+            assert world.server.pipelining.mean_bytes < pipelining.HELD_BYTES_MAX / 2
+
 
 class RandomPlay:
     """Random requests in random segments on one connection, answered in random order.
