--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -68,6 +68,7 @@
 _SHUTTING_DOWN = Failure(
     ResultCode.HOST_LEAVING, "the host is shutting down and would stop before the request ends"
 )
+_NOT_REACHED = "the connection closed before the request's turn"
 _DEADLINE_PASSED = Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
 
 logger = logging.getLogger(__name__)
@@ -139,7 +140,9 @@
             if context.code is ResultCode.CALLER_GONE and request.transport is not None:
                 reset(request.transport)
             size = len(result.body) if isinstance(result, BackendResponse) else 0
+            finished_at = uptime.now()
             await wait_to_respond(request, size)
+            context.held_s = uptime.now() - finished_at
             if self.leaving:
                 response.force_close()
             return response
@@ -157,7 +160,9 @@
         failure = self._check_request(context)
         if failure is None:
             if not context.route.repeatable:
+                context.reason = _NOT_REACHED
                 await wait_to_run(context.request)
+                context.reason = ""
             failure = await self._check_rate(context)
         if failure is not None:
             return failure
