Shares of the rates expire by the clocks of holder and successors

Cause: silence for 30 s counted as the end of a host, so that both sides of a longer network split used the whole rate. The guard on the other side never acted, since a side that is cut off makes its own summaries.

Change: the coordinator of a majority marks the entry of a silent host in the store as questioned after 17 s. A host that reads that answers and keeps its share. Without an answer the others use its share from 30 s on, while they read the store; a minority that does not read the store, or whose question is unanswered, uses none from 25 s on. Nothing is sent or written while no host is silent.

Also: a host without an entry counted as registered again once a departing host had ended, because the list was applied anew with its own entry in it.

--- a/packages/entry/src/radishbridge/entry/coordinator.py
+++ b/packages/entry/src/radishbridge/entry/coordinator.py
@@ -6,8 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 
+import msgspec
+
 from radishbridge.entry import uptime
 from radishbridge.entry.fleet import SUMMARY_MAX_AGE_S, Fleet
 from radishbridge.entry.protocol import FleetStore, Kind, MoveReport
@@ -17,19 +20,29 @@
 
 # Pause between two checks of version moves and hosts, in seconds.
 CHECK_INTERVAL_S = 0.25
+# Pause in seconds before a host is questioned again whose entry does not show the question: the
+# longest watch of the store.
+QUESTION_RETRY_S = 4.0
+# Maximum number of hosts that are questioned in one check, so that the loss of a large data centre
+# does not delay the other duties.
+QUESTIONS_MAX = 16
 
 logger = logging.getLogger(__name__)
 
 
 class FleetCoordinator:
-    """Records the status of version moves and removes lost hosts while this host is coordinator."""
+    """Records version moves, questions silent hosts and removes lost ones while it is coordinator.
+
+    :param questioned_at: monotonic time by host of the last question.
+    """
 
-    __slots__ = ("fleet", "steering_state", "store")
+    __slots__ = ("fleet", "questioned_at", "steering_state", "store")
 
     def __init__(self, steering_state: SteeringState, fleet: Fleet, store: FleetStore) -> None:
         self.steering_state = steering_state
         self.fleet = fleet
         self.store = store
+        self.questioned_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Check moves and hosts until cancelled."""
@@ -41,6 +54,7 @@
         """Record each move whose phase has changed, and remove lost hosts."""
         if not self._is_coordinator(now):
             return
+        await self._question_hosts(now)
         for name in self.fleet.lost_hosts(now):
             # The condition protects a host that registers again while this one is delayed.
             removal = await self.store.unregister(name, self._stored_version(Kind.HOST, name))
@@ -67,6 +81,19 @@
                 },
             )
 
+    async def _question_hosts(self, now: float) -> None:
+        due = (
+            name
+            for name in self.fleet.hosts_to_question(now)
+            if now - self.questioned_at.get(name, float("-inf")) >= QUESTION_RETRY_S
+        )
+        for name in list(itertools.islice(due, QUESTIONS_MAX)):
+            self.questioned_at[name] = now
+            entry = msgspec.structs.replace(self.fleet.entries[name], is_questioned=True)
+            failure = await self.store.replace_host(entry, self._stored_version(Kind.HOST, name))
+            outcome = "asked" if failure is None else failure.reason
+            logger.info("silent host questioned", extra={"host": name, "outcome": outcome})
+
     def _stored_version(self, kind: Kind, name: str) -> int:
         stored = self.fleet.copy.objects.get((kind, name))
         return 0 if stored is None else stored.version
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -30,6 +30,7 @@
     Relayed,
 )
 from radishbridge.entry.protocol import HostEntry, Kind, StoredObject
+from radishbridge.entry.share_contact import ShareContact
 from radishbridge.entry.summaries import merge_reports
 from radishbridge.peers import HostAddress, Peer, ZmqMesh, rank
 from radishbridge.records import is_address
@@ -52,10 +53,6 @@
 # Time in seconds after its start in which a host assumes that others run before it has any message
 # from them.
 STARTUP_GRACE_S = 2.0
-# A host that was silent for this long, in seconds, is assumed to have stopped, and the others take
-# over its share of the rates. Longer than ``rates.SUMMARY_AGE_MAX_S``, after which it uses none
-# itself.
-HOST_STOPPED_AFTER_S = 30.0
 # Silence in seconds after which a host's entry is removed from the store. The host may only have
 # been cut off; it registers again if it comes back.
 HOST_REMOVED_AFTER_S = 120.0
@@ -97,6 +94,7 @@
     :param make_report: builds the report that is sent next.
     :param clock: monotonic clock in seconds.
     :param entries: registered hosts by name, this one included.
+    :param listed: the registered hosts as last given, this one only if it is registered.
     :param departing: hosts that were removed from the list while still in contact: they finish
         their requests, and still use their share of the rates.
     :param listeners: called with each summary that is applied.
@@ -107,6 +105,7 @@
     :param differs_since: monotonic time by kind since which this copy has been missing something.
     :param newest_revisions: highest revision by kind that any host has reported.
     :param unregistered_peers: hosts that send messages but are missing from the list of hosts.
+    :param share_contact: which hosts may use their shares of the rates.
     """
 
     __slots__ = (
@@ -118,6 +117,7 @@
         "fleet_share",
         "last_contact",
         "last_seen",
+        "listed",
         "listeners",
         "make_report",
         "make_status",
@@ -128,6 +128,7 @@
         "peak_size_at",
         "reports",
         "seeds",
+        "share_contact",
         "started_at",
         "summary",
         "summary_at",
@@ -155,6 +156,7 @@
         self.make_report = make_report
         self.seeds = {seed.name: seed for seed in seeds if seed.name != own.peer_address}
         self.entries: dict[str, HostEntry] = {own.peer_address: own}
+        self.listed: dict[str, HostEntry] = {}
         self.departing: dict[str, HostEntry] = {}
         self.peak_size = 1
         self.peak_size_at = float("-inf")
@@ -169,6 +171,7 @@
         self.newest_revisions: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.unregistered_peer_at = float("-inf")
         self.unregistered_peers: dict[str, HostAddress] = {}
+        self.share_contact = ShareContact(own.peer_address, self.last_seen, self.started_at)
         mesh.on_unknown_sender = self._accept_unregistered
         mesh.subscribe(FleetReport, self._on_report)
         mesh.subscribe(FleetSummary, self._on_summary)
@@ -186,6 +189,7 @@
         """
         now = self.clock()
         before = {**self.departing, **self.entries}
+        self.listed = dict(entries)
         self.fleet_share.is_registered = self.own.peer_address in entries
         self.entries = {**entries, self.own.peer_address: self.own}
         self.departing = {
@@ -195,6 +199,7 @@
         }
         for name in self.entries:
             self.last_seen.setdefault(name, now)
+        self.share_contact.update_entries(entries, self.departing, now)
         for name in self.unregistered_peers.keys() & self.entries.keys():
             del self.unregistered_peers[name]
         self._update_directory()
@@ -214,7 +219,8 @@
     def _count_hosts(self, now: float) -> None:
         # A host in the summary has a share of the rates, whether it is registered or not.
         counted = () if self.summary is None else (status.name for status in self.summary.hosts)
-        self.fleet_share.hosts = len({*self.possible_hosts(now), *counted})
+        removed = self.share_contact.silent_shares.removed_hosts(now)
+        self.fleet_share.hosts = len({*self.possible_hosts(now), *counted, *removed})
 
     def _update_directory(self) -> None:
         known = map(_host_address, itertools.chain(self.entries.values(), self.departing.values()))
@@ -243,20 +249,19 @@
         self._update_directory()
 
     def possible_hosts(self, now: float) -> list[str]:
-        """Return the registered hosts that have not been silent for long, and so may be running."""
-        return [
-            name
-            for name in self.entries
-            if name == self.own.peer_address or now - self.last_seen[name] < HOST_STOPPED_AFTER_S
-        ]
+        """Return the registered hosts that may be running and use their share of the rates."""
+        return [name for name in self.entries if self.share_contact.may_use_share(name, now)]
+
+    def hosts_to_question(self, now: float) -> list[str]:
+        """Return the silent hosts whose entry is to be marked as questioned."""
+        if self.summary is None:
+            return []
+        present = {status.name for status in self.summary.hosts}
+        return self.share_contact.hosts_to_question(present, self.last_contact, now)
 
     def lost_hosts(self, now: float) -> list[str]:
         """Return the registered hosts that have been silent for so long that they are removed."""
-        own = self.own.peer_address
-        silent = (
-            name for name in self.entries if now - self.last_seen[name] > HOST_REMOVED_AFTER_S
-        )
-        return [name for name in silent if name != own]
+        return self.share_contact.silent_since(HOST_REMOVED_AFTER_S, now)
 
     def live_hosts(self, now: float) -> dict[str, HostStatus]:
         """Return the status of each host in a recent summary and of this host, by name."""
@@ -300,6 +305,22 @@
         names = able or [host.name for host in staying]
         return self.rank_for("follow", names)[:STORE_FOLLOWER_COUNT]
 
+    def _update_own_share(self, now: float) -> None:
+        if Kind.HOST not in self.copy.loaded_kinds:
+            return
+        own = self.make_status()
+        present: set[str] = set()
+        if self.summary is not None and now - self.summary_at <= SUMMARY_MAX_AGE_S:
+            present = {status.name for status in self.summary.hosts}
+        self.fleet_share.is_expired = self.share_contact.update_own_share(
+            present, self._reaching_followers, own.reaches_store, now
+        )
+
+    def _reaching_followers(self) -> list[str]:
+        live = self.live_hosts(self.clock())
+        followers = self._store_followers() or [self.own.peer_address]
+        return [name for name in followers if name in live and live[name].reaches_store]
+
     def rank_for(self, role: str, names: t.Iterable[str]) -> list[str]:
         """Return the hosts that may take a role, in the order of their rank.
 
@@ -364,7 +385,8 @@
             if len(recent) > 1 or now - self.started_at >= STARTUP_GRACE_S:
                 self._send_all(summary, aggregators)
         if any(not self._has_recent_contact(name, now) for name in self.departing):
-            self.update_hosts(self.entries)
+            self.update_hosts(self.listed)
+        self._update_own_share(now)
         self._count_hosts(now)
 
     @property
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -46,7 +46,7 @@
     objects: list[StoredObject]
 
 
-class HostEntry(msgspec.Struct, frozen=True, kw_only=True):
+class HostEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One entry host as it registered itself; addresses are ``IP:port``.
 
     :param peer_address: where it accepts messages from other hosts; also its name.
@@ -54,6 +54,8 @@
     :param link_mbps: bandwidth of its link in Mbit/s; 0 if unknown.
     :param cores: number of processor cores, possibly a fraction; 0 if unknown.
     :param relays: it passes messages on to the other hosts of its data centre.
+    :param is_questioned: other hosts have no contact to it, and use its share of the rates unless
+        it replaces this entry by one that is not questioned.
     """
 
     peer_address: str
@@ -63,6 +65,7 @@
     link_mbps: float = 0.0
     cores: float = 0.0
     relays: bool = False
+    is_questioned: bool = False
 
 
 class DrainOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,6 +122,9 @@
     async def register(self, entry: HostEntry) -> Failure | None:
         """Write a host's entry."""
 
+    async def replace_host(self, entry: HostEntry, version: int) -> Failure | None:
+        """Replace a host's entry, if it has this version."""
+
     async def unregister(self, name: str, version: int | None = None) -> Failure | None:
         """Remove a host's entry.
 
--- a/packages/entry/src/radishbridge/entry/registration.py
+++ b/packages/entry/src/radishbridge/entry/registration.py
@@ -1,4 +1,4 @@
-"""Registration of this host in the store."""
+"""Registration of this host in the store, and its answers to questions of the other hosts."""
 
 from __future__ import annotations
 
@@ -26,9 +26,11 @@
     :param make_entry: builds the entry from the current settings.
     :param is_unreadable: returns whether this host's entry in the store cannot be decoded, which
         means that it was written by someone else.
+    :param is_questioned: returns whether other hosts have no contact to this host and ask by its
+        entry whether it still runs.
     """
 
-    __slots__ = ("copy", "is_unreadable", "make_entry", "store")
+    __slots__ = ("copy", "is_questioned", "is_unreadable", "make_entry", "store")
 
     def __init__(
         self,
@@ -36,8 +38,10 @@
         copy: ObjectCopy,
         make_entry: t.Callable[[], HostEntry],
         is_unreadable: t.Callable[[], bool] = lambda: False,
+        is_questioned: t.Callable[[], bool] = lambda: False,
     ) -> None:
         self.is_unreadable = is_unreadable
+        self.is_questioned = is_questioned
         self.store = store
         self.copy = copy
         self.make_entry = make_entry
@@ -58,8 +62,19 @@
                     logger.warning("own entry is unreadable", extra={"host": entry.peer_address})
                     await self.store.unregister(entry.peer_address)
                     break
+                if self.is_questioned():
+                    await self._answer(entry)
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def _answer(self, entry: HostEntry) -> None:
+        stored = self.copy.objects.get((Kind.HOST, entry.peer_address))
+        version = 0 if stored is None else stored.version
+        failure = await self.store.replace_host(entry, version)
+        outcome = "answered" if failure is None else failure.reason
+        logger.info(
+            "own entry is questioned", extra={"host": entry.peer_address, "outcome": outcome}
+        )
+
     def _is_removed(self, name: str) -> bool:
         # Other hosts remove the entry of a host that was silent for long.
         stored = self.copy.objects.get((Kind.HOST, name))
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -16,7 +16,7 @@
 # Age in seconds beyond which a report or summary does not reflect the current demand.
 SUMMARY_FRESH_S = 1.2
 # Age in seconds of the last summary beyond which a host admits no rate-limited requests. The other
-# hosts reassign its share a little later (see ``HOST_STOPPED_AFTER_S`` in fleet.py).
+# hosts take its share over a little later (see ``TAKEOVER_AFTER_S`` in share_expiry.py).
 SUMMARY_AGE_MAX_S = 25.0
 # Demand added to that of each host, so that a host without demand has a share for a first request.
 BASE_DEMAND_PER_S = 0.5
@@ -63,18 +63,27 @@
 
     :param hosts: number of hosts that may be running, whether or not the last summary covers them.
     :param hosts_reporting: number of hosts that the last summary covers.
+    :param is_expired: other hosts may use this host's share (see ``share_expiry.py``).
     :param is_registered: the other hosts know of this host, and leave a share to it.
     :param summary_at: monotonic time of the last summary in seconds.
     :param is_included: the last summary includes a report of this host whose demands it still
         keeps.
     """
 
-    __slots__ = ("hosts", "hosts_reporting", "is_included", "is_registered", "summary_at")
+    __slots__ = (
+        "hosts",
+        "hosts_reporting",
+        "is_expired",
+        "is_included",
+        "is_registered",
+        "summary_at",
+    )
 
     def __init__(self, now: float) -> None:
         self.hosts = 1
         self.hosts_reporting = 1
         self.summary_at = now
+        self.is_expired = False
         self.is_included = True
         self.is_registered = True
 
@@ -84,7 +93,7 @@
         Without a recent summary only this host counts, and after ``SUMMARY_AGE_MAX_S`` none.
         """
         summary_age_s = now - self.summary_at
-        if summary_age_s > SUMMARY_AGE_MAX_S:
+        if self.is_expired or summary_age_s > SUMMARY_AGE_MAX_S:
             return 0.0
         if not self.is_registered and not (self.is_included and summary_age_s <= SUMMARY_FRESH_S):
             return 0.0
@@ -98,7 +107,7 @@
         :param total_demand: demand of all hosts in the last summary.
         """
         reachable = self.reachable_fraction(now)
-        if now - self.summary_at > SUMMARY_FRESH_S:
+        if self.is_expired or now - self.summary_at > SUMMARY_FRESH_S:
             return reachable
         if not self.is_included:
             # The other hosts leave an equal share to each registered host that the summary does not
--- a/tests/copies_world.py
+++ b/tests/copies_world.py
@@ -45,6 +45,7 @@
 RETRANSMIT_S = 0.2
 
 _STORE_UNAVAILABLE = Failure(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
+_CONFLICT = Failure(ResultCode.VERSION_CONFLICT, "the object has another version")
 _WATCH_EXPIRED = Failure(ResultCode.WATCH_EXPIRED, "the revision was compacted")
 
 
@@ -94,6 +95,11 @@
         objects = [stored for stored in live.values() if stored.value is not None]
         return Listing(revision=revision, objects=objects)
 
+    def held_version(self, kind: Kind, name: str) -> int:
+        """Return the version of an object, 0 if there is none."""
+        listing = self.listing(kind, time.monotonic())
+        return next((one.version for one in listing.objects if one.name == name), 0)
+
     def changes_since(self, kind: Kind, after: int) -> Listing:
         last = {
             one.name: one for _, one in self.changes if one.kind is kind and one.version > after
@@ -121,6 +127,28 @@
         await asyncio.sleep(self.store.latency_s)
         return listing
 
+    async def register(self, entry: HostEntry) -> Failure | None:
+        """Create a host's entry; an existing one is left unchanged."""
+        return await self._write(entry.peer_address, msgspec.json.encode(entry), 0)
+
+    async def replace_host(self, entry: HostEntry, version: int) -> Failure | None:
+        """Replace a host's entry of this version."""
+        return await self._write(entry.peer_address, msgspec.json.encode(entry), version)
+
+    async def unregister(self, name: str, version: int | None = None) -> Failure | None:
+        """Delete a host's entry, of this version only unless it is ``None``."""
+        return await self._write(name, None, version)
+
+    async def _write(self, name: str, value: bytes | None, version: int | None) -> Failure | None:
+        if self.is_unresponsive:
+            await asyncio.sleep(STORE_CALL_TIMEOUT_S)
+            return _STORE_UNAVAILABLE
+        held = self.store.held_version(Kind.HOST, name)
+        if version is None or held == version:
+            self.store.put(Kind.HOST, name, value)
+        await asyncio.sleep(self.store.latency_s)
+        return None if version in (None, 0, held) else _CONFLICT
+
     async def watch(self, kind: Kind, after: int, wait_s: float) -> Listing | Failure:
         ends_at = time.monotonic() + wait_s
         while not self.is_unresponsive:
@@ -389,6 +417,7 @@
     """A fleet, its store, and a check that all hosts get removals of servers in time.
 
     :param disconnected: hosts whose messages are lost in both directions.
+    :param sides: number of the network partition by host; messages between two partitions are lost.
     :param one_way_losses: pairs of sender and receiver between which messages are lost.
     :param packet_loss: fraction of the packets to and from a host that are lost and retransmitted.
     :param removed_at: monotonic time by server of its removal, or of the end of a fault of the
@@ -400,6 +429,7 @@
         self.host_type = host_type
         self.store = Store()
         self.disconnected: set[str] = set()
+        self.sides: dict[str, int] = {}
         self.one_way_losses: set[tuple[str, str]] = set()
         self.packet_loss: dict[str, float] = {}
         self.rng = random.Random(count)
@@ -457,7 +487,8 @@
     def deliver_now(self, mesh: Mesh, target: str, encoded: bytes) -> None:
         host = self.hosts.get(target)
         lost = {mesh.name, target} & self.disconnected or (mesh.name, target) in self.one_way_losses
-        if host is not None and not lost:
+        split = self.sides.get(mesh.name, 0) != self.sides.get(target, 0)
+        if host is not None and not lost and not split:
             host.mesh.receive(mesh.name, encoded)
 
     def remove_server(self, name: str) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,11 +5,12 @@
 import typing as t
 
 import aiohttp
+import msgspec
 import pytest
 from aiohttp import web
 from soak.store import Store
 
-from radishbridge.entry import Kind, MoveReport, ObjectCopy
+from radishbridge.entry import HostEntry, Kind, MoveReport, ObjectCopy
 from radishbridge.platform.objects import KIND_NAMES, STATES_BY_PHASE
 from radishbridge.platform.store import PlatformStore
 from radishbridge.records import Failure, ResultCode
@@ -162,6 +163,18 @@
             assert failure.code is ResultCode.VERSION_CONFLICT
             assert (HOSTS, "a") in store.objects
 
+    async def test_a_late_question_does_not_replace_an_answer(self):
+        async with running_store() as (store, client):
+            entry = HostEntry(peer_address="a", listen="b", region="", data_center="")
+            version = await store.put(HOSTS, "a", spec={})
+            question = msgspec.structs.replace(entry, is_questioned=True)
+            assert await client.replace_host(question, version) is None
+            assert store.objects[HOSTS, "a"]["spec"]["is_questioned"] is True
+            assert await client.replace_host(entry, store.revision) is None
+            failure = await client.replace_host(question, version)
+            assert failure.code is ResultCode.VERSION_CONFLICT
+            assert "is_questioned" not in store.objects[HOSTS, "a"]["spec"]
+
     async def test_a_lost_host_is_removed(self):
         async with running_store() as (store, client):
             version = await store.put(HOSTS, "a", spec={})
--- a/tests/test_rate_limits_under_faults.py
+++ b/tests/test_rate_limits_under_faults.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import os
+import random
 import time
 
 import pytest
@@ -9,7 +11,13 @@
 from copies_world import FaultInjector, Host, StoreFaultInjector, World
 from rate_limits import limit_in_window, most_in_window
 
-from radishbridge.entry import Bounds, RateAdmission, SteeringState
+from radishbridge.entry import (
+    Bounds,
+    FleetCoordinator,
+    RateAdmission,
+    Registration,
+    SteeringState,
+)
 from radishbridge.peers import HostAddress
 from radishbridge.steering import Configuration, WorkspaceRule
 
@@ -145,3 +153,169 @@
                 assert len(since) >= 0.6 * rule.rate_per_s * 8.0
 
         virtual_time.run(scenario(), monkeypatch)
+
+
+class RegisteredHost(MeteredHost):
+    """A host that keeps its own entry in the store and, if it is chosen, those of lost hosts."""
+
+    def __init__(self, number: int, world: World) -> None:
+        super().__init__(number, world)
+        registration = Registration(
+            self.link,
+            self.copy,
+            lambda: self.entry,
+            is_questioned=lambda: self.fleet.share_contact.is_questioned,
+        )
+        coordinator = FleetCoordinator(self.steering_state, self.fleet, self.link)
+        self.tasks += [
+            asyncio.create_task(registration.run()),
+            asyncio.create_task(coordinator.run()),
+        ]
+
+
+class SplitFleet:
+    """A fleet with callers at all hosts, whose network and store fail in parts.
+
+    :param since: monotonic time of the last fault.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.world = World(count, RegisteredHost)
+        for number in range(count):
+            self.world.start(number)
+        self.names = list(self.world.hosts)
+        self.callers = Callers(self.world, moving=False)
+        self.callers_task = asyncio.create_task(self.callers.run())
+        self.since = 0.0
+
+    def split(self, sides: dict[str, int], without_store: set[int]) -> None:
+        """Divide the network, and cut some sides off from the store."""
+        self.since = time.monotonic()
+        self.world.sides = sides
+        for name, host in self.world.hosts.items():
+            host.link.is_unresponsive = sides.get(name, 0) in without_store
+
+    def kill(self, names: list[str]) -> None:
+        """End hosts for good."""
+        self.since = time.monotonic()
+        for name in names:
+            self.world.stop_host(self.world.hosts[name])
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.split({}, set())
+
+    async def stop(self) -> None:
+        self.callers_task.cancel()
+        await asyncio.gather(*self.callers.tasks, return_exceptions=True)
+        await self.world.stop()
+
+    def check_limit(self) -> None:
+        for rule in RULES:
+            assert most_in_window(self.callers.admitted[rule.name]) <= limit_in_window(rule)
+
+    def admitted_fraction(self, workspace: str, start_s: float, end_s: float) -> float:
+        """Return the fraction of a rate that was used between two times after the last fault."""
+        rule = next(rule for rule in RULES if rule.name == workspace)
+        times = [at - self.since for at in self.callers.admitted[workspace]]
+        used = sum(start_s <= at < end_s for at in times)
+        return used / (rule.rate_per_s * (end_s - start_s))
+
+
+class TestLongSplit:
+    """Guards against two sides of a network split that each use the whole rate after 30 s."""
+
+    @pytest.mark.parametrize(
+        ("without_store", "fraction"),
+        [(set(), 0.85), ({0}, 0.3), ({1}, 0.6), ({0, 1}, 0.6)],
+        ids=["all reach the store", "small side does", "large side does", "none does"],
+    )
+    @pytest.mark.parametrize("small_side", [1, 3])
+    def test_no_window_admits_more_than_the_limit(
+        self, small_side, without_store, fraction, monkeypatch
+    ):
+        async def scenario() -> None:
+            fleet = SplitFleet(9)
+            await fleet.world.run_for(8.0)
+            fleet.split(dict.fromkeys(fleet.names[:small_side], 1), without_store)
+            await fleet.world.run_for(45.0)
+            used = fleet.admitted_fraction("large", 32.0, 45.0)
+            fleet.heal()
+            await fleet.world.run_for(12.0)
+            await fleet.stop()
+            fleet.check_limit()
+            assert used >= fraction
+            assert fleet.admitted_fraction("large", 8.0, 12.0) >= 0.85
+
+        virtual_time.run(scenario(), monkeypatch)
+
+    @pytest.mark.parametrize("seed", range(int(os.environ.get("SPLIT_SEEDS", "4"))))
+    def test_random_splits_with_joins_restarts_and_losses(self, seed, monkeypatch):
+        # SPLIT_SEEDS=1000 in manual runs.
+        async def scenario() -> None:
+            rng = random.Random(seed)
+            count = rng.randint(4, 8)
+            fleet = SplitFleet(count)
+            world = fleet.world
+            await world.run_for(8.0)
+            next_number = count
+            for _ in range(rng.randint(1, 2)):
+                side_count = rng.randint(2, 3)
+                sides = {name: rng.randrange(side_count) for name in world.hosts}
+                without = {side for side in range(side_count) if rng.random() < 0.4}
+                fleet.split(sides, without)
+                ends_at = time.monotonic() + rng.uniform(25.0, 75.0)
+                while time.monotonic() < ends_at:
+                    await world.run_for(rng.uniform(2.0, 20.0))
+                    event = rng.random()
+                    if event < 0.25:
+                        world.restart(rng.choice(list(world.hosts)))
+                    elif event < 0.45:
+                        world.start(next_number)
+                        name = list(world.hosts)[-1]
+                        world.sides[name] = rng.randrange(side_count)
+                        world.hosts[name].link.is_unresponsive = world.sides[name] in without
+                        next_number += 1
+                    elif event < 0.55 and len(world.hosts) > 3:
+                        fleet.kill([rng.choice(list(world.hosts))])
+                    elif event < 0.75:
+                        side = rng.randrange(side_count)
+                        without ^= {side}
+                        fleet.split(world.sides, without)
+                fleet.heal()
+                await world.run_for(rng.uniform(1.0, 12.0))
+            await fleet.stop()
+            fleet.check_limit()
+
+        virtual_time.run(scenario(), monkeypatch)
+
+
+class TestHostsLostForGood:
+    """Guards against a rate that stays reduced, or is exceeded, after hosts were lost for good."""
+
+    @pytest.mark.parametrize(("count", "lost"), [(9, 3), (9, 1), (8, 4)])
+    def test_rate_is_whole_again(self, count, lost, monkeypatch):
+        async def scenario() -> None:
+            fleet = SplitFleet(count)
+            await fleet.world.run_for(8.0)
+            fleet.kill(fleet.names[-lost:])
+            await fleet.world.run_for(45.0)
+            await fleet.stop()
+            fleet.check_limit()
+            assert fleet.admitted_fraction("large", 34.0, 45.0) >= 0.85
+
+        virtual_time.run(scenario(), monkeypatch)
+
+    def test_half_of_the_hosts_are_killed_and_start_again(self, monkeypatch):
+        async def scenario() -> None:
+            fleet = SplitFleet(8)
+            await fleet.world.run_for(8.0)
+            for name in fleet.names[:4]:
+                fleet.world.restart(name)
+            fleet.since = time.monotonic()
+            await fleet.world.run_for(40.0)
+            await fleet.stop()
+            fleet.check_limit()
+            assert fleet.admitted_fraction("large", 4.0, 40.0) >= 0.85
+
+        virtual_time.run(scenario(), monkeypatch)
