Status checks find servers that turn cold while the store is silent

Cause: the rest of a server's slow start was read from its store entry only, so that a server that turned cold while the store was silent got its full load.

A server that crashes in that time counts as cold too. Nothing is sent otherwise; empty fields of reports and summaries are now left out.

--- a/packages/entry/src/radishbridge/entry/__init__.py
+++ b/packages/entry/src/radishbridge/entry/__init__.py
@@ -24,6 +24,7 @@
     RequestMetadata,
     ResponseMetadata,
     ResponseNotice,
+    ServerCheck,
     StoredObject,
 )
 from radishbridge.entry.rate_admission import RateAdmission
@@ -53,6 +54,7 @@
     "RequestMetadata",
     "ResponseMetadata",
     "ResponseNotice",
+    "ServerCheck",
     "SteeringState",
     "StoreFollower",
     "StoredObject",
--- a/packages/entry/src/radishbridge/entry/crashes.py
+++ b/packages/entry/src/radishbridge/entry/crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import typing as t
 
 from radishbridge.entry import uptime
 from radishbridge.entry.backends import BackendPool
@@ -24,15 +25,17 @@
     server's listening socket is gone as well. The connections of a crashed server break in any
     order, so that each request that was at work there is a suspect.
 
+    :param listeners: called with each server that has crashed.
     :param suspects: fingerprints by server of the requests that wait for the result of a probe.
     :param probed_at: time by server of its last probe.
     """
 
-    __slots__ = ("crash_reports", "pool", "probed_at", "suspects", "tasks")
+    __slots__ = ("crash_reports", "listeners", "pool", "probed_at", "suspects", "tasks")
 
     def __init__(self, crash_reports: CrashReports, pool: BackendPool) -> None:
         self.crash_reports = crash_reports
         self.pool = pool
+        self.listeners: list[t.Callable[[Server], None]] = []
         self.suspects: dict[str, set[bytes]] = {}
         self.probed_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -63,5 +66,7 @@
         suspects = self.suspects.pop(server.name)
         if isinstance(connection, Failure):
             self.crash_reports.record_crash(suspects, server, now)
+            for listener in self.listeners:
+                listener(server)
         else:
             self.pool.release(server.address, connection)
--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -313,10 +313,11 @@
         if self.summary is not None and now - self.summary_at <= SUMMARY_MAX_AGE_S:
             present = {status.name for status in self.summary.hosts}
         self.fleet_share.is_expired = self.share_contact.update_own_share(
-            present, self._reaching_followers, own.reaches_store, now
+            present, self.reaching_followers, own.reaches_store, now
         )
 
-    def _reaching_followers(self) -> list[str]:
+    def reaching_followers(self) -> list[str]:
+        """Return the store followers that reach the store."""
         live = self.live_hosts(self.clock())
         followers = self._store_followers() or [self.own.peer_address]
         return [name for name in followers if name in live and live[name].reaches_store]
--- a/packages/entry/src/radishbridge/entry/messages.py
+++ b/packages/entry/src/radishbridge/entry/messages.py
@@ -49,6 +49,19 @@
     age_s: Amount
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server that a status check found in its slow start.
+
+    :param server: name of the server.
+    :param incarnation: start of the server's process as its entry states it; 0 if unknown.
+    :param cold_for_s: rest of the slow start in seconds.
+    """
+
+    server: str
+    incarnation: Count
+    cold_for_s: Amount
+
+
 class HostStatus(msgspec.Struct, frozen=True, array_like=True):
     """A host's status, as it reports it to the others.
 
@@ -80,7 +93,7 @@
     digests: dict[Kind, int]
 
 
-class FleetReport(msgspec.Struct, kw_only=True, tag="report"):
+class FleetReport(msgspec.Struct, kw_only=True, tag="report", omit_defaults=True):
     """One host's report to the aggregators.
 
     :param demands: requests per second by workspace.
@@ -91,6 +104,8 @@
     :param rejected: requests that crashed servers, for hosts that have not seen the crashes; only
         aggregators send them.
     :param copy_state: state of the sender's copy; the aggregator's own copy may be behind.
+    :param cold_servers: servers found cold by status checks of the last seconds; made only while
+        the store is silent.
     :param size: largest number of registered hosts that the sender has recently known.
     """
 
@@ -103,9 +118,10 @@
     rejected: list[Rejected] = []
     copy_state: CopyState | None = None
     size: FleetSize = 1
+    cold_servers: list[ColdReport] = []
 
 
-class FleetSummary(msgspec.Struct, kw_only=True, tag="summary"):
+class FleetSummary(msgspec.Struct, kw_only=True, tag="summary", omit_defaults=True):
     """An aggregator's summary of all hosts' reports of the last second.
 
     :param hosts: status of the hosts whose reports are included.
@@ -117,6 +133,7 @@
     :param rejected: requests that crashed servers, for hosts that have not seen the crashes; only
         aggregators send them.
     :param copy_state: state of the aggregator's copy.
+    :param cold_servers: servers found cold by status checks of the last seconds.
     :param size: the largest of the reported sizes.
     """
 
@@ -129,6 +146,7 @@
     cleared: list[bytes] = []
     rejected: list[Rejected] = []
     size: FleetSize = 1
+    cold_servers: list[ColdReport] = []
 
 
 class ObjectsChanged(msgspec.Struct, kw_only=True, tag="changed"):
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -184,6 +184,17 @@
     odd_header: str
 
 
+class ServerCheck(t.NamedTuple):
+    """A backend server's response to a status check.
+
+    :param server: name of the server that answers.
+    :param cold_for_s: rest of its slow start in seconds.
+    """
+
+    server: str
+    cold_for_s: float
+
+
 Headers = t.Sequence[tuple[bytes, bytes]]
 
 
@@ -206,3 +217,6 @@
 
     def read_notice(self, status: int, headers: Headers) -> ResponseNotice | None:
         """Decode what a response says of its server; ``None`` if it says nothing."""
+
+    def read_check(self, headers: Headers) -> ServerCheck | None:
+        """Decode a response to a status check; ``None`` if it does not state the slow start."""
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -12,7 +12,7 @@
 from radishbridge.entry.copy import ObjectCopy, ObjectKey
 from radishbridge.entry.crash_reports import CrashReports
 from radishbridge.entry.fleet import Fleet
-from radishbridge.entry.messages import FleetReport, FleetSummary, HostStatus
+from radishbridge.entry.messages import ColdReport, FleetReport, FleetSummary, HostStatus
 from radishbridge.entry.protocol import (
     DecodedObject,
     Decoder,
@@ -44,6 +44,7 @@
     stable_versions,
     unit_hash,
 )
+from radishbridge.steering.cold_checks import ColdServers
 
 # Number of this host's last reports whose demands are kept. A summary includes a report up to 1.1 s
 # old and arrives up to 1.2 s later, at five reports a second.
@@ -123,6 +124,7 @@
     :param reported_demands: demand by workspace in this host's last reports, by number of the
         report.
     :param fleet_demands: demand of all hosts by workspace in the last summary.
+    :param cold_servers: servers that this host found cold while the store was silent.
     :param crash_reports: crashes of servers, and the requests that are refused for them.
     :param odd_servers: servers of whose headers one was logged as not understood.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
@@ -135,6 +137,7 @@
         "accrue_from",
         "bounds",
         "clock",
+        "cold_servers",
         "configuration",
         "crash_reports",
         "decoder",
@@ -194,6 +197,7 @@
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
         self.response_sizes: dict[str, ResponseSizes] = {}
+        self.cold_servers = ColdServers()
         self.crash_reports = CrashReports()
         self.odd_servers: set[str] = set()
         self.ready = asyncio.Event()
@@ -248,6 +252,8 @@
             self._apply_home_demand(service, by_region, now)
         self.selector.update_median_latencies()
         self.crash_reports.apply_summary(summary, now)
+        for cold in summary.cold_servers:
+            self.selector.record_cold(cold.server, cold.incarnation, cold.cold_for_s, now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
             fault = move.find_fault(evidence, now)
@@ -331,6 +337,10 @@
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
             crashes=self.crash_reports.crashes_to_report(now),
+            cold_servers=[
+                ColdReport(name, cold.incarnation, round(cold.until - now, 2))
+                for name, cold in self.cold_servers.to_report(now).items()
+            ],
             cleared=self.crash_reports.cleared_to_report(now),
             rejected=self.crash_reports.rejected_to_report(now),
         )
@@ -453,6 +463,23 @@
                 },
             )
 
+    def record_cold(self, server: Server, cold_for_s: float) -> None:
+        """Record that a status check, or a crash, shows that a server is in its slow start.
+
+        :param cold_for_s: rest of the slow start in seconds.
+        """
+        now = self.clock()
+        self.cold_servers.record(server.name, server.incarnation, cold_for_s, now)
+        if self.selector.record_cold(server.name, server.incarnation, cold_for_s, now):
+            logger.info(
+                "server found cold",
+                extra={
+                    "server": server.name,
+                    "service": server.service,
+                    "for_s": round(cold_for_s, 2),
+                },
+            )
+
     def record_odd_header(self, server: Server, reason: str) -> None:
         """Log the first header of a server that can't be understood."""
         if server.name in self.odd_servers:
--- a/packages/entry/src/radishbridge/entry/summaries.py
+++ b/packages/entry/src/radishbridge/entry/summaries.py
@@ -5,11 +5,20 @@
 import itertools
 import typing as t
 
-from radishbridge.entry.messages import CopyState, Crash, FleetReport, FleetSummary, Rejected
+from radishbridge.entry.messages import (
+    ColdReport,
+    CopyState,
+    Crash,
+    FleetReport,
+    FleetSummary,
+    Rejected,
+)
 from radishbridge.steering import Evidence, HomeDemand
 
 # Maximum number of crashes in a summary, which all hosts get over links that may be thin.
 CRASHES_SUMMARIZED_MAX = 1_024
+# Maximum number of cold servers in a summary; a release of a large service restarts hundreds.
+COLD_SUMMARIZED_MAX = 1_024
 
 
 def merge_reports(reports: t.Mapping[str, FleetReport], copy_state: CopyState) -> FleetSummary:
@@ -24,6 +33,7 @@
     crashes: dict[Crash, None] = {}
     cleared: set[bytes] = set()
     rejected: dict[bytes, Rejected] = {}
+    cold: dict[str, ColdReport] = {}
     for report in reports.values():
         _add_to(demands, report.demands)
         for service, by_region in report.home_bound.items():
@@ -32,6 +42,10 @@
                 total[region] = total.get(region, HomeDemand()) + demand
         for service, reported in report.evidence.items():
             evidence.setdefault(service, Evidence()).merge(reported)
+        for found in report.cold_servers:
+            known_cold = cold.get(found.server)
+            if known_cold is None or found.cold_for_s > known_cold.cold_for_s:
+                cold[found.server] = found
         crashes.update(dict.fromkeys(report.crashes))
         cleared.update(report.cleared)
         for one in report.rejected:
@@ -47,6 +61,7 @@
         cleared=list(cleared),
         rejected=list(rejected.values()),
         copy_state=copy_state,
+        cold_servers=list(itertools.islice(cold.values(), COLD_SUMMARIZED_MAX)),
         size=max((report.size for report in reports.values()), default=1),
     )
 
--- a/packages/steering/src/radishbridge/steering/configuration.py
+++ b/packages/steering/src/radishbridge/steering/configuration.py
@@ -72,12 +72,14 @@
     :param slow_start_s: duration of a server's slow start in seconds.
     :param slow_start_per_s: requests per second that a server handles in its slow start; 0 for no
         limit.
+    :param check_path: path of the servers' status check; empty if there is none.
     """
 
     name: str
     connections: int = 0
     slow_start_s: float = 0.0
     slow_start_per_s: float = 0.0
+    check_path: str = ""
 
 
 class WorkspaceRule(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -139,6 +139,20 @@
         if self.states.pop(name, None) is not None:
             self.clear_caches()
 
+    def record_cold(self, name: str, incarnation: int, cold_for_s: float, now: float) -> bool:
+        """Treat a server as cold for longer than its entry says.
+
+        :param incarnation: the server's process that was found cold, as its entry states it.
+        :param cold_for_s: rest of the slow start in seconds.
+        :return: whether the server was not known to be cold.
+        """
+        state = self.states.get(name)
+        if state is None or state.server.incarnation != incarnation:
+            return False
+        was_cold = state.is_cold(now)
+        state.cold_until = max(state.cold_until, now + cold_for_s)
+        return not was_cold
+
     def record_leaving(self, server: Server) -> bool:
         """Stop sending requests to a server that has said that it is leaving.
 
