--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -13,7 +13,7 @@
 from radishbridge.entry.crash_reports import CrashReports
 from radishbridge.entry.fleet import Fleet
 from radishbridge.entry.load_exchange import LoadExchange
-from radishbridge.entry.messages import FleetReport, FleetSummary, HostStatus
+from radishbridge.entry.messages import ColdReport, FleetReport, FleetSummary, HostStatus
 from radishbridge.entry.protocol import (
     DecodedObject,
     Decoder,
@@ -45,6 +45,7 @@
     stable_versions,
     unit_hash,
 )
+from radishbridge.steering.cold_checks import ColdServers
 from radishbridge.steering.usage_counts import UsageCounter
 
 # Number of this host's last reports whose demands are kept. A summary includes a report up to 1.1 s
@@ -126,6 +127,7 @@
         report.
     :param fleet_demands: demand of all hosts by workspace in the last summary.
     :param load_exchange: exchanges servers' load reports with the other hosts.
+    :param cold_servers: servers that this host found cold while the store was silent.
     :param crash_reports: crashes of servers, and the requests that are refused for them.
     :param odd_servers: servers of whose headers one was logged as not understood.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
@@ -140,6 +142,7 @@
         "accrue_from",
         "bounds",
         "clock",
+        "cold_servers",
         "configuration",
         "crash_reports",
         "decoder",
@@ -202,6 +205,7 @@
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
         self.home_admission = HomeAdmission(unit_hash(host, "home room"))
         self.response_sizes: dict[str, ResponseSizes] = {}
+        self.cold_servers = ColdServers()
         self.crash_reports = CrashReports()
         self.odd_servers: set[str] = set()
         self.ready = asyncio.Event()
@@ -258,6 +262,8 @@
         self.selector.update_median_latencies()
         self.load_exchange.apply_summary(summary.loads, now)
         self.crash_reports.apply_summary(summary, now)
+        for cold in summary.cold_servers:
+            self.selector.record_cold(cold.server, cold.incarnation, cold.cold_for_s, now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
             fault = move.find_fault(evidence, now)
@@ -341,6 +347,10 @@
             home_bound=home_bound,
             evidence={service: move.evidence for service, move in self.moves.items()},
             crashes=self.crash_reports.crashes_to_report(now),
+            cold_servers=[
+                ColdReport(name, cold.incarnation, round(cold.until - now, 2))
+                for name, cold in self.cold_servers.to_report(now).items()
+            ],
             cleared=self.crash_reports.cleared_to_report(now),
             rejected=self.crash_reports.rejected_to_report(now),
             loads=self.load_exchange.take_own(now),
@@ -464,6 +474,23 @@
                 },
             )
 
+    def record_cold(self, server: Server, cold_for_s: float) -> None:
+        """Record that a status check, or a crash, shows that a server is in its slow start.
+
+        :param cold_for_s: rest of the slow start in seconds.
+        """
+        now = self.clock()
+        self.cold_servers.record(server.name, server.incarnation, cold_for_s, now)
+        if self.selector.record_cold(server.name, server.incarnation, cold_for_s, now):
+            logger.info(
+                "server found cold",
+                extra={
+                    "server": server.name,
+                    "service": server.service,
+                    "for_s": round(cold_for_s, 2),
+                },
+            )
+
     def record_odd_header(self, server: Server, reason: str) -> None:
         """Log the first header of a server that can't be understood."""
         if server.name in self.odd_servers:
