Test changes of the configuration behind pipelined requests, and drops by an orderly close

Six tests: routes that change while pipelined requests run, a long idle connection that its server closes in an orderly way, the check for a crash after a drop, and a route with one attempt.

--- a/tests/test_long_idle.py
+++ b/tests/test_long_idle.py
@@ -12,6 +12,7 @@
 from steering_world import make_route
 
 from radishbridge.entry.backends import BackendConnection
+from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.idle import LONG_IDLE_PER_SERVER
 from radishbridge.host.sockets import reset
 
@@ -123,19 +124,25 @@
             assert world.forwarder.pool.new_per_1000() == 250.0
 
 
+def close(transport: asyncio.Transport) -> None:
+    transport.close()
+
+
 class DroppingServer:
-    """Resets each connection as soon as a second request arrives on it, without running that.
+    """Drops each connection as soon as a second request arrives on it, without running that.
 
+    :param drop: resets or closes the connection.
     :param transports: connections on which a request was run.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drop: t.Callable[[asyncio.Transport], None] = reset) -> None:
+        self.drop = drop
         self.transports: set[asyncio.BaseTransport] = set()
 
     async def respond(self, request: web.BaseRequest) -> web.StreamResponse:
         assert request.transport is not None
         if request.transport in self.transports:
-            reset(request.transport)
+            self.drop(request.transport)
             return web.Response()
         self.transports.add(request.transport)
         return await keeping_alive()(request)
@@ -144,8 +151,9 @@
 class TestServerThatDropsIdleConnections:
     """A server closes idle connections sooner than it announces, and without notice."""
 
-    async def test_request_is_sent_again_on_a_new_connection_and_counts_as_a_retry(self):
-        server = DroppingServer()
+    @pytest.mark.parametrize("drop", [reset, close])
+    async def test_request_is_sent_again_on_a_new_connection_and_counts_as_a_retry(self, drop):
+        server = DroppingServer(drop)
         async with long_idle_world(server.respond) as (world, backends):
             await world.request()
             make_idle(world, 4.0)
@@ -156,6 +164,32 @@
             assert state.consecutive_failures == 0
             assert world.steering_state.retry_budgets["catalogue"].granted == 1
 
+    async def test_it_is_checked_for_a_crash(self, monkeypatch):
+        # A request that crashes servers breaks a long idle connection in the same way.
+        checked: list[str] = []
+
+        def check_server(self, fingerprint, server):
+            checked.append(server.name)
+
+        monkeypatch.setattr(CrashDetector, "check_server", check_server)
+        async with long_idle_world(DroppingServer().respond) as (world, _):
+            await world.request()
+            make_idle(world, 4.0)
+            await world.request()
+            assert checked == ["server-0"]
+
+    async def test_request_that_the_route_allows_one_attempt_is_not_sent_again(self):
+        server = DroppingServer()
+        async with long_idle_world(server.respond, route=make_route(attempts=1)) as (
+            world,
+            backends,
+        ):
+            await world.request()
+            make_idle(world, 4.0)
+            status, _, _ = await world.request()
+            assert status == 502
+            assert len(backends[0].requests) == 2
+
     async def test_its_connections_are_kept_no_longer_afterwards(self):
         # Each drop costs a retry of the budget, which all hosts share.
         server = DroppingServer()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -19,6 +19,7 @@
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import LimitSettings
+from radishbridge.steering import Configuration, ServiceRule
 
 ROUTE = make_route(timeout_s=30.0)
 NON_REPEATABLE = make_route(timeout_s=30.0, repeatable=False)
@@ -198,6 +199,37 @@
             assert await caller.read_bodies(2) == [b"a", b"b"]
 
 
+class TestChangesOfTheConfiguration:
+    """Each request follows the configuration that is in force when it starts."""
+
+    async def test_route_that_becomes_one_whose_requests_may_run_once(self):
+        async with pipelining_world() as (world, gates, caller, _):
+            caller.send(heads("a", "b"))
+            await gates.wait_for("a", "b")
+            world.steering_state.configuration = Configuration(
+                2, [NON_REPEATABLE], [ServiceRule(name="catalogue")]
+            )
+            caller.send(heads("c"))
+            await settle()
+            assert gates.arrived == ["a", "b"]
+            gates.open("a", "b", "c")
+            assert await caller.read_bodies(3) == [b"a", b"b", b"c"]
+
+    async def test_removed_route_does_not_affect_requests_that_run(self):
+        async with pipelining_world() as (world, gates, caller, _):
+            caller.send(heads("a", "b"))
+            await gates.wait_for("a", "b")
+            world.steering_state.configuration = Configuration(
+                2, [], [ServiceRule(name="catalogue")]
+            )
+            world.steering_state.retry_budgets.clear()
+            caller.send(heads("c"))
+            gates.open("a", "b")
+            responses = [await caller.read() for _ in range(3)]
+            assert [one.status for one in responses] == [200, 200, 404]
+            assert not any(one.closes for one in responses)
+
+
 class TestCallerThatDisconnects:
     """All of its requests are cancelled, also those whose response waits for its turn."""
 
