Make two tests of dropped connections find what they guard against

Cause: of six mutants, two were not found: keeping connections as long after a drop, hidden by the connection of the crash check, and sending again on another idle connection. Both are found now.

--- a/tests/test_long_idle.py
+++ b/tests/test_long_idle.py
@@ -164,6 +164,20 @@
             assert state.consecutive_failures == 0
             assert world.steering_state.retry_budgets["catalogue"].granted == 1
 
+    async def test_request_is_not_sent_again_on_another_idle_connection(self):
+        # The server has probably dropped that one, too.
+        server = DroppingServer()
+        async with long_idle_world(server.respond) as (world, backends):
+            pool, address = world.forwarder.pool, only_address(world)
+            await world.request()
+            first = only_connection(world)
+            pool.idle.clear()
+            await world.request()
+            pool.release(address, first)
+            first.idle_since -= 4.0
+            status, _, _ = await world.request()
+            assert (status, len(backends[0].requests)) == (200, 4)
+
     async def test_it_is_checked_for_a_crash(self, monkeypatch):
         # A request that crashes servers breaks a long idle connection in the same way.
         checked: list[str] = []
@@ -197,10 +211,9 @@
             await world.request()
             make_idle(world, 4.0)
             await world.request()
-            await asyncio.sleep(0.1)
             pool, address = world.forwarder.pool, only_address(world)
-            for connection in pool.idle[address]:
-                connection.idle_since -= 4.0
+            assert only_connection(world).may_idle_long
+            make_idle(world, 4.0)
             assert not pool.has_idle(address)
             assert pool.rules.drops == 1
 
