--- a/packages/host/src/radishbridge/host/pipelining.py
+++ b/packages/host/src/radishbridge/host/pipelining.py
@@ -242,7 +242,7 @@
         """Return the response of the request whose turn has come."""
         queued = _queued(request)
         if queued is not None:
-            del self.queued[id(queued.message)]
+            self.queued.pop(id(queued.message), None)
             queued.request = None
             queued.turn.set()
         self.start_queued()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -151,6 +151,14 @@
             gates.open("b", "a")
             assert await caller.read_bodies(2) == [b"a", b"b"]
 
+    async def test_nothing_starts_early_where_callers_do_not_pipeline(self):
+        async with pipelining_world() as (world, gates, caller, _):
+            for request_id in ("a", "b", "c"):
+                gates.open(request_id)
+                caller.send(heads(request_id))
+                assert (await caller.read()).body == request_id.encode()
+            assert world.server.pipelining.started == 0
+
     async def test_a_failed_request_neither_loses_nor_delays_later_ones(self):
         async with pipelining_world() as (_, gates, caller, _):
             caller.send(heads("a") + head("b", "GET", "Request-Deadline-Ms: x") + heads("c"))
