Avoid servers that no host has heard for three seconds

A server that hangs gets the requests for its objects until each of 76 hosts has noticed it alone, each with a few requests. For services with pace the summaries show it: a server that is in no summary for 3 s, although the service's servers are in most of them, gets requests of 15 % of the hosts only, until one is answered. Summaries that were interrupted, and services whose servers answer seldom, do not count.

--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -86,6 +86,7 @@
             if load.has_pace:
                 state = self.selector.states[server]
                 self.selector.record_shared_load(state, load, now - age_s, now)
+        self.selector.record_summary({"service": len(loads)}, now)
 
 
 class OccupancyPolicy(SteeringPolicy):
--- a/packages/entry/src/radishbridge/entry/load_exchange.py
+++ b/packages/entry/src/radishbridge/entry/load_exchange.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import struct
 import typing as t
 import zlib
@@ -80,11 +81,14 @@
         if isinstance(loads, msgspec.UnsetType):
             return
         states = {server_number(name): state for name, state in self.selector.states.items()}
+        counts: collections.Counter[str] = collections.Counter()
         for number, heard in _decode(loads, now):
             state = states.get(number)
             if state is not None:
                 report = LoadReport(heard.load, 0, state.server.slots, heard.pace, has_pace=True)
                 self.selector.record_shared_load(state, report, heard.heard_at, now)
+                counts[state.server.service] += 1
+        self.selector.record_summary(counts, now)
 
 
 def server_number(name: str) -> int:
--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -58,6 +58,20 @@
 IDLE_OCCUPANCY_MAX = 0.2
 
 
+# Seconds after which a server counts as unheard if no host passes on a report of it, while
+# summaries arrive. Each server answers several requests per second of all hosts together.
+UNHEARD_AFTER_S = 3.0
+# Gap between two summaries in seconds above which reports may have been lost.
+SUMMARY_GAP_MAX_S = 1.5
+# Mean fraction of a service's servers in a summary below which servers answer too seldom for that.
+SUMMARY_COVERAGE_MIN = 0.6
+# Weight of the newest summary in that mean.
+COVERAGE_SAMPLE_WEIGHT = 0.1
+# Fraction of the hosts that send requests to an unheard server, to notice when it answers again,
+# and the period in seconds after which others do. Of several requests per second, one or two test
+# it.
+PROBE_FRACTION = 0.15
+PROBE_PERIOD_S = 1.0
 # Difference of the mean occupancy of an object's first and second server, in requests per slot,
 # from which on the object belongs to the second one, and the range above it over which the objects
 # of a server move one after the other. In the model, ranges of 0.7 and 3.0 served fewer requests in
@@ -161,14 +175,27 @@
     :param mean_load: mean of the requests per slot that servers reported for other hosts.
     :param mean_expected_s: mean expected time of the last selections in seconds.
     :param refusals: number of selections without a server, by reason.
+    :param coverage: mean fraction of the service's servers in a summary.
+    :param shared_at: time of the last summary that contained reports of the service's servers.
+    :param shared_since: time since which such summaries have arrived without a gap.
     """
 
-    __slots__ = ("mean_expected_s", "mean_load", "refusals", "runs")
+    __slots__ = (
+        "coverage",
+        "mean_expected_s",
+        "mean_load",
+        "refusals",
+        "runs",
+        "shared_at",
+        "shared_since",
+    )
 
     def __init__(self) -> None:
         self.runs = RunLengths()
         self.mean_load = 0.0
         self.mean_expected_s = 0.0
+        self.coverage = 0.0
+        self.shared_at = self.shared_since = float("-inf")
         self.refusals: dict[Refusal, int] = dict.fromkeys(Refusal, 0)
 
     @property
@@ -181,6 +208,29 @@
         load = state.other_hosts_load / max(1, state.server.slots)
         self.mean_load += MEAN_LOAD_SAMPLE_WEIGHT * (load - self.mean_load)
 
+    def record_summary(self, fraction: float, now: float) -> None:
+        """Count a summary.
+
+        :param fraction: fraction of the service's servers of which it contains a report.
+        """
+        if now - self.shared_at > SUMMARY_GAP_MAX_S:
+            self.shared_since = now
+        self.shared_at = now
+        self.coverage += COVERAGE_SAMPLE_WEIGHT * (min(1.0, fraction) - self.coverage)
+
+    def is_unheard(self, state: ServerState, now: float) -> bool:
+        """Return whether no host has got a response of a server for a while.
+
+        It hangs or is cut off. A single host sends it too few requests to notice that.
+        """
+        if now - self.shared_at > SUMMARY_GAP_MAX_S or self.coverage < SUMMARY_COVERAGE_MIN:
+            return False
+        # A server that has just started may not have got a request yet.
+        heard_at = state.load_reported_at
+        return heard_at > float("-inf") and (
+            now - max(heard_at, self.shared_since) > UNHEARD_AFTER_S
+        )
+
     def record_choice(self, choice: Choice) -> None:
         """Count a selection, or a refusal."""
         self.mean_expected_s += EXPECTED_SAMPLE_WEIGHT * (choice.expected_s - self.mean_expected_s)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,7 +15,15 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
-from radishbridge.steering.load import Choice, Limits, ServiceLoad, choose_by_time, is_moved
+from radishbridge.steering.load import (
+    PROBE_FRACTION,
+    PROBE_PERIOD_S,
+    Choice,
+    Limits,
+    ServiceLoad,
+    choose_by_time,
+    is_moved,
+)
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
 from radishbridge.steering.servers import LoadReport, Server, ServerState
@@ -307,6 +315,16 @@
         if load is not None:
             load.record_run(latency_s, choice, state.pace)
 
+    def record_summary(self, counts: t.Mapping[str, int], now: float) -> None:
+        """Record a summary that contained load reports.
+
+        :param counts: number of servers that it covers, by service.
+        """
+        for service, count in counts.items():
+            servers = len(self.usable_servers(service))
+            if servers and service in self.loads:
+                self.loads[service].record_summary(count / servers, now)
+
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
     ) -> ServerState | None:
@@ -322,6 +340,7 @@
         :param tried: names of servers that must not be chosen again.
         """
         median_s = self.median_latencies.get(criteria.service, 0.0)
+        load = self.loads.get(criteria.service)
         candidates = (state for state in self._ranking(criteria) if state.server.name not in tried)
         available = (
             state
@@ -329,6 +348,9 @@
             if not state.is_ejected(now)
             and not state.is_silent(median_s, now)
             and not state.is_paused(now)
+            and not (
+                load is not None and load.is_unheard(state, now) and not self._is_probed(state, now)
+            )
         )
         first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         if not first:
@@ -339,11 +361,16 @@
             )
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
-        load = self.loads.get(criteria.service)
         if load is not None and load.is_known:
             return self._choose_by_time(load, first, others, criteria, now)
         return Choice(self._pick(first, others, criteria, median_s, now))
 
+    def _is_probed(self, state: ServerState, now: float) -> bool:
+        # Whether this host sends the server requests now although it is unheard. The hosts that
+        # do change with time.
+        period = str(int(now / PROBE_PERIOD_S))
+        return unit_hash(self.slow_start.host, state.server.name, period) < PROBE_FRACTION
+
     def _choose_by_time(
         self,
         load: ServiceLoad,
--- a/tests/test_steering_load.py
+++ b/tests/test_steering_load.py
@@ -248,6 +248,69 @@
         assert counts[3] == 200
 
 
+class TestUnheardServers:
+    """A server hangs, and each of many hosts sends it too few requests to notice that."""
+
+    def play(self, selector: Selector, silent: str, until_s: float, gap_from_s: float = 99.0):
+        """Let summaries cover all servers but one, twice a second; return the time at the end."""
+        for step in range(int(2 * until_s)):
+            now = T0 + 0.5 * step
+            if now - T0 >= gap_from_s:
+                break
+            reporting = [name for name in selector.states if name != silent]
+            for name in reporting:
+                selector.record_shared_load(selector.states[name], report(2), now, now)
+            selector.record_summary({"catalogue": len(reporting)}, now)
+        return T0 + until_s
+
+    def count_for(self, selector: Selector, silent: str, now: float) -> int:
+        keys = [str(number) for number in range(400)]
+        own = [key for key in keys if servers_of(selector, key)[0].server.name == silent]
+        assert len(own) > 20
+        chosen = (
+            selector.decide(CRITERIA._replace(key=key), (), now + number)
+            for number, key in enumerate(own)
+        )
+        return sum(choice.state.server.name == silent for choice in chosen) * 100 // len(own)
+
+    def test_a_server_that_no_host_hears_gets_few_requests(self):
+        selector = make_loaded()
+        assert self.count_for(selector, "server-3", T0) > 90
+        now = self.play(selector, "server-3", 12.0)
+        load = selector.loads["catalogue"]
+        load.shared_at = now + 400.0  # Summaries go on while the requests are counted.
+        assert 0 < self.count_for(selector, "server-3", now) < 50
+
+    def test_it_gets_requests_again_with_the_first_report(self):
+        selector = make_loaded()
+        now = self.play(selector, "server-3", 12.0)
+        state = selector.states["server-3"]
+        assert selector.loads["catalogue"].is_unheard(state, now)
+        selector.record_shared_load(state, report(0), now, now)
+        assert not selector.loads["catalogue"].is_unheard(state, now)
+
+    def test_no_server_is_unheard_while_summaries_are_missing_or_have_just_come_back(self):
+        selector = make_loaded()
+        now = self.play(selector, "server-3", 12.0, gap_from_s=8.0)
+        load = selector.loads["catalogue"]
+        assert not any(load.is_unheard(state, now) for state in selector.states.values())
+        load.record_summary(1.0, now)
+        assert not any(load.is_unheard(state, now + 1.0) for state in selector.states.values())
+
+    def test_servers_that_answer_seldom_are_not_unheard(self):
+        selector = make_loaded()
+        for step in range(60):
+            selector.record_summary({"catalogue": 2}, T0 + 0.5 * step)
+        load = selector.loads["catalogue"]
+        assert not any(load.is_unheard(state, T0 + 30.0) for state in selector.states.values())
+
+    def test_a_new_server_is_not_unheard(self):
+        selector = make_loaded()
+        now = self.play(selector, "server-3", 12.0)
+        selector.put(make_server(77), now)
+        assert not selector.loads["catalogue"].is_unheard(selector.states["server-77"], now)
+
+
 class TestRefusal:
     def test_a_request_that_cannot_meet_its_deadline_is_refused(self):
         selector = make_loaded(load=16)
