Judge silence by wait and cold run, for services with pace

A server counts as silent after three times the median latency. A request that waits for 0.8 s and then runs on a cold object for 1.3 s exceeds that on the scarce deployment, so that it was sent to a second server as well, and the first one got a failure. For services with pace the limit is now at least the mean expected time plus twice a cold run.

--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -58,6 +58,9 @@
 IDLE_OCCUPANCY_MAX = 0.2
 
 
+# Longest usual run, relative to a run on a cold object. Longer ones count as silence of the server:
+# 3 % of the runs of some services take seven times as long, and another server is sooner done.
+USUAL_RUN_FACTOR = 2.0
 # Seconds after which a server counts as unheard if no host passes on a report of it, while
 # summaries arrive. Each server answers several requests per second of all hosts together.
 UNHEARD_AFTER_S = 3.0
@@ -208,6 +211,16 @@
         load = state.other_hosts_load / max(1, state.server.slots)
         self.mean_load += MEAN_LOAD_SAMPLE_WEIGHT * (load - self.mean_load)
 
+    @property
+    def longest_usual_s(self) -> float:
+        """Return the longest usual time until completion in seconds; 0 if unknown.
+
+        It is the mean expected time, for the wait in the queue, and a long run on a cold object.
+        """
+        if not self.is_known:
+            return 0.0
+        return self.mean_expected_s + USUAL_RUN_FACTOR * self.runs.cold_s
+
     def record_summary(self, fraction: float, now: float) -> None:
         """Count a summary.
 
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -26,7 +26,7 @@
 )
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
-from radishbridge.steering.servers import LoadReport, Server, ServerState
+from radishbridge.steering.servers import SILENCE_FACTOR, LoadReport, Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
 # Number of servers that serve an object. Two servers on which it is warm balance its load; each
@@ -325,6 +325,18 @@
             if servers and service in self.loads:
                 self.loads[service].record_summary(count / servers, now)
 
+    def silence_latency_s(self, service: str) -> float:
+        """Return the latency in seconds by which silence of a service's servers is judged.
+
+        It is the median latency, or more where servers report pace: a request that waits in a queue
+        and then runs on a cold object takes longer than three times the median. 0 if unknown.
+        """
+        median_s = self.median_latencies.get(service, 0.0)
+        load = self.loads.get(service)
+        if load is None or not median_s:
+            return median_s
+        return max(median_s, load.longest_usual_s / SILENCE_FACTOR)
+
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
     ) -> ServerState | None:
@@ -340,13 +352,14 @@
         :param tried: names of servers that must not be chosen again.
         """
         median_s = self.median_latencies.get(criteria.service, 0.0)
+        silence_s = self.silence_latency_s(criteria.service)
         load = self.loads.get(criteria.service)
         candidates = (state for state in self._ranking(criteria) if state.server.name not in tried)
         available = (
             state
             for state in candidates
             if not state.is_ejected(now)
-            and not state.is_silent(median_s, now)
+            and not state.is_silent(silence_s, now)
             and not state.is_paused(now)
             and not (
                 load is not None and load.is_unheard(state, now) and not self._is_probed(state, now)
--- a/tests/test_steering_load.py
+++ b/tests/test_steering_load.py
@@ -248,6 +248,29 @@
         assert counts[3] == 200
 
 
+class TestSilence:
+    """A request that waits in a queue and runs on a cold object must not count as silence."""
+
+    def test_a_wait_and_a_cold_run_are_no_silence(self):
+        selector = make_loaded()
+        selector.median_latencies = {"catalogue": 0.4}
+        selector.loads["catalogue"].mean_expected_s = 0.5
+        state = servers_of(selector)[0]
+        state.start(T0)
+        silence_s = selector.silence_latency_s("catalogue")
+        assert not state.is_silent(silence_s, T0 + 1.3)
+        assert not state.is_silent(silence_s, T0 + 2.4)
+        assert state.is_silent(silence_s, T0 + 2.6)
+
+    def test_the_median_counts_without_pace_and_before_run_lengths_are_known(self):
+        selector = make_selector(4)
+        selector.median_latencies = {"catalogue": 0.4}
+        assert selector.silence_latency_s("catalogue") == 0.4
+        selector.record_load(selector.states["server-0"], report(1), T0)
+        assert selector.silence_latency_s("catalogue") == 0.4
+        assert selector.silence_latency_s("other") == 0.0
+
+
 class TestUnheardServers:
     """A server hangs, and each of many hosts sends it too few requests to notice that."""
 
