--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -35,6 +35,7 @@
     RouteRule,
     ServerCriteria,
     ServerState,
+    retry_delay_s,
     unit_hash,
 )
 
@@ -286,6 +287,7 @@
                 return self._give_up(context, failure)
             choice = dropped_choice or self._choose_server(context, now)
             if choice.state is None:
+                context.refused_choice = choice
                 return self._give_up(context, last_result)
             if (
                 context.send_count
@@ -308,7 +310,7 @@
         context = attempt.context
         if not context.route.repeatable:
             return AttemptResult(attempt, await attempt.run())
-        typical_latency_s = self.steering_state.selector.median_latencies.get(context.service, 0.0)
+        typical_latency_s = self.steering_state.selector.silence_latency_s(context.service)
         return await Hedge(context, typical_latency_s, self._create_second_attempt).run(attempt)
 
     def _create_second_attempt(self, first: Attempt) -> Attempt | None:
@@ -412,7 +414,11 @@
     ) -> BackendResponse | Failure:
         if isinstance(last_result, BackendResponse):
             return last_result
-        context.retry_after_s = self._retry_delay_s() + self._pause_s(context)
+        usual_s = self._retry_delay_s()
+        if context.refused_choice is not None:
+            remaining_s = context.deadline - uptime.now()
+            usual_s = retry_delay_s(context.refused_choice, usual_s, remaining_s, self.rng.random())
+        context.retry_after_s = usual_s + self._pause_s(context)
         return context.failure_for_caller(last_result)
 
     def _pause_s(self, context: RequestContext) -> float:
--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -58,6 +58,23 @@
 IDLE_OCCUPANCY_MAX = 0.2
 
 
+# Longest usual run, relative to a run on a cold object. Longer ones count as silence of the server:
+# 3 % of the runs of some services take seven times as long, and another server is sooner done.
+USUAL_RUN_FACTOR = 2.0
+# Seconds after which a server counts as unheard if no host passes on a report of it, while
+# summaries arrive. Each server answers several requests per second of all hosts together.
+UNHEARD_AFTER_S = 3.0
+# Gap between two summaries in seconds above which reports may have been lost.
+SUMMARY_GAP_MAX_S = 1.5
+# Mean fraction of a service's servers in a summary below which servers answer too seldom for that.
+SUMMARY_COVERAGE_MIN = 0.6
+# Weight of the newest summary in that mean.
+COVERAGE_SAMPLE_WEIGHT = 0.1
+# Fraction of the hosts that send requests to an unheard server, to notice when it answers again,
+# and the period in seconds after which others do. Of several requests per second, one or two test
+# it.
+PROBE_FRACTION = 0.15
+PROBE_PERIOD_S = 1.0
 # Difference of the mean occupancy of an object's first and second server, in requests per slot,
 # from which on the object belongs to the second one, and the range above it over which the objects
 # of a server move one after the other. In the model, ranges of 0.7 and 3.0 served fewer requests in
@@ -66,6 +83,17 @@
 MOVE_OCCUPANCY_RANGE = 1.5
 
 
+# Longest delay until a retry, as a fraction of the time until the deadline: callers do not wait for
+# more than a third of it.
+RETRY_DELAY_FRACTION_MAX = 0.3
+# Longest addition to the usual delay, relative to the time after which the queue is short enough.
+# Callers return evenly spread over it. In the model, 2.0 refused a quarter fewer retries for good,
+# but most of these were then late and made others late; 0.5 serves as many in time as no addition.
+RETRY_EXCESS_WEIGHT = 0.5
+# Weight of the newest selection in the mean expected time, which is reported to operators.
+EXPECTED_SAMPLE_WEIGHT = 0.05
+
+
 class Refusal(enum.Enum):
     """Why no server was selected."""
 
@@ -148,13 +176,29 @@
     """Load of a service whose servers report pace.
 
     :param mean_load: mean of the requests per slot that servers reported for other hosts.
+    :param mean_expected_s: mean expected time of the last selections in seconds.
+    :param refusals: number of selections without a server, by reason.
+    :param coverage: mean fraction of the service's servers in a summary.
+    :param shared_at: time of the last summary that contained reports of the service's servers.
+    :param shared_since: time since which such summaries have arrived without a gap.
     """
 
-    __slots__ = ("mean_load", "refusals", "runs")
+    __slots__ = (
+        "coverage",
+        "mean_expected_s",
+        "mean_load",
+        "refusals",
+        "runs",
+        "shared_at",
+        "shared_since",
+    )
 
     def __init__(self) -> None:
         self.runs = RunLengths()
         self.mean_load = 0.0
+        self.mean_expected_s = 0.0
+        self.coverage = 0.0
+        self.shared_at = self.shared_since = float("-inf")
         self.refusals: dict[Refusal, int] = dict.fromkeys(Refusal, 0)
 
     @property
@@ -167,6 +211,45 @@
         load = state.other_hosts_load / max(1, state.server.slots)
         self.mean_load += MEAN_LOAD_SAMPLE_WEIGHT * (load - self.mean_load)
 
+    @property
+    def longest_usual_s(self) -> float:
+        """Return the longest usual time until completion in seconds; 0 if unknown.
+
+        It is the mean expected time, for the wait in the queue, and a long run on a cold object.
+        """
+        if not self.is_known:
+            return 0.0
+        return self.mean_expected_s + USUAL_RUN_FACTOR * self.runs.cold_s
+
+    def record_summary(self, fraction: float, now: float) -> None:
+        """Count a summary.
+
+        :param fraction: fraction of the service's servers of which it contains a report.
+        """
+        if now - self.shared_at > SUMMARY_GAP_MAX_S:
+            self.shared_since = now
+        self.shared_at = now
+        self.coverage += COVERAGE_SAMPLE_WEIGHT * (min(1.0, fraction) - self.coverage)
+
+    def is_unheard(self, state: ServerState, now: float) -> bool:
+        """Return whether no host has got a response of a server for a while.
+
+        It hangs or is cut off. A single host sends it too few requests to notice that.
+        """
+        if now - self.shared_at > SUMMARY_GAP_MAX_S or self.coverage < SUMMARY_COVERAGE_MIN:
+            return False
+        # A server that has just started may not have got a request yet.
+        heard_at = state.load_reported_at
+        return heard_at > float("-inf") and (
+            now - max(heard_at, self.shared_since) > UNHEARD_AFTER_S
+        )
+
+    def record_choice(self, choice: Choice) -> None:
+        """Count a selection, or a refusal."""
+        self.mean_expected_s += EXPECTED_SAMPLE_WEIGHT * (choice.expected_s - self.mean_expected_s)
+        if choice.state is None:
+            self.refusals[choice.refusal] += 1
+
     def record_run(self, latency_s: float, choice: Choice, pace: float) -> None:
         """Count a response.
 
@@ -196,6 +279,19 @@
         return Estimate(state, position, load / slots, wait_s, run_s, wait_s + warm_run_s)
 
 
+def retry_delay_s(choice: Choice, usual_s: float, remaining_s: float, point: float) -> float:
+    """Return the delay in seconds after which a refused request may be accepted.
+
+    :param usual_s: delay without an estimate of the time until a server has capacity.
+    :param remaining_s: time until the request's deadline.
+    :param point: number from 0 to 1 that spreads the retries of callers refused together.
+    """
+    if not choice.excess_s:
+        return usual_s
+    longest_s = max(usual_s, RETRY_DELAY_FRACTION_MAX * remaining_s)
+    return min(longest_s, usual_s + RETRY_EXCESS_WEIGHT * choice.excess_s * point)
+
+
 class Estimate(t.NamedTuple):
     """Expected time of a request on one server.
 
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,10 +15,18 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
-from radishbridge.steering.load import Choice, Limits, ServiceLoad, choose_by_time, is_moved
+from radishbridge.steering.load import (
+    PROBE_FRACTION,
+    PROBE_PERIOD_S,
+    Choice,
+    Limits,
+    ServiceLoad,
+    choose_by_time,
+    is_moved,
+)
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
-from radishbridge.steering.servers import LoadReport, Server, ServerState
+from radishbridge.steering.servers import SILENCE_FACTOR, LoadReport, Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
 # Number of servers that serve an object. Two servers on which it is warm balance its load; each
@@ -321,6 +329,28 @@
         if load is not None:
             load.record_run(latency_s, choice, state.pace)
 
+    def record_summary(self, counts: t.Mapping[str, int], now: float) -> None:
+        """Record a summary that contained load reports.
+
+        :param counts: number of servers that it covers, by service.
+        """
+        for service, count in counts.items():
+            servers = len(self.usable_servers(service))
+            if servers and service in self.loads:
+                self.loads[service].record_summary(count / servers, now)
+
+    def silence_latency_s(self, service: str) -> float:
+        """Return the latency in seconds by which silence of a service's servers is judged.
+
+        It is the median latency, or more where servers report pace: a request that waits in a queue
+        and then runs on a cold object takes longer than three times the median. 0 if unknown.
+        """
+        median_s = self.median_latencies.get(service, 0.0)
+        load = self.loads.get(service)
+        if load is None or not median_s:
+            return median_s
+        return max(median_s, load.longest_usual_s / SILENCE_FACTOR)
+
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
     ) -> ServerState | None:
@@ -336,13 +366,18 @@
         :param tried: names of servers that must not be chosen again.
         """
         median_s = self.median_latencies.get(criteria.service, 0.0)
+        silence_s = self.silence_latency_s(criteria.service)
+        load = self.loads.get(criteria.service)
         candidates = (state for state in self._ranking(criteria) if state.server.name not in tried)
         available = (
             state
             for state in candidates
             if not state.is_ejected(now)
-            and not state.is_silent(median_s, now)
+            and not state.is_silent(silence_s, now)
             and not state.is_paused(now)
+            and not (
+                load is not None and load.is_unheard(state, now) and not self._is_probed(state, now)
+            )
         )
         first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         if not first:
@@ -353,11 +388,16 @@
             )
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
-        load = self.loads.get(criteria.service)
         if load is not None and load.is_known:
             return self._choose_by_time(load, first, others, criteria, now)
         return Choice(self._pick(first, others, criteria, median_s, now))
 
+    def _is_probed(self, state: ServerState, now: float) -> bool:
+        # Whether this host sends the server requests now although it is unheard. The hosts that
+        # do change with time.
+        period = str(int(now / PROBE_PERIOD_S))
+        return unit_hash(self.slow_start.host, state.server.name, period) < PROBE_FRACTION
+
     def _choose_by_time(
         self,
         load: ServiceLoad,
@@ -387,8 +427,7 @@
             Limits(criteria.target_s, criteria.remaining_s, criteria.rank),
             lambda state: self._admits(state, now),
         )
-        if choice.state is None:
-            load.refusals[choice.refusal] += 1
+        load.record_choice(choice)
         return choice
 
     def has_room(self, criteria: ServerCriteria, now: float) -> bool:
