Bound what clients send to and leave unread on the HTTP addresses

Only single lines and the number of fields were bounded, by the parser. A parser's error refers to its own frame and so to the bytes read (256 KB), which only the cyclic garbage collector releases; trailers are collected without a bound on their total; a head of 100 fields got 400 whatever its size. The timeout for idle connections did not distinguish a part of a head or empty lines, and the other addresses had aiohttp's defaults.

`host/bounded.py` holds what may not be parsed yet and reads no more meanwhile, drops the parser's tracebacks, and closes by `headerTimeout` (408, new code 127) and `idleTimeout` of the configuration. `host/client_memory.py` counts heads, queued requests, unparsed bytes, buffered parts of bodies and unread responses of all clients; over 8 % of `memoryMb` the largest is reset. Connections to servers are not kept idle while many descriptors are in use. Readiness, look-up and metrics use the same classes instead of `web.Application`. A malformed chunked body is answered with 400 at once; it waited for the idle timeout before.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import math
 import re
 import socket
 import typing as t
@@ -127,6 +128,12 @@
         if sock is not None:
             _set_socket_options(sock)
 
+    @property
+    def descriptor(self) -> int:
+        """The connection's descriptor: as many are in use, since the kernel takes the lowest."""
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        return -1 if sock is None else int(sock.fileno())
+
     def data_received(self, data: bytes) -> None:
         """Parse a part of a response; close the connection if no request waits for one."""
         if self.waiter is None:
@@ -320,12 +327,16 @@
 
     :param idle: idle connections by address, the one used last at the end.
     :param opened: connections opened since the start, failed ones included.
+    :param idle_descriptors_max: descriptors of the process above which none is kept idle.
     """
 
-    __slots__ = ("idle", "loop", "memory", "opened")
+    __slots__ = ("idle", "idle_descriptors_max", "loop", "memory", "opened")
 
-    def __init__(self, memory: ResponseMemory | None = None) -> None:
+    def __init__(
+        self, memory: ResponseMemory | None = None, idle_descriptors_max: float = math.inf
+    ) -> None:
         self.memory = memory or ResponseMemory()
+        self.idle_descriptors_max = idle_descriptors_max
         self.loop = asyncio.get_running_loop()
         self.idle: dict[str, collections.deque[BackendConnection]] = {}
         self.opened = 0
@@ -350,7 +361,11 @@
 
     def release(self, address: str, connection: BackendConnection) -> None:
         """Keep a connection for another request, unless it must be closed."""
-        if not connection.must_close:
+        if connection.must_close:
+            return
+        if connection.descriptor >= self.idle_descriptors_max:
+            connection.close()
+        else:
             self.idle.setdefault(address, collections.deque()).append(connection)
 
     def close_idle(self, address: str) -> None:
--- a/packages/host/src/radishbridge/host/bodies.py
+++ b/packages/host/src/radishbridge/host/bodies.py
@@ -78,12 +78,16 @@
             try:
                 async with asyncio.timeout(self.limits.idle_s):
                     chunk = await content.readany()
+            except web.RequestPayloadError:
+                break
             except TimeoutError:
                 self.failure = Failure(
                     ResultCode.REQUEST_INCOMPLETE, "the caller stopped sending the body"
                 )
                 return
             yield chunk
+        if isinstance(content.exception(), web.RequestPayloadError):
+            self.failure = Failure(ResultCode.REQUEST_MALFORMED, "the body cannot be parsed")
 
     def _check_failure(self, chunk: bytes) -> bytes:
         # An exception from the iterator makes aiohttp close the connection to the backend server
--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -3,53 +3,68 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
+import math
 import typing as t
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
+from radishbridge.host.bounded import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    KEEPALIVE_S,
+    REQUEST_TIMEOUT,
+    SWEEP_INTERVAL_S,
+    UNLIMITED,
+    BoundedConnection,
+    BoundedServer,
+    ClientLimits,
+    Handler,
+)
+from radishbridge.host.client_memory import ClientMemory
 from radishbridge.host.problem import problem_response
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 
-MAX_HEADERS = 100
 LINGER_TIMEOUT_S = 2.0
 # Interval of the check for disconnected callers. A disconnect must be detected well within half a
 # second.
 DISCONNECT_POLL_S = 0.1
-BAD_REQUEST = 400
+SWEEP_POLLS = round(SWEEP_INTERVAL_S / DISCONNECT_POLL_S)
+# The heads that the other edition's handler gets to check may be this much over its limit.
+HEAD_FACTOR = 4
 
 logger = logging.getLogger(__name__)
 
-Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
+_INTERNAL_ERROR = Failure(
+    ResultCode.INTERNAL_ERROR, "an internal error occurred while handling the request"
+)
+_REFUSALS = {
+    BAD_REQUEST: Failure(ResultCode.REQUEST_MALFORMED, "the request cannot be parsed"),
+    REQUEST_TIMEOUT: Failure(ResultCode.HEAD_INCOMPLETE, "the head did not arrive in time"),
+    HEAD_TOO_LARGE: Failure(ResultCode.HEAD_TOO_LARGE, "the head is over the size limit"),
+}
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedConnection):
     """One connection of a caller.
 
     :param workspace: workspace of the last request with a key, empty before the first one.
-    :param in_flight: number of requests that are being answered.
     """
 
-    __slots__ = ("in_flight", "on_closed", "workspace")
+    __slots__ = ("workspace",)
 
-    def __init__(self, server: CallerServer, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(server, loop=loop, **server.options)
+    def __init__(self, server: BoundedServer, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(server, loop)
         self.workspace = ""
-        self.in_flight = 0
-        self.on_closed = server.remove_connection
 
     def close_idle(self) -> None:
         """Close the connection unless a request is being answered; written bytes are still sent."""
         if not self.in_flight and self.transport is not None:
             self.transport.close()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Remove the connection from the server's counts."""
-        super().connection_lost(exc)
-        self.on_closed(self)
-
     @property
     def caller_disconnected(self) -> bool:
         """Whether the caller has disconnected while its connection is not being read."""
@@ -58,11 +73,6 @@
             return False
         return is_closed_by_peer(transport)
 
-    def abort(self) -> None:
-        """Reset the connection and cancel the requests on it."""
-        if self.transport is not None:
-            reset(self.transport)
-
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -75,7 +85,7 @@
         The message of a parse error quotes the request, which may contain a key, and is
         neither logged nor sent.
         """
-        if status != BAD_REQUEST:
+        if status not in _REFUSALS:
             logger.error("request failed: %s", type(exc).__name__, exc_info=exc)
         if request.writer.output_size > 0:
             if request.transport is not None:
@@ -86,62 +96,76 @@
         return response
 
 
-class CallerServer(web.Server):
+class EndpointServer(BoundedServer):
+    """Creates the handlers of connections to the addresses that are not for callers."""
+
+    connection_type = CallerConnection
+
+
+class CallerServer(BoundedServer):
     """Creates the handlers of callers' connections and counts connections by workspace.
 
     :param handler: answers one request.
     :param limits: limits on sizes in bytes and times in seconds.
-    :param busy: connections on which a request is being answered.
+    :param client_limits: returns the limits in force, if they are not those of ``limits``.
+    :param memory: counts the bytes held for clients of all addresses.
+    :param connections_max: connections above which others are closed.
+    :param descriptors_max: descriptors of the process above which others are closed.
     """
 
-    def __init__(self, handler: Handler, limits: LimitSettings) -> None:
-        super().__init__(self._handle, handler_cancellation=True)
-        self.handler = handler
-        self.options: dict[str, t.Any] = {
-            "access_log": None,
-            "auto_decompress": False,
-            "keepalive_timeout": limits.idle_s,
-            "lingering_time": LINGER_TIMEOUT_S,
-            "max_field_size": limits.header_bytes,
-            "max_headers": MAX_HEADERS,
-            "max_line_size": limits.header_bytes,
-        }
-        self.busy: set[CallerConnection] = set()
+    connection_type = CallerConnection
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: LimitSettings,
+        client_limits: t.Callable[[], ClientLimits] | None = None,
+        memory: ClientMemory | None = None,
+        connections_max: int = UNLIMITED,
+        descriptors_max: int = UNLIMITED,
+    ) -> None:
+        # The handler of the other edition checks the size of the whole head and answers with 413;
+        # aiohttp's own timeout closes its connections.
+        own = ClientLimits(HEAD_FACTOR * limits.header_bytes, math.inf, math.inf)
+        line_bytes = UNLIMITED if client_limits else limits.header_bytes
+        super().__init__(
+            handler,
+            client_limits or (lambda: own),
+            memory,
+            connections_max,
+            descriptors_max,
+            keepalive_timeout=KEEPALIVE_S if client_limits else limits.idle_s,
+            lingering_time=LINGER_TIMEOUT_S,
+            max_field_size=line_bytes,
+            max_line_size=line_bytes,
+        )
         self.connections_by_workspace: dict[str, int] = {}
         self.open_connections = 0
 
     def __call__(self) -> web.RequestHandler:
         """Return the handler of a new connection."""
         self.open_connections += 1
-        return CallerConnection(self, asyncio.get_running_loop())
+        return super().__call__()
 
     async def watch_disconnects(self) -> None:
         """Reset connections whose callers disconnected while their connection is not being read.
 
+        Checks all connections for timeouts as well.
+
         ``aiohttp`` stops reading a connection while pipelined requests or a long body wait
         behind the request being answered, and would detect a close only afterwards.
         """
-        while True:
+        for tick in itertools.count(1):
             await asyncio.sleep(DISCONNECT_POLL_S)
-            for connection in [one for one in self.busy if one.caller_disconnected]:
+            if tick % SWEEP_POLLS == 0:
+                self.sweep()
+            for connection in [one for one in self.busy if _has_disconnected(one)]:
                 logger.info(
                     "caller disconnected with unread request bytes",
                     extra={"open": self.open_connections},
                 )
                 connection.abort()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        connection = request.protocol
-        if not isinstance(connection, CallerConnection):
-            return await self.handler(request)
-        connection.in_flight += 1
-        self.busy.add(connection)
-        try:
-            return await self.handler(request)
-        finally:
-            connection.in_flight -= 1
-            self.busy.discard(connection)
-
     def register_connection(
         self, request: web.BaseRequest, workspace: str, limit: int
     ) -> Failure | None:
@@ -164,11 +188,13 @@
         connection.workspace = workspace
         return None
 
-    def remove_connection(self, connection: CallerConnection) -> None:
+    def remove_connection(self, connection: BoundedConnection) -> None:
         """Stop counting a connection that was closed."""
+        super().remove_connection(connection)
         self.open_connections -= 1
-        self._decrement(connection.workspace)
-        connection.workspace = ""
+        if isinstance(connection, CallerConnection):
+            self._decrement(connection.workspace)
+            connection.workspace = ""
 
     def _decrement(self, workspace: str) -> None:
         if not workspace:
@@ -178,13 +204,13 @@
             del self.connections_by_workspace[workspace]
 
 
+def _has_disconnected(connection: BoundedConnection) -> bool:
+    return isinstance(connection, CallerConnection) and connection.caller_disconnected
+
+
 def _parse_failure(status: int, exc: BaseException | None) -> Failure:
-    if status != BAD_REQUEST:
-        return Failure(
-            ResultCode.INTERNAL_ERROR, "an internal error occurred while handling the request"
-        )
-    if isinstance(exc, LineTooLong):
+    if status == BAD_REQUEST and isinstance(exc, LineTooLong):
         return Failure(
             ResultCode.REQUEST_TOO_LARGE, "the request line or a header is over the size limit"
         )
-    return Failure(ResultCode.REQUEST_MALFORMED, "the request cannot be parsed")
+    return _REFUSALS.get(status, _INTERNAL_ERROR)
--- a/packages/host/src/radishbridge/host/listener.py
+++ b/packages/host/src/radishbridge/host/listener.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 
 BACKLOG = 1_024
+# Connections accepted before others are closed that are too many; each takes a descriptor.
+ACCEPT_BATCH = 8
 
 
 class Listener:
@@ -25,11 +27,13 @@
     def __init__(self, runner: web.AppRunner | web.ServerRunner, address: str) -> None:
         self.runner = runner
         self.socket = _bind(address)
-        self.site = web.SockSite(runner, self.socket, backlog=BACKLOG)
+        self.site = web.SockSite(runner, self.socket, backlog=ACCEPT_BATCH)
 
     async def start(self) -> None:
         """Accept connections."""
         await self.site.start()
+        # asyncio uses one number for both; the kernel's queue stays long.
+        self.socket.listen(BACKLOG)
 
     async def stop(self) -> None:
         """Accept the connections that are queued, then close the socket.
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -47,6 +47,8 @@
     CALLER_GONE = 123
     ALREADY_RUN = 124
     HOST_OVERLOADED = 125
+    HEAD_TOO_LARGE = 126
+    HEAD_INCOMPLETE = 127
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -132,6 +134,12 @@
         "A request with this idempotency key has run before.", Execution.RUN, 409
     ),
     ResultCode.HOST_OVERLOADED: CodeInfo("The host has no room for the request.", _NOT_RUN, 503),
+    ResultCode.HEAD_TOO_LARGE: CodeInfo(
+        "The head of the request is over the size limit.", _NOT_RUN, 431
+    ),
+    ResultCode.HEAD_INCOMPLETE: CodeInfo(
+        "The head of the request did not arrive in time.", _NOT_RUN, 408
+    ),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NOT_APPLICABLE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo(
         "A record's schema version is newer than known.", _NOT_APPLICABLE
