Bound what peers may cost on the port between hosts

Cause. libzmq counts whole messages against its receive limit, so that the parts of a message without end are kept without bound, whatever `MAXMSGSIZE` and `RCVHWM` say. Text that is no ZMTP 3 greeting is read as ZMTP 1.0: an "a" is a frame of 97 bytes with more parts to follow. Whole frames wait in a queue of 4,096 for each connection, each of up to 2 MB. No option of libzmq bounds either, and an address filter cannot be used since hosts share addresses and new ones are not known yet.

Without keys, `peers/listener.py` receives instead of a ROUTER socket: ZMTP 3.0 with the NULL mechanism, as the hosts' DEALER sockets speak it; sending is unchanged. It accepts messages of one part up to 2 MB and handles them at once, answers probes, and closes everything else, a handshake over 5 s, 60 s of silence and unread replies. Partial messages count in the memory of clients; over the port's share of descriptors the oldest connection that has sent no message of a known host is closed. With keys (the other edition) libzmq receives as before.

--- a/packages/peers/src/radishbridge/peers/__init__.py
+++ b/packages/peers/src/radishbridge/peers/__init__.py
@@ -5,7 +5,8 @@
 from radishbridge.peers.connection import MeshCounters
 from radishbridge.peers.directory import RELAYS_PER_DATA_CENTER, Directory
 from radishbridge.peers.feed import DirectoryFeed
-from radishbridge.peers.mesh import HeartbeatIntervals, ZmqMesh
+from radishbridge.peers.listener import ReceiveLimits
+from radishbridge.peers.mesh import FRAME_BYTES_MAX, HeartbeatIntervals, ZmqMesh
 from radishbridge.peers.messages import (
     BucketVersions,
     DirectoryUpdate,
@@ -32,6 +33,7 @@
 from radishbridge.peers.view import PeerView
 
 __all__ = [
+    "FRAME_BYTES_MAX",
     "RELAYS_PER_DATA_CENTER",
     "BucketVersions",
     "Directory",
@@ -53,6 +55,7 @@
     "PromiseRequest",
     "ProofAnswer",
     "ProofRequest",
+    "ReceiveLimits",
     "RelayedObject",
     "RenewalPromise",
     "ReplicaDifference",
--- a/packages/peers/src/radishbridge/peers/mesh.py
+++ b/packages/peers/src/radishbridge/peers/mesh.py
@@ -18,6 +18,7 @@
 
 from radishbridge.peers.connection import SEND_TIMEOUT_MS, MeshCounters, PeerConnection
 from radishbridge.peers.directory import Directory
+from radishbridge.peers.listener import PeerListener, ReceiveLimits
 from radishbridge.peers.messages import Envelope, Heartbeat, HostAddress, PeerMessage
 from radishbridge.peers.protocol import Handler, Peer
 from radishbridge.peers.view import LIVENESS_TIMEOUT_HEARTBEATS, PeerView
@@ -76,6 +77,7 @@
         "heartbeat_intervals",
         "host",
         "incarnation",
+        "listener",
         "message_type",
         "on_unknown_sender",
         "persistent_connections",
@@ -95,6 +97,7 @@
         clock: t.Callable[[], float] = time.monotonic,
         message_type: t.Any = PeerMessage,
         persistent_connections: bool = True,
+        receive_limits: ReceiveLimits | None = None,
     ) -> None:
         self.persistent_connections = persistent_connections
         self.host = host
@@ -107,6 +110,7 @@
         self.clock = clock
         self.incarnation = time.time_ns()
         self.context = zmq.asyncio.Context()
+        self.listener = PeerListener(self.receive, receive_limits or ReceiveLimits(FRAME_BYTES_MAX))
         self.counters = MeshCounters()
         self.sequence_numbers = itertools.count(1)
         self.directory = Directory(host)
@@ -168,8 +172,13 @@
         with contextlib.ExitStack() as stack:
             stack.callback(self.context.destroy, linger=0)
             stack.callback(self.disconnect)
-            if self.settings.public_key:
-                stack.callback(self._start_authenticator().stop)
+            if not self.settings.public_key:
+                server = await self.listener.start(self.address)
+                stack.callback(self.listener.close)
+                stack.callback(server.close)
+                await asyncio.get_running_loop().create_future()
+            # Peers without an accepted key end in the handshake of libzmq.
+            stack.callback(self._start_authenticator().stop)
             socket = self._bind()
             while True:
                 parts = await socket.recv_multipart()
@@ -179,10 +188,9 @@
         socket = self.context.socket(zmq.ROUTER)
         socket.setsockopt(zmq.MAXMSGSIZE, FRAME_BYTES_MAX)
         socket.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_FRAMES)
-        if self.settings.public_key:
-            socket.curve_server = True
-            socket.curve_publickey = self.settings.public_key.encode()
-            socket.curve_secretkey = self.settings.secret_key.encode()
+        socket.curve_server = True
+        socket.curve_publickey = self.settings.public_key.encode()
+        socket.curve_secretkey = self.settings.secret_key.encode()
         socket.bind(f"tcp://{self.address}")
         return socket
 
@@ -248,10 +256,12 @@
         authenticator.configure_curve_callback("*", _AcceptedKeys(accepted))
         return authenticator
 
-    def receive(self, frame: bytes) -> None:
+    def receive(self, frame: bytes) -> bool:
         """Decode a frame and call the handlers of its message.
 
         Frames that are malformed, repeated or from unknown senders are counted and dropped.
+
+        :return: whether the sender is known.
         """
         self.counters.received += 1
         self.counters.received_bytes += len(frame)
@@ -260,17 +270,18 @@
             message = msgspec.msgpack.decode(envelope.body, type=self.message_type)
         except DECODE_ERRORS:
             self.counters.malformed += 1
-            return
+            return False
         if envelope.sender not in self.view.peers:
             self.counters.unknown_sender += 1
             if self.on_unknown_sender is not None:
                 self.on_unknown_sender(envelope.sender)
-            return
+            return False
         peer = self.view.accept(envelope, self.clock())
         if peer is None:
             self.counters.duplicate += 1
-            return
+            return True
         self._dispatch(peer, message)
+        return True
 
     def _dispatch(self, peer: Peer, message: msgspec.Struct) -> None:
         for handler in self.handlers.get(type(message), ()):
--- a/tests/test_client_framing.py
+++ b/tests/test_client_framing.py
@@ -24,6 +24,7 @@
     Excess,
     Framing,
 )
+from radishbridge.peers.listener import PeerInput, PeerListener, ReceiveLimits
 from radishbridge.records import LimitSettings
 
 HEAD_MAX = 1_000
@@ -290,3 +291,49 @@
 
     def abort(self) -> None:
         self.is_aborted = True
+
+
+class TestPeerInput:
+    GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(48)
+    READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+
+    def feed(self, pieces: t.Iterable[bytes]) -> tuple[list[bytes], Transport, PeerInput]:
+        received: list[bytes] = []
+        listener = PeerListener(lambda frame: not received.append(frame), ReceiveLimits(1_000))
+        connection, transport = PeerInput(listener), Transport()
+        connection.connection_made(transport)
+        for piece in pieces:
+            connection.data_received(piece)
+        return received, transport, connection
+
+    @fuzzed
+    @given(frames=st.lists(st.binary(max_size=600), max_size=20), places=CUTS)
+    def test_messages_arrive_whole(self, frames, places):
+        """Guards against messages of other hosts that are lost or cut where the pieces are."""
+
+        async def check() -> None:
+            data = self.GREETING + self.READY
+            for frame in frames:
+                size = len(frame)
+                short = bytes([0, size]) if size < 256 else b"\x02" + size.to_bytes(8, "big")
+                data += short + frame + b"\x04\x07\x04PING\x00\x00"
+            received, transport, connection = self.feed(cut(data, places))
+            assert received == frames
+            assert not transport.is_aborted
+            assert transport.written.count(b"\x04PONG") == len(frames)
+            connection.connection_lost(None)
+
+        asyncio.run(check())
+
+    @fuzzed
+    @given(garbage=st.binary(min_size=1, max_size=3_000), places=CUTS, greeted=st.booleans())
+    def test_garbage_is_bounded_and_causes_no_exception(self, garbage, places, greeted):
+        """Guards against peers that cost memory by what they send."""
+
+        async def check() -> None:
+            data = (self.GREETING + self.READY) * greeted + garbage * 10
+            _, _, connection = self.feed(cut(data, places))
+            assert len(connection.buffer) <= 1_000 + 9
+            connection.connection_lost(None)
+
+        asyncio.run(check())
