--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
+import math
 import typing as t
 
 from aiohttp import StreamReader, web
@@ -11,38 +13,58 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import LineTooLong
 
-from radishbridge.host.pipelining import Handler, Pipeline, Pipelining, split_requests
+from radishbridge.host.bounded import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    KEEPALIVE_S,
+    REQUEST_TIMEOUT,
+    SWEEP_INTERVAL_S,
+    UNLIMITED,
+    BoundedConnection,
+    BoundedServer,
+    ClientLimits,
+    Handler,
+)
+from radishbridge.host.client_memory import ClientMemory
+from radishbridge.host.pipelining import Pipeline, Pipelining
 from radishbridge.host.problem import problem_response
 from radishbridge.host.sockets import is_closed_by_peer, reset
 from radishbridge.records import Failure, LimitSettings, ResultCode
 
-MAX_HEADERS = 100
 LINGER_TIMEOUT_S = 2.0
 # Interval of the check for disconnected callers. A disconnect must be detected well within half a
 # second.
 DISCONNECT_POLL_S = 0.1
-BAD_REQUEST = 400
+SWEEP_POLLS = round(SWEEP_INTERVAL_S / DISCONNECT_POLL_S)
+# The heads that the other edition's handler gets to check may be this much over its limit.
+HEAD_FACTOR = 4
 
 logger = logging.getLogger(__name__)
 
+_INTERNAL_ERROR = Failure(
+    ResultCode.INTERNAL_ERROR, "an internal error occurred while handling the request"
+)
+_REFUSALS = {
+    BAD_REQUEST: Failure(ResultCode.REQUEST_MALFORMED, "the request cannot be parsed"),
+    REQUEST_TIMEOUT: Failure(ResultCode.HEAD_INCOMPLETE, "the head did not arrive in time"),
+    HEAD_TOO_LARGE: Failure(ResultCode.HEAD_TOO_LARGE, "the head is over the size limit"),
+}
 
-class CallerConnection(web.RequestHandler):
+
+class CallerConnection(BoundedConnection):
     """One connection of a caller.
 
     :param workspace: workspace of the last request with a key, empty before the first one.
-    :param answering: number of requests whose turn it is, 0 or 1.
-    :param pipeline: the requests behind that one; ``None`` if they do not start early.
+    :param pipeline: requests behind the one being answered; ``None`` if they do not start early.
     """
 
-    __slots__ = ("answering", "on_closed", "pipeline", "workspace")
+    __slots__ = ("pipeline", "workspace")
 
-    def __init__(self, server: CallerServer, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(server, loop=loop, **server.options)
+    def __init__(self, server: BoundedServer, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(server, loop)
         self.workspace = ""
-        self.answering = 0
-        self.on_closed = server.remove_connection
         self.pipeline: Pipeline | None = None
-        if server.pipelining is not None:
+        if isinstance(server, CallerServer) and server.pipelining is not None:
             self.pipeline = Pipeline(server.pipelining, self, server.handler)
 
     @property
@@ -52,27 +74,20 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests, and start those that may run beside the one being answered."""
-        if self.pipeline is None:
-            super().data_received(data)
-            return
-        for part in split_requests(data) or [data]:
-            super().data_received(part)
-            if self.pipeline.has_parse_error:
-                break
-        if self._messages:
+        super().data_received(data)
+        if self.pipeline is not None and self._messages:
             self.pipeline.record_arrivals()
 
-    def close_idle(self) -> None:
-        """Close the connection unless a request is being answered; written bytes are still sent."""
-        if not self.in_flight and self.transport is not None:
-            self.transport.close()
-
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the connection's requests and remove it from the server's counts."""
+        """Cancel the connection's requests and stop counting it."""
         super().connection_lost(exc)
         if self.pipeline is not None:
             self.pipeline.cancel()
-        self.on_closed(self)
+
+    def close_idle(self) -> None:
+        """Close the connection unless a request is being answered; written bytes are still sent."""
+        if not self.in_flight and self.transport is not None:
+            self.transport.close()
 
     @property
     def caller_disconnected(self) -> bool:
@@ -82,11 +97,6 @@
             return False
         return is_closed_by_peer(transport)
 
-    def abort(self) -> None:
-        """Reset the connection and cancel the requests on it."""
-        if self.transport is not None:
-            reset(self.transport)
-
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -99,7 +109,7 @@
         The message of a parse error quotes the request, which may contain a key, and is
         neither logged nor sent.
         """
-        if status != BAD_REQUEST:
+        if status not in _REFUSALS:
             logger.error("request failed: %s", type(exc).__name__, exc_info=exc)
         if request.writer.output_size > 0:
             if request.transport is not None:
@@ -112,68 +122,84 @@
         return response
 
 
-class CallerServer(web.Server):
+class EndpointServer(BoundedServer):
+    """Creates the handlers of connections to the addresses that are not for callers."""
+
+    connection_type = CallerConnection
+
+
+class CallerServer(BoundedServer):
     """Creates the handlers of callers' connections and counts connections by workspace.
 
     :param handler: answers one request.
     :param limits: limits on sizes in bytes and times in seconds.
+    :param client_limits: returns the limits in force, if they are not those of ``limits``.
+    :param memory: counts the bytes held for clients of all addresses.
+    :param connections_max: connections above which others are closed.
+    :param descriptors_max: descriptors of the process above which others are closed.
     :param pipelining: bounds of the requests that start early; ``None`` if none do.
-    :param busy: connections on which a request is being answered.
     """
 
+    connection_type = CallerConnection
+
     def __init__(
-        self, handler: Handler, limits: LimitSettings, pipelining: Pipelining | None = None
+        self,
+        handler: Handler,
+        limits: LimitSettings,
+        client_limits: t.Callable[[], ClientLimits] | None = None,
+        memory: ClientMemory | None = None,
+        connections_max: int = UNLIMITED,
+        descriptors_max: int = UNLIMITED,
+        pipelining: Pipelining | None = None,
     ) -> None:
-        super().__init__(self._handle, handler_cancellation=True)
-        self.handler = handler
+        # The handler of the other edition checks the size of the whole head and answers with 413;
+        # aiohttp's own timeout closes its connections.
+        own = ClientLimits(HEAD_FACTOR * limits.header_bytes, math.inf, math.inf)
+        line_bytes = UNLIMITED if client_limits else limits.header_bytes
+        super().__init__(
+            handler,
+            client_limits or (lambda: own),
+            memory,
+            connections_max,
+            descriptors_max,
+            keepalive_timeout=KEEPALIVE_S if client_limits else limits.idle_s,
+            lingering_time=LINGER_TIMEOUT_S,
+            max_field_size=line_bytes,
+            max_line_size=line_bytes,
+        )
         self.pipelining = pipelining
-        self.options: dict[str, t.Any] = {
-            "access_log": None,
-            "auto_decompress": False,
-            "keepalive_timeout": limits.idle_s,
-            "lingering_time": LINGER_TIMEOUT_S,
-            "max_field_size": limits.header_bytes,
-            "max_headers": MAX_HEADERS,
-            "max_line_size": limits.header_bytes,
-        }
-        self.busy: set[CallerConnection] = set()
         self.connections_by_workspace: dict[str, int] = {}
         self.open_connections = 0
 
     def __call__(self) -> web.RequestHandler:
         """Return the handler of a new connection."""
         self.open_connections += 1
-        return CallerConnection(self, asyncio.get_running_loop())
+        return super().__call__()
 
     async def watch_disconnects(self) -> None:
         """Reset connections whose callers disconnected while their connection is not being read.
 
+        Checks all connections for timeouts as well.
+
         ``aiohttp`` stops reading a connection while pipelined requests or a long body wait
         behind the request being answered, and would detect a close only afterwards.
         """
-        while True:
+        for tick in itertools.count(1):
             await asyncio.sleep(DISCONNECT_POLL_S)
-            for connection in [one for one in self.busy if one.caller_disconnected]:
+            if tick % SWEEP_POLLS == 0:
+                self.sweep()
+            for connection in [one for one in self.busy if _has_disconnected(one)]:
                 logger.info(
                     "caller disconnected with unread request bytes",
                     extra={"open": self.open_connections},
                 )
                 connection.abort()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
-        if not isinstance(connection, CallerConnection):
-            return await self.handler(request)
-        connection.answering += 1
-        self.busy.add(connection)
-        try:
-            if connection.pipeline is None:
-                return await self.handler(request)
+        if isinstance(connection, CallerConnection) and connection.pipeline is not None:
             return await connection.pipeline.answer(request)
-        finally:
-            connection.answering -= 1
-            if not connection.in_flight:
-                self.busy.discard(connection)
+        return await self.handler(request)
 
     def _make_request(
         self,
@@ -209,12 +235,13 @@
         connection.workspace = workspace
         return None
 
-    def remove_connection(self, connection: CallerConnection) -> None:
+    def remove_connection(self, connection: BoundedConnection) -> None:
         """Stop counting a connection that was closed."""
+        super().remove_connection(connection)
         self.open_connections -= 1
-        self.busy.discard(connection)
-        self._decrement(connection.workspace)
-        connection.workspace = ""
+        if isinstance(connection, CallerConnection):
+            self._decrement(connection.workspace)
+            connection.workspace = ""
 
     def _decrement(self, workspace: str) -> None:
         if not workspace:
@@ -224,13 +251,13 @@
             del self.connections_by_workspace[workspace]
 
 
+def _has_disconnected(connection: BoundedConnection) -> bool:
+    return isinstance(connection, CallerConnection) and connection.caller_disconnected
+
+
 def _parse_failure(status: int, exc: BaseException | None) -> Failure:
-    if status != BAD_REQUEST:
-        return Failure(
-            ResultCode.INTERNAL_ERROR, "an internal error occurred while handling the request"
-        )
-    if isinstance(exc, LineTooLong):
+    if status == BAD_REQUEST and isinstance(exc, LineTooLong):
         return Failure(
             ResultCode.REQUEST_TOO_LARGE, "the request line or a header is over the size limit"
         )
-    return Failure(ResultCode.REQUEST_MALFORMED, "the request cannot be parsed")
+    return _REFUSALS.get(status, _INTERNAL_ERROR)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,6 +38,8 @@
 class World:
     """All components of a soak test, and the faults that may be injected into them."""
 
+    host_type: type[Host] = Host
+
     def __init__(
         self,
         seed: int,
@@ -81,7 +83,7 @@
         await self.store.put("config", "main", spec=self.configuration())
         base = free_ports(1)[0]
         for number in range(self.host_count):
-            host = Host(
+            host = self.host_type(
                 number, base, REGION_BY_ZONE, address, self.directory, self.history, usage_address
             )
             await host.prepare()
