Model a host that holds requests instead of refusing them

Held for 0.3 s, with a check every 0.05 s, a request takes the capacity of those that arrive later and is late more often. It is not built.

--- a/bench/_simulation.py
+++ b/bench/_simulation.py
@@ -83,6 +83,8 @@
     :param lost: fraction of the servers that stop responding at ``lost_at_s``.
     :param share_interval_s: interval at which hosts share what servers reported; 0 for never. What
         arrives is older by one more interval.
+    :param hold_s: longest time for which a host holds a request that no server can take, instead of
+        refusing it at once, in seconds.
     """
 
     service: ServiceShape
@@ -93,6 +95,7 @@
     lost: float = 0.0
     lost_at_s: float = 0.0
     share_interval_s: float = 0.0
+    hold_s: float = 0.0
 
 
 class TimeLimits(t.NamedTuple):
@@ -224,6 +227,8 @@
 
     # Attempts for a request that servers reject.
     ATTEMPTS_MAX = 2
+    # Interval at which a host tries again to find a server for a request that it holds.
+    HOLD_CHECK_INTERVAL_S = 0.05
     # Range of the delay after which a refused caller retries once.
     CALLER_RETRY_DELAY_S = (0.15, 0.4)
 
@@ -311,6 +316,11 @@
         remaining_s = request.sent_at + traffic.deadline_s - self.now
         limits = TimeLimits(traffic.aim_s, remaining_s)
         name = policy.choose(request.key, tried, self.now, limits)
+        held_s = self.now - request.sent_at
+        if name is None and not request.is_retry and held_s < self.shape.hold_s:
+            check_at = self.now + self.HOLD_CHECK_INTERVAL_S
+            self._schedule(check_at, lambda: self._attempt(request, tried))
+            return
         if name is None:
             self._refuse(request, policy.retry_after_s())
             return
