--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -72,21 +72,21 @@
         state.mark_object_warm(key, now)
         choice = self.choices.get((server, key))
         if choice is not None:
-            self.selector.record_run(state, choice, latency_s)
+            self.selector.loads.record_run(state, choice, latency_s)
 
     def record_load(self, server: str, load: LoadReport, now: float) -> None:
         """Record the load that a server reported."""
         state = self.selector.states[server]
         state.record_response(now)
-        self.selector.record_load(state, load, now)
+        self.selector.loads.record_load(state, load, now)
 
     def record_shared(self, loads: dict[str, LoadReport], age_s: float, now: float) -> None:
         """Record the loads that servers reported to other hosts."""
         for server, load in loads.items():
             if load.has_pace:
                 state = self.selector.states[server]
-                self.selector.record_shared_load(state, load, now - age_s, now)
-        self.selector.record_summary({"service": len(loads)}, now)
+                self.selector.loads.record_shared_load(state, load, now - age_s, now)
+        self.selector.loads.record_summary({"service": len(loads) / len(self.selector.states)}, now)
 
 
 class OccupancyPolicy(SteeringPolicy):
--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -211,8 +211,8 @@
             self._count_failure("it responded with a server error")
         else:
             self.state.record_success(latency_s, now)
-            selector = self.steering_state.selector
-            selector.record_run(self.state, self.choice, now - self.sent_at)
+            loads = self.steering_state.selector.loads
+            loads.record_run(self.state, self.choice, now - self.sent_at)
             if self.context.route.has_affinity:
                 self.state.mark_object_warm(self.context.routing_key, now)
         self._record_latency(failed)
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -298,7 +298,9 @@
         context = attempt.context
         if not context.route.repeatable:
             return AttemptResult(attempt, await attempt.run())
-        typical_latency_s = self.steering_state.selector.silence_latency_s(context.service)
+        selector = self.steering_state.selector
+        median_s = selector.median_latencies.get(context.service, 0.0)
+        typical_latency_s = selector.loads.silence_latency_s(context.service, median_s)
         return await Hedge(context, typical_latency_s, self._create_second_attempt).run(attempt)
 
     def _create_second_attempt(self, first: Attempt) -> Attempt | None:
--- a/packages/entry/src/radishbridge/entry/load_exchange.py
+++ b/packages/entry/src/radishbridge/entry/load_exchange.py
@@ -54,7 +54,7 @@
 
     def record(self, state: ServerState, report: LoadReport, now: float) -> None:
         """Record the load that a server reported with a response to this host."""
-        self.selector.record_load(state, report, now)
+        self.selector.loads.record_load(state, report, now)
         if report.has_pace:
             heard = HeardLoad(report.running + report.waiting, report.pace, now)
             self.own[server_number(state.server.name)] = heard
@@ -86,9 +86,13 @@
             state = states.get(number)
             if state is not None:
                 report = LoadReport(heard.load, 0, state.server.slots, heard.pace, has_pace=True)
-                self.selector.record_shared_load(state, report, heard.heard_at, now)
+                self.selector.loads.record_shared_load(state, report, heard.heard_at, now)
                 counts[state.server.service] += 1
-        self.selector.record_summary(counts, now)
+        fractions = {
+            service: count / max(1, len(self.selector.usable_servers(service)))
+            for service, count in counts.items()
+        }
+        self.selector.loads.record_summary(fractions, now)
 
 
 def server_number(name: str) -> int:
--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -244,6 +244,16 @@
             now - max(heard_at, self.shared_since) > UNHEARD_AFTER_S
         )
 
+    def avoids(self, state: ServerState, host: str, now: float) -> bool:
+        """Return whether a host sends a server nothing because it is unheard.
+
+        Some hosts do send it requests, and which ones changes with time.
+        """
+        if not self.is_unheard(state, now):
+            return False
+        period = str(int(now / PROBE_PERIOD_S))
+        return unit_hash(host, state.server.name, period) >= PROBE_FRACTION
+
     def record_choice(self, choice: Choice) -> None:
         """Count a selection, or a refusal."""
         self.mean_expected_s += EXPECTED_SAMPLE_WEIGHT * (choice.expected_s - self.mean_expected_s)
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -16,8 +16,6 @@
 
 from radishbridge.steering.configuration import ServiceRule
 from radishbridge.steering.load import (
-    PROBE_FRACTION,
-    PROBE_PERIOD_S,
     Choice,
     Limits,
     ServiceLoad,
@@ -26,7 +24,8 @@
 )
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
-from radishbridge.steering.servers import SILENCE_FACTOR, LoadReport, Server, ServerState
+from radishbridge.steering.servers import Server, ServerState
+from radishbridge.steering.service_loads import ServiceLoads
 from radishbridge.steering.slowstart import SlowStart
 
 # Number of servers that serve an object. Two servers on which it is warm balance its load; each
@@ -57,9 +56,6 @@
 # server elsewhere, for a service with large responses. The object is warm on that server from the
 # requests of its own region.
 REMOTE_REGION_BIAS = 1.4
-# A report that another host passes on counts only if it is newer than the last one by this time in
-# seconds: this host's own reports come back with the summaries, later by the messages' way.
-SHARED_LOAD_MARGIN_S = 0.1
 # Minimum responses of a service to compute its median latency: the first to arrive are the fastest.
 MEDIAN_SAMPLES_MIN = 30
 # Maximum number of cached rankings; the oldest are evicted first.
@@ -135,7 +131,7 @@
         self.pools: dict[_PoolKey, list[ServerState]] = {}
         self.rankings: dict[tuple[_PoolKey, str], list[ServerState]] = {}
         self.version_counts: dict[str, dict[str, int]] = {}
-        self.loads: dict[str, ServiceLoad] = {}
+        self.loads = ServiceLoads()
 
     def put(self, server: Server, now: float) -> bool:
         """Add or update a server.
@@ -284,58 +280,10 @@
             if sum(state.latency_samples for state in states) >= MEDIAN_SAMPLES_MIN
         }
 
-    def record_load(self, state: ServerState, report: LoadReport, now: float) -> None:
-        """Record the load that a server reported with a response."""
-        state.record_load(report, now)
-        service = state.server.service
-        if report.has_pace and service not in self.loads:
-            self.loads[service] = ServiceLoad()
-        load = self.loads.get(service)
-        if load is not None:
-            load.record_report(state)
-
-    def record_shared_load(
-        self, state: ServerState, report: LoadReport, heard_at: float, now: float
-    ) -> None:
-        """Record the load that a server reported to another host, unless a newer one is known.
-
-        :param heard_at: time of the report.
-        """
-        if heard_at <= state.load_reported_at + SHARED_LOAD_MARGIN_S:
-            return
-        self.record_load(state, report, min(heard_at, now))
-
-    def record_run(self, state: ServerState, choice: Choice, latency_s: float) -> None:
-        """Record the response of a server to a request that it ran.
-
-        :param choice: by which the server was selected.
-        :param latency_s: time from sending the request to the response in seconds.
-        """
-        load = self.loads.get(state.server.service)
-        if load is not None:
-            load.record_run(latency_s, choice, state.pace)
-
-    def record_summary(self, counts: t.Mapping[str, int], now: float) -> None:
-        """Record a summary that contained load reports.
-
-        :param counts: number of servers that it covers, by service.
-        """
-        for service, count in counts.items():
-            servers = len(self.usable_servers(service))
-            if servers and service in self.loads:
-                self.loads[service].record_summary(count / servers, now)
-
-    def silence_latency_s(self, service: str) -> float:
-        """Return the latency in seconds by which silence of a service's servers is judged.
-
-        It is the median latency, or more where servers report pace: a request that waits in a queue
-        and then runs on a cold object takes longer than three times the median. 0 if unknown.
-        """
-        median_s = self.median_latencies.get(service, 0.0)
-        load = self.loads.get(service)
-        if load is None or not median_s:
-            return median_s
-        return max(median_s, load.longest_usual_s / SILENCE_FACTOR)
+    @property
+    def services_with_pace(self) -> t.Collection[str]:
+        """Return the services whose servers report pace."""
+        return self.loads.keys()
 
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
@@ -352,7 +300,7 @@
         :param tried: names of servers that must not be chosen again.
         """
         median_s = self.median_latencies.get(criteria.service, 0.0)
-        silence_s = self.silence_latency_s(criteria.service)
+        silence_s = self.loads.silence_latency_s(criteria.service, median_s)
         load = self.loads.get(criteria.service)
         candidates = (state for state in self._ranking(criteria) if state.server.name not in tried)
         available = (
@@ -361,9 +309,7 @@
             if not state.is_ejected(now)
             and not state.is_silent(silence_s, now)
             and not state.is_paused(now)
-            and not (
-                load is not None and load.is_unheard(state, now) and not self._is_probed(state, now)
-            )
+            and (load is None or not load.avoids(state, self.slow_start.host, now))
         )
         first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         if not first:
@@ -375,15 +321,13 @@
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
         if load is not None and load.is_known:
-            return self._choose_by_time(load, first, others, criteria, now)
+            choice = self._choose_by_time(
+                load, first, others, criteria, now, lambda state: self._admits(state, now)
+            )
+            load.record_choice(choice)
+            return choice
         return Choice(self._pick(first, others, criteria, median_s, now))
 
-    def _is_probed(self, state: ServerState, now: float) -> bool:
-        # Whether this host sends the server requests now although it is unheard. The hosts that
-        # do change with time.
-        period = str(int(now / PROBE_PERIOD_S))
-        return unit_hash(self.slow_start.host, state.server.name, period) < PROBE_FRACTION
-
     def _choose_by_time(
         self,
         load: ServiceLoad,
@@ -391,6 +335,7 @@
         others: t.Iterator[ServerState],
         criteria: ServerCriteria,
         now: float,
+        admits: t.Callable[[ServerState], bool],
     ) -> Choice:
         key = criteria.key if criteria.has_affinity else ""
         if key and len(first) > 1 and is_moved(first[0], first[1], key):
@@ -407,14 +352,9 @@
             remote = self._first_remote(others_read)
             if remote is not None:
                 estimates.append(load.estimate(remote, 1, key, now))
-        choice = choose_by_time(
-            estimates,
-            (load.estimate(state, SERVERS_PER_OBJECT, key, now) for state in others),
-            Limits(criteria.target_s, criteria.remaining_s, criteria.rank),
-            lambda state: self._admits(state, now),
-        )
-        load.record_choice(choice)
-        return choice
+        limits = Limits(criteria.target_s, criteria.remaining_s, criteria.rank)
+        by_time = (load.estimate(state, SERVERS_PER_OBJECT, key, now) for state in others)
+        return choose_by_time(estimates, by_time, limits, admits)
 
     def has_room(self, criteria: ServerCriteria, now: float) -> bool:
         """Return whether a server would be chosen now, without taking its place."""
@@ -431,20 +371,14 @@
         )
 
     def _has_room_in_time(self, load: ServiceLoad, criteria: ServerCriteria, now: float) -> bool:
-        examined = (
-            load.estimate(state, min(position, SERVERS_PER_OBJECT), criteria.key, now)
-            for position, state in enumerate(
-                itertools.islice(self._ranking(criteria), SERVERS_PER_OBJECT + FALLBACK_SERVERS_MAX)
-            )
+        usable = (
+            state
+            for state in self._ranking(criteria)
             if not state.is_ejected(now) and not state.is_paused(now)
         )
-        estimates = list(examined)
-        choice = choose_by_time(
-            (one for one in estimates if one.position < SERVERS_PER_OBJECT),
-            (one for one in estimates if one.position == SERVERS_PER_OBJECT),
-            Limits(criteria.target_s, criteria.remaining_s, criteria.rank),
-            lambda state: True,
-        )
+        first = list(itertools.islice(usable, SERVERS_PER_OBJECT))
+        others = itertools.islice(usable, FALLBACK_SERVERS_MAX)
+        choice = self._choose_by_time(load, first, others, criteria, now, lambda state: True)
         return choice.state is not None
 
     def _pick(
--- a/tests/test_steering_load.py
+++ b/tests/test_steering_load.py
@@ -51,7 +51,7 @@
 
 
 def set_load(selector: Selector, state: ServerState, load: int, now: float = T0) -> None:
-    selector.record_load(state, report(load), now)
+    selector.loads.record_load(state, report(load), now)
     state.mean_occupancy = 0.0
 
 
@@ -137,9 +137,9 @@
                 else:
                     done.record_success(rng.uniform(0.05, 0.4), now)
                     done.mark_object_warm(str(rng.randrange(30)), now)
-                    selector.record_run(done, Choice(done), 0.2)
+                    selector.loads.record_run(done, Choice(done), 0.2)
                 load = LoadReport(rng.randrange(5), rng.randrange(13), 4)
-                selector.record_load(done, load, now)
+                selector.loads.record_load(done, load, now)
                 done.finish()
             if rng.random() < 0.1:
                 selector.update_median_latencies()
@@ -152,8 +152,8 @@
         selector.put(make_server(99, service="other"), T0)
         state = selector.states["server-99"]
         for _ in range(30):
-            selector.record_load(state, LoadReport(4, 12, 4), T0)
-            selector.record_run(state, Choice(state), 1.0)
+            selector.loads.record_load(state, LoadReport(4, 12, 4), T0)
+            selector.loads.record_run(state, Choice(state), 1.0)
         assert set(selector.loads) == {"catalogue"}
 
 
@@ -179,10 +179,10 @@
     def test_one_slow_report_is_noise_and_many_are_a_property_of_the_server(self):
         selector = make_loaded(1)
         state = selector.states["server-0"]
-        selector.record_load(state, report(0, pace=2.5), T0 + 10.0)
+        selector.loads.record_load(state, report(0, pace=2.5), T0 + 10.0)
         assert state.pace < 1.2
         for number in range(60):
-            selector.record_load(state, report(0, pace=2.5), T0 + 10.0 + 0.5 * number)
+            selector.loads.record_load(state, report(0, pace=2.5), T0 + 10.0 + 0.5 * number)
         assert state.pace > 2.3
 
     def test_a_slow_server_is_expected_to_take_longer(self):
@@ -253,22 +253,20 @@
 
     def test_a_wait_and_a_cold_run_are_no_silence(self):
         selector = make_loaded()
-        selector.median_latencies = {"catalogue": 0.4}
         selector.loads["catalogue"].mean_expected_s = 0.5
         state = servers_of(selector)[0]
         state.start(T0)
-        silence_s = selector.silence_latency_s("catalogue")
+        silence_s = selector.loads.silence_latency_s("catalogue", 0.4)
         assert not state.is_silent(silence_s, T0 + 1.3)
         assert not state.is_silent(silence_s, T0 + 2.4)
         assert state.is_silent(silence_s, T0 + 2.6)
 
     def test_the_median_counts_without_pace_and_before_run_lengths_are_known(self):
         selector = make_selector(4)
-        selector.median_latencies = {"catalogue": 0.4}
-        assert selector.silence_latency_s("catalogue") == 0.4
-        selector.record_load(selector.states["server-0"], report(1), T0)
-        assert selector.silence_latency_s("catalogue") == 0.4
-        assert selector.silence_latency_s("other") == 0.0
+        assert selector.loads.silence_latency_s("catalogue", 0.4) == 0.4
+        selector.loads.record_load(selector.states["server-0"], report(1), T0)
+        assert selector.loads.silence_latency_s("catalogue", 0.4) == 0.4
+        assert selector.loads.silence_latency_s("other", 0.0) == 0.0
 
 
 class TestUnheardServers:
@@ -282,8 +280,8 @@
                 break
             reporting = [name for name in selector.states if name != silent]
             for name in reporting:
-                selector.record_shared_load(selector.states[name], report(2), now, now)
-            selector.record_summary({"catalogue": len(reporting)}, now)
+                selector.loads.record_shared_load(selector.states[name], report(2), now, now)
+            selector.loads.record_summary({"catalogue": len(reporting) / 8}, now)
         return T0 + until_s
 
     def count_for(self, selector: Selector, silent: str, now: float) -> int:
@@ -309,7 +307,7 @@
         now = self.play(selector, "server-3", 12.0)
         state = selector.states["server-3"]
         assert selector.loads["catalogue"].is_unheard(state, now)
-        selector.record_shared_load(state, report(0), now, now)
+        selector.loads.record_shared_load(state, report(0), now, now)
         assert not selector.loads["catalogue"].is_unheard(state, now)
 
     def test_no_server_is_unheard_while_summaries_are_missing_or_have_just_come_back(self):
@@ -323,7 +321,7 @@
     def test_servers_that_answer_seldom_are_not_unheard(self):
         selector = make_loaded()
         for step in range(60):
-            selector.record_summary({"catalogue": 2}, T0 + 0.5 * step)
+            selector.loads.record_summary({"catalogue": 0.25}, T0 + 0.5 * step)
         load = selector.loads["catalogue"]
         assert not any(load.is_unheard(state, T0 + 30.0) for state in selector.states.values())
 
