--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -64,6 +64,49 @@
         assert run_policy("steering", shape).failed < run_policy("unbounded", shape).failed
 
 
+class TestPolicyWithPace:
+    """Servers' queues last for seconds, and each of many hosts hears of a server only rarely."""
+
+    SHAPE = Shape(
+        service=ServiceShape(
+            servers={"one": 2, "two": 8, "three": 12},
+            slots=9,
+            queue=27,
+            work_s=1.32,
+            keeps=23,
+            reports_pace=True,
+        ),
+        traffic=TrafficShape(
+            per_s={"one": 63.0, "two": 63.0, "three": 63.0},
+            objects=700,
+            skew=0.7,
+            aim_s=0.82,
+            deadline_s=6.1,
+            wave=0.55,
+        ),
+        hosts=8,
+        between_s=0.02,
+        seconds=24.0,
+        share_interval_s=0.5,
+    )
+
+    def in_aim(self, policy: str, shape: Shape = SHAPE) -> float:
+        return sum(run_policy(policy, shape, seed).in_aim for seed in (1, 2)) / 2.0
+
+    def test_selection_by_time_serves_more_in_time_than_by_occupancy(self):
+        assert self.in_aim("steering") > self.in_aim("occupancy")
+
+    def test_reports_of_other_hosts_help(self):
+        alone = msgspec.structs.replace(self.SHAPE, share_interval_s=0.0)
+        assert self.in_aim("steering") > self.in_aim("steering", alone) + 0.02
+
+    def test_unheard_servers_fail_few_requests(self):
+        shape = msgspec.structs.replace(self.SHAPE, lost=0.15, lost_at_s=6.0)
+        reports = {name: run_policy(name, shape) for name in ("steering", "occupancy")}
+        assert reports["steering"].failed < 0.8 * reports["occupancy"].failed
+        assert reports["steering"].worth > reports["occupancy"].worth
+
+
 class TestCommandLine:
     @pytest.mark.parametrize("shape", sorted((ROOT / "bench" / "shapes").iterdir()))
     def test_provided_shapes_are_valid(self, shape):
