Rank the objects of services with pace by stable places of servers

A server has a new name at each start. Ranked by name, a replacement gets objects of all other servers, and those of the server that it replaces go to all others: twice the least possible. For services whose servers report pace (Selector.services_with_pace, empty by default), objects are now ranked by places. A replacement takes over the place of a draining or removed server of its data centre, its own address first; a server that replaces none gets a place of its own after 3 s.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,115 @@
+"""Measures how many objects change their server when servers are added, removed or replaced.
+
+``python -m bench.placement --servers 63 --objects 2000 --seeds 3`` prints a table of all cases, for
+rankings by server name and by place. Each figure is a part of all objects, as a mean over the
+seeds. It needs no network, and the time is virtual.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import sys
+import time
+
+import msgspec
+
+from bench._placement_cases import CASES, CAUSES, SERVICE, Result, World
+
+RANKINGS = {"name": False, "place": True}
+
+
+def measure_case(case: str, by_place: bool, servers: int, objects: int, seeds: int) -> list[Result]:
+    """Return the results of a case for each seed."""
+    results = []
+    for seed in range(seeds):
+        world = World(servers, objects, by_place, seed)
+        CASES[case](world)
+        results.append(world.result())
+    return results
+
+
+def measure_costs(by_place: bool, servers: int, objects: int) -> dict[str, float]:
+    """Return the cost of one ranking, of a choice with a cached ranking, and of a change, in µs."""
+    world = World(servers, objects, by_place, 0)
+    selector = world.selector
+    selector.rankings.clear()
+    start = time.process_time()
+    for criteria in world.criteria:
+        selector._ranking(criteria)
+    ranked = time.process_time()
+    for criteria in world.criteria:
+        selector.choose(criteria, (), world.now)
+    chosen = time.process_time()
+    changes = 100
+    for number in range(changes):
+        server = world.new_server("west-a")
+        selector.put(server, world.now)
+        selector.settle_places(world.now + number)
+        selector.remove(server.name)
+    changed = time.process_time()
+    return {
+        "ranking": 1e6 * (ranked - start) / objects,
+        "choice": 1e6 * (chosen - ranked) / objects,
+        "change": 1e6 * (changed - chosen) / (2 * changes),
+    }
+
+
+def summarize(results: list[Result]) -> dict[str, float]:
+    """Return the means over the seeds."""
+    least = statistics.fmean(result.least for result in results)
+    total = statistics.fmean(result.total for result in results)
+    causes = {
+        cause: statistics.fmean(result.moved[cause] for result in results) for cause in CAUSES
+    }
+    return {
+        "least": least,
+        "moved": total,
+        "ratio": total / least,
+        **causes,
+        "net": statistics.fmean(result.net for result in results),
+        "share_error": statistics.fmean(result.share_error for result in results),
+        "disagreement": statistics.fmean(result.disagreement for result in results),
+    }
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(prog="python -m bench.placement")
+    parser.add_argument("--servers", type=int, default=63)
+    parser.add_argument("--objects", type=int, default=2_000, help="at most 4,000")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--case", choices=sorted(CASES), action="append")
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args(arguments)
+    report = {
+        case: {
+            ranking: summarize(
+                measure_case(case, by_place, options.servers, options.objects, options.seeds)
+            )
+            for ranking, by_place in RANKINGS.items()
+        }
+        for case in options.case or CASES
+    }
+    costs = {
+        ranking: measure_costs(by_place, options.servers, options.objects)
+        for ranking, by_place in RANKINGS.items()
+    }
+    if options.json:
+        document = {"service": SERVICE, "cases": report, "costs_us": costs}
+        print(msgspec.json.format(msgspec.json.encode(document)).decode())
+        return 0
+    columns = list(next(iter(report.values()))["name"])
+    print(f"{'case':30} {'ranked by':9} " + " ".join(f"{column:>12}" for column in columns))
+    for case, by_ranking in report.items():
+        for ranking, figures in by_ranking.items():
+            cells = " ".join(f"{figures[column]:12.4f}" for column in columns)
+            print(f"{case:30} {ranking:9} {cells}")
+    for ranking, figures in costs.items():
+        cells = ", ".join(f"{name} {value:.1f} µs" for name, value in figures.items())
+        print(f"by {ranking}, {options.servers} servers: {cells}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -10,6 +10,7 @@
     WeightedService,
     WorkspaceRule,
 )
+from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.homes import HomeAdmission, HomeDemand, HomeMeter, HomeRegion
 from radishbridge.steering.moves import (
     Evidence,
@@ -20,7 +21,6 @@
     stable_versions,
 )
 from radishbridge.steering.notices import Notice, ServerNotices
-from radishbridge.steering.placement import unit_hash
 from radishbridge.steering.rates import (
     DemandMeter,
     FleetShare,
--- a/packages/steering/src/radishbridge/steering/moves.py
+++ b/packages/steering/src/radishbridge/steering/moves.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from radishbridge.peers import rank
-from radishbridge.steering.placement import unit_hash
+from radishbridge.steering.hashing import unit_hash
 
 # Share of the objects that an unproven version gets, as a fraction of the operators' limit. That
 # limit is on requests, which are spread unevenly over objects.
--- a/packages/steering/src/radishbridge/steering/placement.py
+++ b/packages/steering/src/radishbridge/steering/placement.py
@@ -8,14 +8,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import typing as t
 
+from radishbridge.steering.hashing import hash64, mix, unit_hash
+from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.servers import Server, ServerState
 
-_DIGEST_BYTES = 8
-_DIGEST_END = 2.0 ** (8 * _DIGEST_BYTES)
 # Fraction of a region's slots taken up by home-bound requests above which it gets no others.
 HOME_BOUND_LIMIT = 0.9
 # Steps of a region's weight: few, because each change moves objects to servers where they are cold.
@@ -25,12 +24,6 @@
 WEIGHT_INCREASE_INTERVAL_S = 2.5
 
 
-def unit_hash(*parts: str) -> float:
-    """Return a hash of strings as a number from 0 to below 1, the same on every host."""
-    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=_DIGEST_BYTES).digest()
-    return int.from_bytes(digest, "big") / _DIGEST_END
-
-
 def rank_servers(
     key: str, states: t.Iterable[ServerState], weight: t.Callable[[Server], float]
 ) -> list[ServerState]:
@@ -49,6 +42,40 @@
     return weight / -math.log(max(point, 1e-12))
 
 
+def rank_places(
+    key: str,
+    states: t.Iterable[ServerState],
+    weight: t.Callable[[Server], float],
+    book: PlaceBook,
+) -> list[ServerState]:
+    """Return servers ranked by weighted rendezvous hashing of their places.
+
+    The key and each place are hashed once; a pair of them is then mixed by arithmetic, which costs
+    less than a hash for each of several hundred servers.
+
+    :param weight: returns the weight per slot of a server; servers of weight 0, and servers without
+        a place, come last.
+    """
+    key_hash = hash64(key)
+    scored = []
+    for state in states:
+        server = state.server
+        place = book.by_name.get(server.name)
+        if place is None:
+            score = mix(key_hash ^ hash64(server.name)) - 2e9
+        else:
+            value = weight(server) * server.slots
+            point = mix(key_hash ^ place.seed)
+            score = value / -math.log(max(point, 1e-12)) if value > 0.0 else point - 1e9
+        scored.append((score, server.name, state))
+    scored.sort(key=_by_score, reverse=True)
+    return [state for _, _, state in scored]
+
+
+def _by_score(item: tuple[float, str, ServerState]) -> tuple[float, str]:
+    return item[0], item[1]
+
+
 class RegionWeights:
     """Weights of a service's regions for requests without home regions.
 
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,8 +15,10 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
+from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.notices import Notice, ServerNotices
-from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
+from radishbridge.steering.placement import RegionWeights, rank_places, rank_servers
+from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.servers import Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
@@ -86,6 +88,9 @@
 
     :param slow_start: limits the requests to cold servers.
     :param region: this host's region.
+    :param services_with_pace: services whose servers report pace; their objects are ranked by the
+        stable places of servers, all others by the names of servers.
+    :param place_books: places by service, for services with pace.
     """
 
     __slots__ = (
@@ -93,10 +98,12 @@
         "median_latencies",
         "notices",
         "own_region_services",
+        "place_books",
         "pools",
         "rankings",
         "region",
         "rules",
+        "services_with_pace",
         "slow_start",
         "states",
         "version_counts",
@@ -116,6 +123,8 @@
         self.pools: dict[_PoolKey, list[ServerState]] = {}
         self.rankings: dict[tuple[_PoolKey, str], list[ServerState]] = {}
         self.version_counts: dict[str, dict[str, int]] = {}
+        self.services_with_pace: set[str] = set()
+        self.place_books: dict[str, PlaceBook] = {}
 
     def put(self, server: Server, now: float) -> bool:
         """Add or update a server.
@@ -123,6 +132,7 @@
         :return: whether it is new or was restarted.
         """
         state = self.states.get(server.name)
+        self._update_place(state, server)
         if state is None or _is_restarted(state.server, server):
             state = self.states[server.name] = ServerState(server, now)
             state.notice = self.notices.find(server)
@@ -136,7 +146,9 @@
 
     def remove(self, name: str) -> None:
         """Remove a server whose entry was deleted."""
-        if self.states.pop(name, None) is not None:
+        state = self.states.pop(name, None)
+        if state is not None:
+            self._update_place(state, None)
             self.clear_caches()
 
     def record_leaving(self, server: Server) -> bool:
@@ -204,6 +216,37 @@
             self.own_region_services.add(service)
             self.rankings.clear()
 
+    def record_pace(self, service: str) -> None:
+        """Record that a service's servers report pace; its objects are then ranked by places."""
+        if service in self.services_with_pace:
+            return
+        self.services_with_pace.add(service)
+        self.place_books[service] = PlaceBook(
+            state.server for state in self.states.values() if state.server.service == service
+        )
+        self.rankings.clear()
+
+    def settle_places(self, now: float) -> None:
+        """Give places to servers that have waited for one long enough; called periodically."""
+        settled = [book.settle(now) for book in self.place_books.values()]
+        if any(settled):
+            self.rankings.clear()
+
+    def _update_place(self, state: ServerState | None, server: Server | None) -> None:
+        """Update the places for a change of a server's entry.
+
+        :param state: the server before the change; ``None`` if it is new.
+        :param server: the new entry; ``None`` if it was removed.
+        """
+        if state is not None and (server is None or server.service != state.server.service):
+            book = self.place_books.get(state.server.service)
+            if book is not None:
+                book.remove(state.server.name)
+        if server is not None:
+            book = self.place_books.get(server.service)
+            if book is not None:
+                book.put(server)
+
     def clear_caches(self) -> None:
         """Clear the cached pools, rankings and counts; they are rebuilt on demand."""
         self.pools.clear()
@@ -365,7 +408,11 @@
         def weight(server: Server) -> float:
             return weights.get(server.region, 1.0) * self._region_weight(server)
 
-        return rank_servers(f"{pool_key.service}\0{key}", self._pool(pool_key), weight)
+        pool = self._pool(pool_key)
+        book = self.place_books.get(pool_key.service)
+        if book is None:
+            return rank_servers(f"{pool_key.service}\0{key}", pool, weight)
+        return rank_places(f"{pool_key.service}\0{key}", pool, weight, book)
 
     def _region_weight(self, server: Server) -> float:
         is_preferred = server.service in self.own_region_services and server.region == self.region
