Test releases and lasting moves over random histories

It now counts the objects that end on another server than their first one or its replacement, and a second test replaces all servers one by one.

--- a/bench/_placement_cases.py
+++ b/bench/_placement_cases.py
@@ -32,6 +32,7 @@
 
     :param least: the least possible: the sum of the parts of the slots that were removed or added.
     :param moved: moves by cause, each change of an object's server counted.
+    :param least_net: the least possible of ``net``.
     :param net: objects whose server afterwards differs from the one before, or from its
         replacement.
     :param share_error: largest deviation of a server's objects from its part of the slots.
@@ -40,6 +41,7 @@
 
     least: float
     moved: dict[str, float]
+    least_net: float
     net: float
     share_error: float
     disagreement: float
@@ -53,6 +55,9 @@
 class World:
     """One host's selector in virtual time, and the server of each object.
 
+    :param least: the least possible moves of the history so far.
+    :param least_net: the least possible moves without those of a server to its replacement, or away
+        from a server and back.
     :param replacements: names of replacements by the name of the server that they replace.
     """
 
@@ -61,6 +66,7 @@
         self.now = 100.0
         self.number = 0
         self.least = 0.0
+        self.least_net = 0.0
         self.replacements: dict[str, str] = {}
         self.moved: collections.Counter[str] = collections.Counter()
         self.criteria = [
@@ -147,13 +153,13 @@
     def result(self) -> Result:
         """Return what was counted."""
         count = len(self.criteria)
-        final = {key: self._replacement_of(name) for key, name in self.initial.items()}
         objects = collections.Counter(self.servers.values())
         slots = sum(self.usable.values())
         return Result(
             least=self.least,
             moved={cause: self.moved[cause] / count for cause in CAUSES},
-            net=sum(final[key] != name for key, name in self.servers.items()) / count,
+            net=self.net_moves(),
+            least_net=self.least_net,
             share_error=max(
                 abs(objects[name] / count / (part / slots) - 1.0)
                 for name, part in self.usable.items()
@@ -161,6 +167,12 @@
             disagreement=self._disagreement(),
         )
 
+    def net_moves(self) -> float:
+        """Return the part of the objects whose server is not the first one or its replacement."""
+        final = {key: self._replacement_of(name) for key, name in self.initial.items()}
+        moved = sum(final[key] != name for key, name in self.servers.items())
+        return moved / len(self.criteria)
+
     def _replacement_of(self, name: str) -> str:
         while name in self.replacements:
             name = self.replacements[name]
@@ -191,7 +203,9 @@
     """Add a server and count its part."""
     server = world.new_server(data_center)
     world.put(server)
-    world.least += server.slots / (sum(world.usable.values()) + server.slots)
+    added = server.slots / (sum(world.usable.values()) + server.slots)
+    world.least += added
+    world.least_net += added
 
 
 def remove_one(world: World) -> None:
@@ -203,6 +217,7 @@
 def remove(world: World, server: Server) -> None:
     """Remove a server and count its part."""
     world.least += world.part(server)
+    world.least_net += world.part(server)
     world.selector.remove(server.name)
 
 
@@ -236,7 +251,8 @@
 def crash(world: World, gap_s: float, same_address: bool) -> None:
     """One server crashes, and another starts in its data centre."""
     old = world.rng.choice(world.live())
-    remove(world, old)
+    world.least += world.part(old)
+    world.selector.remove(old.name)
     world.step(gap_s)
     new = world.new_server(old.data_center, old.address if same_address else "")
     world.replacements[old.name] = new.name
@@ -269,6 +285,7 @@
         world.put(world.new_server(DATA_CENTERS[index % len(DATA_CENTERS)]))
         world.step(2.0 / added // TICK_S * TICK_S)
     world.least += added / (count + added)
+    world.least_net += added / (count + added)
     world.step(5.0)
 
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -67,6 +67,7 @@
         "moved": total,
         "ratio": total / least,
         **causes,
+        "least_net": statistics.fmean(result.least_net for result in results),
         "net": statistics.fmean(result.net for result in results),
         "share_error": statistics.fmean(result.share_error for result in results),
         "disagreement": statistics.fmean(result.disagreement for result in results),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -121,6 +121,7 @@
         world = run_random_history(seed)
         moved = sum(world.moved.values()) / len(world.criteria)
         assert moved <= MOVES_MAX * world.least, dict(world.moved)
+        assert world.net_moves() <= MOVES_MAX * world.least_net
         firsts = collections.Counter(
             ranked_names(world.selector, f"share-{number}")[0] for number in range(SHARE_KEYS)
         )
@@ -129,6 +130,14 @@
             share = firsts[name] / SHARE_KEYS / (slots / sum(usable.values()))
             assert abs(share - 1.0) <= SHARE_ERROR_MAX, name
 
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    def test_a_release_moves_only_the_objects_of_the_servers_that_it_replaces(self, seed):
+        world = World(16, 1_000, True, seed)
+        for server in world.rng.sample(world.live(), 16):
+            replace_with_overlap(world, server, world.rng.uniform(0.5, SPARE_S - 0.5))
+        assert sum(world.moved.values()) / len(world.criteria) <= MOVES_MAX * world.least
+        assert world.net_moves() == 0.0
+
     def test_shares_follow_servers_of_different_sizes(self):
         selector = make_selector(0)
         for number in range(12):
