Count the objects that a change of servers moves, by cause

An operator could not see what a change of servers cost. For services with pace the first server of each cached ranking is remembered when rankings are cleared, and compared when the object is requested again: no work beyond that of the request. Waiting servers get a place with the summaries.

--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -247,6 +247,7 @@
         for service, by_region in summary.home_bound.items():
             self._apply_home_demand(service, by_region, now)
         self.selector.update_median_latencies()
+        self._settle_places(now)
         self.crash_reports.apply_summary(summary, now)
         for service, move in self.moves.items():
             evidence = summary.evidence.get(service, Evidence())
@@ -256,6 +257,19 @@
                 move.fault = fault
                 logger.warning("new version is bad", extra={"service": service, "reason": fault})
 
+    def _settle_places(self, now: float) -> None:
+        self.selector.settle_places(now)
+        for report in self.selector.object_moves.take_reports(now):
+            logger.info(
+                "objects moved",
+                extra={
+                    "service": report.service,
+                    "moved": report.total,
+                    "compared": report.compared,
+                    "by_cause": {cause.value: count for cause, count in report.moved.items()},
+                },
+            )
+
     def _apply_home_demand(
         self, service: str, by_region: t.Mapping[str, HomeDemand], now: float
     ) -> None:
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -21,6 +21,7 @@
     stable_versions,
 )
 from radishbridge.steering.notices import Notice, ServerNotices
+from radishbridge.steering.object_moves import ObjectMoveCause, ObjectMoveMeter, ObjectMoveReport
 from radishbridge.steering.rates import (
     DemandMeter,
     FleetShare,
@@ -48,6 +49,9 @@
     "MoveOrder",
     "MovePhase",
     "Notice",
+    "ObjectMoveCause",
+    "ObjectMoveMeter",
+    "ObjectMoveReport",
     "RateLimiter",
     "RateSlice",
     "RetryBudget",
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -17,6 +17,7 @@
 from radishbridge.steering.configuration import ServiceRule
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.notices import Notice, ServerNotices
+from radishbridge.steering.object_moves import ObjectMoveMeter
 from radishbridge.steering.placement import RegionWeights, rank_places, rank_servers
 from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.servers import Server, ServerState
@@ -91,12 +92,14 @@
     :param services_with_pace: services whose servers report pace; their objects are ranked by the
         stable places of servers, all others by the names of servers.
     :param place_books: places by service, for services with pace.
+    :param object_moves: counts the objects of these services that change their first server.
     """
 
     __slots__ = (
         "drained",
         "median_latencies",
         "notices",
+        "object_moves",
         "own_region_services",
         "place_books",
         "pools",
@@ -125,6 +128,7 @@
         self.version_counts: dict[str, dict[str, int]] = {}
         self.services_with_pace: set[str] = set()
         self.place_books: dict[str, PlaceBook] = {}
+        self.object_moves = ObjectMoveMeter()
 
     def put(self, server: Server, now: float) -> bool:
         """Add or update a server.
@@ -214,7 +218,7 @@
         """Prefer servers in this host's region for a service, because its responses are large."""
         if service not in self.own_region_services:
             self.own_region_services.add(service)
-            self.rankings.clear()
+            self._clear_rankings(are_weights=True)
 
     def record_pace(self, service: str) -> None:
         """Record that a service's servers report pace; its objects are then ranked by places."""
@@ -230,7 +234,7 @@
         """Give places to servers that have waited for one long enough; called periodically."""
         settled = [book.settle(now) for book in self.place_books.values()]
         if any(settled):
-            self.rankings.clear()
+            self._clear_rankings()
 
     def _update_place(self, state: ServerState | None, server: Server | None) -> None:
         """Update the places for a change of a server's entry.
@@ -250,9 +254,24 @@
     def clear_caches(self) -> None:
         """Clear the cached pools, rankings and counts; they are rebuilt on demand."""
         self.pools.clear()
-        self.rankings.clear()
+        self._clear_rankings()
         self.version_counts.clear()
 
+    def _clear_rankings(self, are_weights: bool = False) -> None:
+        """Clear the cached rankings, and remember the first servers of services with pace.
+
+        :param are_weights: only the weights of regions changed.
+        """
+        for service in self.services_with_pace:
+            firsts = [
+                ((pool_key.home_regions, key), ranking[0].server.name)
+                for (pool_key, key), ranking in self.rankings.items()
+                if pool_key.service == service and pool_key.names is None and ranking
+            ]
+            if firsts:
+                self.object_moves.record_change(service, firsts, are_weights)
+        self.rankings.clear()
+
     def usable_servers(self, service: str) -> list[ServerState]:
         """Return a service's servers that accept requests and are not drained."""
         return self._pool(_PoolKey(service, None, None, None))
@@ -292,7 +311,7 @@
         slots = self.slots_by_region(service)
         changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound, now)
         if changed:
-            self.rankings.clear()
+            self._clear_rankings(are_weights=True)
         return changed
 
     def update_median_latencies(self) -> None:
@@ -412,7 +431,17 @@
         book = self.place_books.get(pool_key.service)
         if book is None:
             return rank_servers(f"{pool_key.service}\0{key}", pool, weight)
-        return rank_places(f"{pool_key.service}\0{key}", pool, weight, book)
+        ranking = rank_places(f"{pool_key.service}\0{key}", pool, weight, book)
+        if ranking and pool_key.names is None:
+            first = ranking[0].server.name
+            self.object_moves.record_ranking(
+                pool_key.service, (pool_key.home_regions, key), first, self._takes_objects
+            )
+        return ranking
+
+    def _takes_objects(self, name: str) -> bool:
+        state = self.states.get(name)
+        return state is not None and self._is_usable(state)
 
     def _region_weight(self, server: Server) -> float:
         is_preferred = server.service in self.own_region_services and server.region == self.region
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 import math
 import os
 import pathlib
@@ -11,9 +12,22 @@
 
 import msgspec
 import pytest
+from fleet_world import make_report
+from prometheus_client import CollectorRegistry
 from steering_world import T0, make_selector, make_server
 
-from radishbridge.steering import Selector, ServerCriteria, unit_hash
+from radishbridge.entry import Bounds, SteeringState
+from radishbridge.entry.messages import CopyState
+from radishbridge.entry.placement_metrics import PlacementCollector
+from radishbridge.entry.summaries import merge_reports
+from radishbridge.steering import (
+    ObjectMoveCause,
+    ObjectMoveReport,
+    Selector,
+    ServerCriteria,
+    unit_hash,
+)
+from radishbridge.steering.object_moves import REPORT_AFTER_S
 from radishbridge.steering.places import SPARE_S, VACANCY_S, PlaceBook
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
@@ -244,3 +258,90 @@
         books = [PlaceBook(servers), PlaceBook(shuffled)]
         for server in servers:
             assert books[0].place_id(server.name) == books[1].place_id(server.name)
+
+
+class TestObjectMoves:
+    """Operators must see how many objects a change moved, and why."""
+
+    @pytest.fixture
+    def selector(self) -> Selector:
+        selector = make_selector(12)
+        selector.record_pace(SERVICE)
+        self.rank_all(selector)
+        return selector
+
+    def rank_all(self, selector: Selector) -> list[str]:
+        return [ranked_names(selector, str(number))[0] for number in range(300)]
+
+    def report(self, selector: Selector) -> ObjectMoveReport:
+        assert selector.object_moves.take_reports(T0) == []
+        (report,) = selector.object_moves.take_reports(T0 + REPORT_AFTER_S)
+        return report
+
+    def test_objects_of_a_removed_server_are_forced_to_move(self, selector):
+        count = self.rank_all(selector).count("server-3")
+        selector.remove("server-3")
+        self.rank_all(selector)
+        report = self.report(selector)
+        assert report.compared == 300
+        assert report.moved == {ObjectMoveCause.FORCED: count}
+
+    def test_objects_that_go_to_an_added_server(self, selector):
+        selector.put(make_server(40), T0)
+        selector.settle_places(T0)
+        selector.settle_places(T0 + SPARE_S)
+        count = self.rank_all(selector).count("server-40")
+        assert self.report(selector).moved == {ObjectMoveCause.ADDED: count}
+
+    def test_objects_that_the_weight_of_a_region_moves(self, selector):
+        before = self.rank_all(selector)
+        selector.update_weights(SERVICE, {"east": 15.0}, T0)
+        after = self.rank_all(selector)
+        moved = sum(one != other for one, other in zip(before, after, strict=True))
+        assert self.report(selector).moved == {ObjectMoveCause.WEIGHT: moved}
+
+    def test_only_objects_that_are_requested_again_are_compared(self, selector):
+        selector.remove("server-3")
+        ranked_names(selector, "1")
+        assert self.report(selector).compared == 1
+
+    def test_services_without_pace_are_not_compared(self):
+        selector = make_selector(4)
+        self.rank_all(selector)
+        selector.remove("server-3")
+        self.rank_all(selector)
+        assert not selector.object_moves.totals
+        assert selector.object_moves.take_reports(T0 + REPORT_AFTER_S) == []
+
+    def test_the_metrics_name_the_cause_and_the_places(self, selector):
+        count = self.rank_all(selector).count("server-3")
+        selector.remove("server-3")
+        self.rank_all(selector)
+        registry = CollectorRegistry()
+        registry.register(PlacementCollector(selector))
+        labels = {"service": SERVICE, "cause": "forced"}
+        assert registry.get_sample_value("radishbridge_object_moves_total", labels) == count
+        labels = {"service": SERVICE, "state": "vacant"}
+        assert registry.get_sample_value("radishbridge_places", labels) == 1
+
+    def test_a_host_logs_the_moved_objects_and_gives_waiting_servers_a_place(self, caplog):
+        time = [T0]
+        steering_state = SteeringState("h", None, Bounds(), clock=lambda: time[0])
+        summary = merge_reports({"h": make_report()}, CopyState({}, {}))
+        selector = steering_state.selector
+        for number in range(12):
+            selector.put(make_server(number), T0)
+        selector.record_pace(SERVICE)
+        before = self.rank_all(selector)
+        selector.put(make_server(40), T0)
+        with caplog.at_level(logging.INFO):
+            for time[0] in (T0, T0 + SPARE_S):
+                steering_state.apply_summary(summary)
+            moved = self.rank_all(selector).count("server-40")
+            for time[0] in (T0 + 4.0, T0 + 4.0 + REPORT_AFTER_S):
+                steering_state.apply_summary(summary)
+        assert moved
+        assert "server-40" not in before
+        (line,) = [record for record in caplog.records if record.message == "objects moved"]
+        assert (line.moved, line.compared) == (moved, 300)
+        assert line.by_cause == {"added": moved}
