Record places in the store, so that hosts that start later have them

The coordinator records the places of a service with pace as an object among the entries of hosts, which the store followers watch already: no call is added where no service has pace or no server took over a place of another address. A record is written at most every 5 s and numbered, so that of two coordinators one writes; the previous one is removed. Servers that are newer than the record keep their place.

--- a/bench/_placement_cases.py
+++ b/bench/_placement_cases.py
@@ -37,6 +37,7 @@
         replacement.
     :param share_error: largest deviation of a server's objects from its part of the slots.
     :param disagreement: objects that a host that has just started ranks differently.
+    :param recorded: the same if that host reads the places from the store.
     """
 
     least: float
@@ -45,6 +46,7 @@
     net: float
     share_error: float
     disagreement: float
+    recorded: float
 
     @property
     def total(self) -> float:
@@ -164,7 +166,8 @@
                 abs(objects[name] / count / (part / slots) - 1.0)
                 for name, part in self.usable.items()
             ),
-            disagreement=self._disagreement(),
+            disagreement=self.disagreement(with_record=False),
+            recorded=self.disagreement(with_record=True),
         )
 
     def net_moves(self) -> float:
@@ -178,13 +181,19 @@
             name = self.replacements[name]
         return name
 
-    def _disagreement(self) -> float:
+    def disagreement(self, with_record: bool) -> float:
+        """Return the part of the objects that a host that starts now ranks differently.
+
+        :param with_record: it reads the places that this host would record in the store.
+        """
         other = Selector(SlowStart("other", 1.5, 5.0), REGIONS[0])
         other.weights = self.selector.weights
         other.set_drained(self.selector.drained)
         for state in self.selector.states.values():
             other.put(state.server, self.now)
         if self.by_place:
+            if with_record:
+                other.adopt_places(SERVICE, self.selector.places.books[SERVICE].record())
             other.record_pace(SERVICE)
         differ = sum(
             other._ranking(criteria)[0].server.name != self.servers[criteria.key]
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,8 +14,10 @@
 
 import msgspec
 
+from bench._placement_agreement import Setup, cold_runs
 from bench._placement_cases import CASES, CAUSES, SERVICE, Result, World
 
+AGREEMENT_REQUESTS = 120_000
 RANKINGS = {"name": False, "place": True}
 
 
@@ -55,6 +57,18 @@
     }
 
 
+def print_agreement(servers: int) -> None:
+    """Print the runs on cold objects by how many hosts have other places for how many servers."""
+    for objects, keeps in ((300, 20), (600, 20), (900, 20), (600, 12)):
+        for hosts, replaced in ((0.0, 0.0), (1 / 76, 1.0), (0.1, 1.0), (0.5, 1.0), (0.5, 0.25)):
+            setup = Setup(servers, objects, keeps, hosts, replaced)
+            cold = statistics.fmean(cold_runs(setup, AGREEMENT_REQUESTS, seed) for seed in range(3))
+            print(
+                f"{objects} objects, {keeps} warm for each server, {hosts:.2f} of the hosts, "
+                f"{replaced:.2f} of the servers: {cold:.3f} cold"
+            )
+
+
 def summarize(results: list[Result]) -> dict[str, float]:
     """Return the means over the seeds."""
     least = statistics.fmean(result.least for result in results)
@@ -71,6 +85,7 @@
         "net": statistics.fmean(result.net for result in results),
         "share_error": statistics.fmean(result.share_error for result in results),
         "disagreement": statistics.fmean(result.disagreement for result in results),
+        "recorded": statistics.fmean(result.recorded for result in results),
     }
 
 
@@ -82,7 +97,13 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--case", choices=sorted(CASES), action="append")
     parser.add_argument("--json", action="store_true")
+    parser.add_argument(
+        "--agreement", action="store_true", help="measure what hosts with other places cost"
+    )
     options = parser.parse_args(arguments)
+    if options.agreement:
+        print_agreement(options.servers)
+        return 0
     report = {
         case: {
             ranking: summarize(
--- a/packages/entry/src/radishbridge/entry/coordinator.py
+++ b/packages/entry/src/radishbridge/entry/coordinator.py
@@ -10,26 +10,35 @@
 
 from radishbridge.entry import uptime
 from radishbridge.entry.fleet import SUMMARY_MAX_AGE_S, Fleet
-from radishbridge.entry.protocol import FleetStore, Kind, MoveReport
+from radishbridge.entry.protocol import FleetStore, Kind, MoveReport, PlaceRecord
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.records import Failure
-from radishbridge.steering import Evidence, MovePhase
+from radishbridge.steering import Evidence, MovePhase, PlaceBook
 
 # Pause between two checks of version moves and hosts, in seconds.
 CHECK_INTERVAL_S = 0.25
+# Shortest interval in seconds between two records of a service's places. A release replaces a
+# server every few seconds, and each record costs two store calls. Until it is written, a host that
+# starts ranks the newest replacements by their own addresses.
+PLACES_INTERVAL_S = 5.0
 
 logger = logging.getLogger(__name__)
 
 
 class FleetCoordinator:
-    """Records the status of version moves and removes lost hosts while this host is coordinator."""
+    """Records version moves and places, and removes lost hosts, while this host is coordinator.
 
-    __slots__ = ("fleet", "steering_state", "store")
+    :param places_recorded_at: monotonic time of the last record of a service's places that this
+        host tried to write.
+    """
+
+    __slots__ = ("fleet", "places_recorded_at", "steering_state", "store")
 
     def __init__(self, steering_state: SteeringState, fleet: Fleet, store: FleetStore) -> None:
         self.steering_state = steering_state
         self.fleet = fleet
         self.store = store
+        self.places_recorded_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Check moves and hosts until cancelled."""
@@ -67,6 +76,35 @@
                 },
             )
 
+        for service, book in list(self.steering_state.selector.places.books.items()):
+            recorded_at = self.places_recorded_at.get(service, float("-inf"))
+            if now - recorded_at >= PLACES_INTERVAL_S:
+                await self._record_places(service, book, now)
+
+    async def _record_places(self, service: str, book: PlaceBook, now: float) -> None:
+        """Record a service's places if a host that starts would find others."""
+        state = self.steering_state
+        newest = state.newest_place_record(service)
+        if book.differs({} if newest is None else newest.places):
+            self.places_recorded_at[service] = now
+            sequence = 1 if newest is None else newest.sequence + 1
+            record = PlaceRecord(service=service, sequence=sequence, places=book.record())
+            failure = await self.store.record_places(record)
+            logger.info(
+                "places recorded",
+                extra={
+                    "service": service,
+                    "sequence": sequence,
+                    "places": len(record.places),
+                    "outcome": failure.reason if isinstance(failure, Failure) else "recorded",
+                },
+            )
+        newest = state.newest_place_record(service)
+        for record in list(state.place_records.values()):
+            if newest is not None and record.service == service and record is not newest:
+                self.places_recorded_at[service] = now
+                await self.store.remove_places(record)
+
     def _stored_version(self, kind: Kind, name: str) -> int:
         stored = self.fleet.copy.objects.get((kind, name))
         return 0 if stored is None else stored.version
--- a/packages/entry/src/radishbridge/entry/placement_metrics.py
+++ b/packages/entry/src/radishbridge/entry/placement_metrics.py
@@ -30,7 +30,7 @@
         places = GaugeMetricFamily(
             "radishbridge_places", "places of servers", labels=["service", "state"]
         )
-        for service, book in self.selector.place_books.items():
+        for service, book in self.selector.places.books.items():
             states = collections.Counter(
                 "vacant" if place.is_vacant else "held" for place in book.places.values()
             )
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -71,6 +71,18 @@
     data_center: str
 
 
+class PlaceRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The places of a service's servers, for hosts that have not seen the servers change.
+
+    :param sequence: number of the record; the highest one of a service applies.
+    :param places: place ids by server name.
+    """
+
+    service: str
+    sequence: int
+    places: dict[str, str]
+
+
 class MoveReport(msgspec.Struct, frozen=True, kw_only=True):
     """The status of a version move.
 
@@ -85,7 +97,7 @@
     phase: MovePhase
 
 
-DecodedObject = Configuration | Server | MoveOrder | DrainOrder | HostEntry
+DecodedObject = Configuration | Server | MoveOrder | DrainOrder | HostEntry | PlaceRecord
 
 
 class Decoder(t.Protocol):
@@ -125,6 +137,12 @@
         :param version: remove only this version; ``None`` for any.
         """
 
+    async def record_places(self, record: PlaceRecord) -> Failure | None:
+        """Create a record of places; ``VERSION_CONFLICT`` if one of its sequence exists."""
+
+    async def remove_places(self, record: PlaceRecord) -> Failure | None:
+        """Remove a record of places; a missing one is no failure."""
+
     async def report_move(self, report: MoveReport) -> Failure | None:
         """Write the status of a version move."""
 
--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -19,6 +19,7 @@
     DrainOrder,
     HostEntry,
     Kind,
+    PlaceRecord,
     StoredObject,
 )
 from radishbridge.records import Failure
@@ -125,6 +126,7 @@
     :param fleet_demands: demand of all hosts by workspace in the last summary.
     :param crash_reports: crashes of servers, and the requests that are refused for them.
     :param odd_servers: servers of whose headers one was logged as not understood.
+    :param place_records: records of places in the store, by object name.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
     :param unreadable: objects whose newest version cannot be decoded.
@@ -149,6 +151,7 @@
         "moves",
         "odd_servers",
         "orders",
+        "place_records",
         "proven",
         "rate_limiters",
         "ready",
@@ -189,6 +192,7 @@
         self.entries: dict[str, HostEntry] = {}
         self.orders: dict[str, MoveOrder] = {}
         self.moves: dict[str, Move] = {}
+        self.place_records: dict[str, PlaceRecord] = {}
         self.proven: dict[str, bool] = {}
         self.warm_pairs: set[tuple[str, str]] = set()
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
@@ -483,6 +487,11 @@
         """Return the phase of a service's move by the evidence of all hosts."""
         return decide_phase(self.moves[service], evidence, now)
 
+    def newest_place_record(self, service: str) -> PlaceRecord | None:
+        """Return the record of a service's places that applies; ``None`` if there is none."""
+        records = (record for record in self.place_records.values() if record.service == service)
+        return max(records, key=lambda record: record.sequence, default=None)
+
     def _log_change(self, stored: StoredObject, source: str) -> None:
         # Objects that a host reads when it starts are not logged one by one; one line reports the
         # end of the start.
@@ -508,6 +517,11 @@
         elif isinstance(decoded, DrainOrder):
             self.drains[name] = decoded
             self._apply_drains()
+        elif isinstance(decoded, PlaceRecord):
+            self.place_records[name] = decoded
+            newest = self.newest_place_record(decoded.service)
+            if newest is decoded:
+                self.selector.adopt_places(decoded.service, decoded.places)
         elif isinstance(decoded, HostEntry):
             self.entries[decoded.peer_address] = decoded
             self.slow_start.update_hosts(self.entries)
@@ -547,6 +561,8 @@
         elif stored.kind is Kind.DRAIN:
             self.drains.pop(stored.name, None)
             self._apply_drains()
+        elif stored.kind is Kind.HOST and stored.name in self.place_records:
+            del self.place_records[stored.name]
         elif stored.kind is Kind.HOST:
             self.entries.pop(stored.name, None)
             self.slow_start.update_hosts(self.entries)
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -22,6 +22,7 @@
 )
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.object_moves import ObjectMoveCause, ObjectMoveMeter, ObjectMoveReport
+from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.rates import (
     DemandMeter,
     FleetShare,
@@ -52,6 +53,7 @@
     "ObjectMoveCause",
     "ObjectMoveMeter",
     "ObjectMoveReport",
+    "PlaceBook",
     "RateLimiter",
     "RateSlice",
     "RetryBudget",
--- a/packages/steering/src/radishbridge/steering/places.py
+++ b/packages/steering/src/radishbridge/steering/places.py
@@ -70,17 +70,27 @@
 
     :param places: places by id.
     :param by_name: the places of the servers that have one, by server name.
+    :param recorded: place ids by server name that another host has recorded.
     :param spares: servers without a place, by name.
     """
 
-    __slots__ = ("by_name", "places", "spares")
+    __slots__ = ("by_name", "places", "recorded", "spares")
 
-    def __init__(self, servers: t.Iterable[Server]) -> None:
+    def __init__(
+        self, servers: t.Iterable[Server], recorded: t.Mapping[str, str] | None = None
+    ) -> None:
+        self.recorded = recorded or {}
         self.places: dict[str, Place] = {}
         self.by_name: dict[str, Place] = {}
         self.spares: dict[str, Spare] = {}
-        for server in sorted(servers, key=_age_order):
-            self._add_place(server)
+        by_age = sorted(servers, key=_age_order)
+        for server in by_age:
+            if server.name in self.recorded and not server.draining:
+                self._put_recorded(server)
+        for server in by_age:
+            if server.name not in self.by_name:
+                self.spares.pop(server.name, None)
+                self._add_place(server)
 
     def put(self, server: Server) -> None:
         """Add or update a server."""
@@ -90,6 +100,11 @@
             if server.draining:
                 self._fill(place)
             return
+        recorded = self.places.get(self.recorded.get(server.name, ""))
+        if recorded is None and server.name in self.recorded and not server.draining:
+            self.spares.pop(server.name, None)
+            self._put_recorded(server)
+            return
         place = None if server.draining else self._find_open(server)
         if place is not None:
             self.spares.pop(server.name, None)
@@ -109,6 +124,56 @@
             place.closes_at = None
             self._fill(place)
 
+    def record(self) -> dict[str, str]:
+        """Return the place ids by server name, for hosts that start later."""
+        return {name: place.place_id for name, place in self.by_name.items()}
+
+    def differs(self, recorded: t.Mapping[str, str]) -> bool:
+        """Return whether a host that starts would find other places by a record and the entries."""
+        return any(
+            recorded.get(name, place.server.address) != place.place_id
+            for name, place in self.by_name.items()
+        )
+
+    def adopt(self, recorded: t.Mapping[str, str]) -> bool:
+        """Use the recorded places of the servers that a record covers.
+
+        A server that the record does not cover is newer than the record and keeps its place.
+
+        :return: whether a server got another place.
+        """
+        self.recorded = recorded
+        known = [place.server for place in self.by_name.values()]
+        known += [spare.server for spare in self.spares.values()]
+        movers = [
+            server
+            for server in known
+            if not server.draining
+            and recorded.get(server.name, self.place_id(server.name)) != self.place_id(server.name)
+        ]
+        left = [self.by_name.pop(server.name) for server in movers if server.name in self.by_name]
+        for place in left:
+            place.is_vacant = True
+        for server in sorted(movers, key=_age_order):
+            self.spares.pop(server.name, None)
+            self._put_recorded(server)
+        for place in left:
+            if place.is_vacant:
+                self.places.pop(place.place_id, None)
+        return bool(movers)
+
+    def _put_recorded(self, server: Server) -> None:
+        """Give a server its recorded place, or let it wait if another server has taken that."""
+        place_id = self.recorded[server.name]
+        place = self.places.get(place_id)
+        if place is None:
+            place = self.places[place_id] = Place(place_id, server)
+            self.by_name[server.name] = place
+        elif place.is_open:
+            self._assign(place, server)
+        else:
+            self.spares[server.name] = Spare(server)
+
     def settle(self, now: float) -> bool:
         """Drop places that were vacant for too long, and give spare servers a place of their own.
 
@@ -139,6 +204,7 @@
         return min(
             (place for place in self.places.values() if _may_replace(server, place)),
             key=lambda place: (
+                place.place_id != self.recorded.get(server.name),
                 place.server.name != server.name,
                 place.server.address != server.address,
                 place.server.slots != server.slots,
@@ -162,9 +228,9 @@
             self._assign(place, spare)
 
     def _assign(self, place: Place, server: Server) -> None:
-        former = self.by_name.pop(place.server.name, None)
-        if former is not None:
-            self.spares[former.server.name] = Spare(former.server)
+        if not place.is_vacant:
+            del self.by_name[place.server.name]
+            self.spares[place.server.name] = Spare(place.server)
         place.server = server
         place.is_vacant = False
         place.closes_at = None
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -18,8 +18,8 @@
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.object_moves import ObjectMoveMeter
+from radishbridge.steering.place_registry import PlaceRegistry
 from radishbridge.steering.placement import RegionWeights, rank_places, rank_servers
-from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.servers import Server, ServerState
 from radishbridge.steering.slowstart import SlowStart
 
@@ -91,7 +91,7 @@
     :param region: this host's region.
     :param services_with_pace: services whose servers report pace; their objects are ranked by the
         stable places of servers, all others by the names of servers.
-    :param place_books: places by service, for services with pace.
+    :param places: the places of these services' servers.
     :param object_moves: counts the objects of these services that change their first server.
     """
 
@@ -101,7 +101,7 @@
         "notices",
         "object_moves",
         "own_region_services",
-        "place_books",
+        "places",
         "pools",
         "rankings",
         "region",
@@ -127,7 +127,7 @@
         self.rankings: dict[tuple[_PoolKey, str], list[ServerState]] = {}
         self.version_counts: dict[str, dict[str, int]] = {}
         self.services_with_pace: set[str] = set()
-        self.place_books: dict[str, PlaceBook] = {}
+        self.places = PlaceRegistry()
         self.object_moves = ObjectMoveMeter()
 
     def put(self, server: Server, now: float) -> bool:
@@ -136,7 +136,7 @@
         :return: whether it is new or was restarted.
         """
         state = self.states.get(server.name)
-        self._update_place(state, server)
+        self.places.update(None if state is None else state.server, server)
         if state is None or _is_restarted(state.server, server):
             state = self.states[server.name] = ServerState(server, now)
             state.notice = self.notices.find(server)
@@ -152,7 +152,7 @@
         """Remove a server whose entry was deleted."""
         state = self.states.pop(name, None)
         if state is not None:
-            self._update_place(state, None)
+            self.places.update(state.server, None)
             self.clear_caches()
 
     def record_leaving(self, server: Server) -> bool:
@@ -222,35 +222,21 @@
 
     def record_pace(self, service: str) -> None:
         """Record that a service's servers report pace; its objects are then ranked by places."""
-        if service in self.services_with_pace:
-            return
-        self.services_with_pace.add(service)
-        self.place_books[service] = PlaceBook(
-            state.server for state in self.states.values() if state.server.service == service
-        )
-        self.rankings.clear()
+        if service not in self.services_with_pace:
+            self.services_with_pace.add(service)
+            self.places.open_book(service, (state.server for state in self.states.values()))
+            self.rankings.clear()
+
+    def adopt_places(self, service: str, recorded: t.Mapping[str, str]) -> None:
+        """Use the places, by server name, that the coordinator has recorded in the store."""
+        if self.places.adopt(service, recorded):
+            self._clear_rankings()
 
     def settle_places(self, now: float) -> None:
         """Give places to servers that have waited for one long enough; called periodically."""
-        settled = [book.settle(now) for book in self.place_books.values()]
-        if any(settled):
+        if self.places.settle(now):
             self._clear_rankings()
 
-    def _update_place(self, state: ServerState | None, server: Server | None) -> None:
-        """Update the places for a change of a server's entry.
-
-        :param state: the server before the change; ``None`` if it is new.
-        :param server: the new entry; ``None`` if it was removed.
-        """
-        if state is not None and (server is None or server.service != state.server.service):
-            book = self.place_books.get(state.server.service)
-            if book is not None:
-                book.remove(state.server.name)
-        if server is not None:
-            book = self.place_books.get(server.service)
-            if book is not None:
-                book.put(server)
-
     def clear_caches(self) -> None:
         """Clear the cached pools, rankings and counts; they are rebuilt on demand."""
         self.pools.clear()
@@ -428,7 +414,7 @@
             return weights.get(server.region, 1.0) * self._region_weight(server)
 
         pool = self._pool(pool_key)
-        book = self.place_books.get(pool_key.service)
+        book = self.places.books.get(pool_key.service)
         if book is None:
             return rank_servers(f"{pool_key.service}\0{key}", pool, weight)
         ranking = rank_places(f"{pool_key.service}\0{key}", pool, weight, book)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,7 +16,10 @@
 from prometheus_client import CollectorRegistry
 from steering_world import T0, make_selector, make_server
 
-from radishbridge.entry import Bounds, SteeringState
+from radishbridge.entry import (
+    Bounds,
+    SteeringState,
+)
 from radishbridge.entry.messages import CopyState
 from radishbridge.entry.placement_metrics import PlacementCollector
 from radishbridge.entry.summaries import merge_reports
@@ -115,7 +118,7 @@
     def test_nothing_is_ranked_by_place_by_default(self):
         selector = make_selector(4)
         assert selector.services_with_pace == set()
-        assert not selector.place_books
+        assert not selector.places.books
 
     def test_rankings_are_cleared_once_when_pace_is_reported(self):
         selector = make_selector(4)
@@ -218,7 +221,7 @@
         selector.put(make_server(1, name="taken", data_center="dc-2"), T0)
         selector.settle_places(T0)
         selector.settle_places(T0 + SPARE_S)
-        book = selector.place_books[SERVICE]
+        book = selector.places.books[SERVICE]
         assert book.place_id("taken") != book.place_id("server-1")
 
     def test_a_new_server_gets_a_place_of_its_own_if_none_becomes_free(self, selector):
@@ -235,21 +238,21 @@
         selector.settle_places(T0)
         selector.settle_places(T0 + VACANCY_S)
         selector.put(make_server(40, data_center="dc-1"), T0 + VACANCY_S)
-        assert "server-40" in selector.place_books[SERVICE].spares
+        assert "server-40" in selector.places.books[SERVICE].spares
 
     def test_a_server_that_moves_to_another_service_leaves_its_place(self, selector):
         selector.put(make_server(1, service="other"), T0)
-        assert "server-1" not in selector.place_books[SERVICE].by_name
+        assert "server-1" not in selector.places.books[SERVICE].by_name
 
     def test_a_draining_server_that_returns_after_its_replacement_waits_for_a_place(self, selector):
         selector.put(make_server(1, draining=True), T0)
         selector.put(make_server(40, data_center="dc-1"), T0)
         selector.settle_places(T0 + 1.0)
         selector.put(make_server(1), T0 + 10.0)
-        assert "server-1" in selector.place_books[SERVICE].spares
+        assert "server-1" in selector.places.books[SERVICE].spares
         selector.settle_places(T0 + 10.0)
         selector.settle_places(T0 + 10.0 + SPARE_S)
-        assert "server-1" in selector.place_books[SERVICE].by_name
+        assert "server-1" in selector.places.books[SERVICE].by_name
 
     def test_a_host_that_starts_has_the_same_places_whatever_the_order_of_the_entries(self):
         servers = [make_server(number) for number in range(20)]
