Explain the choice of a server by the code that makes it

explain_choice returns what Selector.choose decides now for a request, and for each server of the service why it is passed over. The conditions for which a server is no candidate are now functions that name the first one that holds; the selection uses the same functions.

--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -10,6 +10,7 @@
     WeightedService,
     WorkspaceRule,
 )
+from radishbridge.steering.explain import Candidate, Choice, explain_choice
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.homes import HomeAdmission, HomeDemand, HomeMeter, HomeRegion
 from radishbridge.steering.moves import (
@@ -37,6 +38,8 @@
 
 __all__ = [
     "CallerLimits",
+    "Candidate",
+    "Choice",
     "Configuration",
     "DemandMeter",
     "Evidence",
@@ -68,6 +71,7 @@
     "WeightedService",
     "WorkspaceRule",
     "decide_phase",
+    "explain_choice",
     "is_rate_divided",
     "stable_versions",
     "unit_hash",
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
+from radishbridge.steering.exclusions import find_unsuitable, find_unusable
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.notices import Notice, ServerNotices
 from radishbridge.steering.object_moves import ObjectMoveMeter
@@ -449,17 +450,14 @@
         return state.notice is None or not state.notice.is_paused(now)
 
     def _is_usable(self, state: ServerState) -> bool:
-        server = state.server
-        return not (server.draining or state.is_leaving or server.data_center in self.drained)
+        return find_unusable(state, self.drained) is None
 
     def _matches(self, state: ServerState, pool_key: _PoolKey) -> bool:
-        server = state.server
         return (
-            server.service == pool_key.service
+            state.server.service == pool_key.service
             and self._is_usable(state)
-            and (pool_key.home_regions is None or server.region in pool_key.home_regions)
-            and (pool_key.versions is None or server.version in pool_key.versions)
-            and (pool_key.names is None or server.name in pool_key.names)
+            and find_unsuitable(state, pool_key.home_regions, pool_key.versions, pool_key.names)
+            is None
         )
 
 
