Explain on the users' platform where a request would go now

Operators of the users' platform could not ask a host where it would send a request. The key travels in a header and is never part of an answer; the look-up address, which callers use, serves no explanations.

Not shown: tokens of rates that slice owners grant, refusals of requests that crashed servers (that takes the body), and for services with pace the limit by expected time, whose servers are shown as eligible.

--- a/packages/client/src/radishbridge/client/command.py
+++ b/packages/client/src/radishbridge/client/command.py
@@ -14,6 +14,7 @@
 from radishbridge.client.context import check_store_url, open_context
 from radishbridge.client.drain import DrainGroup
 from radishbridge.client.edit import Edit
+from radishbridge.client.explain_request import ExplainRequest
 from radishbridge.client.key import KeyGroup
 from radishbridge.client.move import MoveGroup
 from radishbridge.client.record import Delete, Diff, Get, List, Validate
@@ -51,6 +52,7 @@
         | Status
         | Hosts
         | Explain
+        | ExplainRequest
         | ReportGroup
     ]
     store: t.Annotated[
@@ -82,7 +84,7 @@
     output = cappa.Output(error_format=ERROR_FORMAT)
     client = cappa.parse(Client, argv=argv, version=VERSION, output=output)
     console = Console(client.json, client.progress)
-    if not isinstance(client.command, Validate):
+    if not isinstance(client.command, Validate | ExplainRequest):
         failure = check_store_url(client.store)
         if failure is not None:
             return console.fail([failure])
--- a/packages/client/src/radishbridge/client/fleet.py
+++ b/packages/client/src/radishbridge/client/fleet.py
@@ -47,19 +47,37 @@
         :return: the response; ``PEER_UNREACHABLE`` without a valid one within
             ``HOST_TIMEOUT_S``.
         """
-        url = f"http://{host.admin_address}{path}"
+        result = await self.fetch_from(host.admin_address, path, type_, params)
+        if isinstance(result, Failure):
+            return Failure(result.code, f"{host.name} ({host.admin_address}): {result.reason}")
+        return result
+
+    async def fetch_from(
+        self,
+        address: str,
+        path: str,
+        type_: type[T],
+        params: t.Mapping[str, str] | None = None,
+        headers: t.Mapping[str, str] | None = None,
+    ) -> T | Failure:
+        """Send a GET request to an address and decode its JSON response, like ``fetch``.
+
+        :param address: ``IP:port``.
+        """
+        url = f"http://{address}{path}"
+        options: dict[str, t.Any] = {"params": params, "headers": headers, "timeout": self.timeout}
         try:
             async with self.request_slots:
-                async with self.session.get(url, params=params, timeout=self.timeout) as response:
+                async with self.session.get(url, **options) as response:
                     body = await response.read()
         except (TimeoutError, aiohttp.ClientError) as error:
-            return _make_unreachable_failure(host, type(error).__name__)
+            return Failure(ResultCode.PEER_UNREACHABLE, type(error).__name__)
         if response.status != 200:
-            return _make_unreachable_failure(host, f"answered {response.status}")
+            return Failure(ResultCode.PEER_UNREACHABLE, f"answered {response.status}")
         try:
             return msgspec.json.decode(body, type=type_)
         except DECODE_ERRORS as error:
-            return _make_unreachable_failure(host, f"malformed answer: {error}")
+            return Failure(ResultCode.PEER_UNREACHABLE, f"malformed answer: {error}")
 
     async def fetch_all(
         self, hosts: t.Sequence[HostEntry], path: str, type_: type[T]
@@ -71,7 +89,3 @@
 def live_hosts(hosts: t.Iterable[HostEntry]) -> list[HostEntry]:
     """Return the hosts that are not leaving, sorted by name."""
     return sorted((host for host in hosts if not host.leaving), key=lambda host: host.name)
-
-
-def _make_unreachable_failure(host: HostEntry, reason: str) -> Failure:
-    return Failure(ResultCode.PEER_UNREACHABLE, f"{host.name} ({host.admin_address}): {reason}")
--- a/packages/records/src/radishbridge/records/__init__.py
+++ b/packages/records/src/radishbridge/records/__init__.py
@@ -15,6 +15,12 @@
 from radishbridge.records.codes import CODE_INFO, CodeInfo, Execution, ResultCode
 from radishbridge.records.decoding import DECODE_ERRORS, shorten
 from radishbridge.records.digest import key_digest
+from radishbridge.records.explanations import (
+    DataAges,
+    ExplainedRate,
+    ExplainedServer,
+    RequestExplanation,
+)
 from radishbridge.records.failures import Failure
 from radishbridge.records.fields import FieldFault, FieldRule, SelfChecking, is_address
 from radishbridge.records.jsonc import Document, check_document, load_document, parse_document
@@ -65,9 +71,12 @@
     "Candidate",
     "ClientBlocks",
     "CodeInfo",
+    "DataAges",
     "Document",
     "Drain",
     "Execution",
+    "ExplainedRate",
+    "ExplainedServer",
     "Explanation",
     "Failure",
     "FieldFault",
@@ -86,6 +95,7 @@
     "Record",
     "RecordBody",
     "RejectedRecord",
+    "RequestExplanation",
     "ResultCode",
     "Route",
     "SelfChecking",
--- a/packages/steering/src/radishbridge/steering/rates.py
+++ b/packages/steering/src/radishbridge/steering/rates.py
@@ -224,6 +224,11 @@
         self.updated_at = max(self.updated_at, now)
         self.tokens = min(self.max_tokens, self.tokens + earned)
 
+    def tokens_at(self, now: float) -> float:
+        """Return the tokens that the bucket has at a time, at the current share."""
+        earned = self.rate_per_s * self.share * max(0.0, now - self.updated_at)
+        return min(self.max_tokens, self.tokens + earned)
+
     def update_demand(
         self, fleet_share: FleetShare, reported_demand: float, total_demand: float, now: float
     ) -> None:
--- a/tests/test_client_pages.py
+++ b/tests/test_client_pages.py
@@ -29,6 +29,7 @@
 CONSOLE_BLOCK = re.compile(r"^```console\n(.*?)^```", re.MULTILINE | re.DOTALL)
 COMMANDS = [
     *("apply", "get", "list", "edit", "diff", "validate", "delete", "status", "hosts", "explain"),
+    "explain-request",
     *("key issue", "key withdraw", "key list", "drain start", "drain stop", "drain list"),
     *("move start", "move list", "report burn"),
 ]
