--- a/bench/_placement_agreement.py
+++ b/bench/_placement_agreement.py
@@ -17,7 +17,7 @@
 WARM_UP_PART = 0.33
 
 
-class Setup(t.NamedTuple):
+class Disagreement(t.NamedTuple):
     """Servers, objects and the disagreement.
 
     :param keeps: objects that a server keeps warm; the least recently used is evicted.
@@ -32,7 +32,7 @@
     replaced: float
 
 
-def cold_runs(setup: Setup, requests: int, seed: int) -> float:
+def cold_runs(setup: Disagreement, requests: int, seed: int) -> float:
     """Return the part of the runs on objects that are not warm."""
     rng = random.Random(seed)
     places = [hash64(f"old-{number}") for number in range(setup.servers)]
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -8,14 +8,16 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import statistics
 import sys
 import time
 
 import msgspec
 
-from bench._placement_agreement import Setup, cold_runs
+from bench._placement_agreement import Disagreement, cold_runs
 from bench._placement_cases import CASES, CAUSES, SERVICE, Result, World
+from bench._placement_return import Setup, run_replacement, summarize_return
 
 AGREEMENT_REQUESTS = 120_000
 RANKINGS = {"name": False, "place": True}
@@ -57,11 +59,33 @@
     }
 
 
+def print_return(seeds: int) -> None:
+    """Print what runs the objects of a replaced server, by seconds since the replacement."""
+    for ranking, by_place in RANKINGS.items():
+        histories = [run_replacement(by_place, seed) for seed in range(seeds)]
+        for interval in summarize_return(histories, 5.0):
+            print(
+                f"by {ranking}, from {interval.from_s:2.0f} s: {interval.requests} requests, "
+                f"{interval.by_replacement:.2f} by the replacement, {interval.cold:.3f} cold, "
+                f"{interval.switches:.2f} switches for each object"
+            )
+    for keeps, load in itertools.product((30, 18), (0.5, 0.75)):
+        cold = {
+            ranking: statistics.fmean(
+                sum(not one.was_warm for one in run_replacement(by_place, seed, Setup(keeps, load)))
+                for seed in range(seeds)
+            )
+            for ranking, by_place in RANKINGS.items()
+        }
+        cells = ", ".join(f"{count:.1f} by {ranking}" for ranking, count in cold.items())
+        print(f"{keeps} warm for each server, load {load}: cold runs in 61 s: {cells}")
+
+
 def print_agreement(servers: int) -> None:
     """Print the runs on cold objects by how many hosts have other places for how many servers."""
     for objects, keeps in ((300, 20), (600, 20), (900, 20), (600, 12)):
         for hosts, replaced in ((0.0, 0.0), (1 / 76, 1.0), (0.1, 1.0), (0.5, 1.0), (0.5, 0.25)):
-            setup = Setup(servers, objects, keeps, hosts, replaced)
+            setup = Disagreement(servers, objects, keeps, hosts, replaced)
             cold = statistics.fmean(cold_runs(setup, AGREEMENT_REQUESTS, seed) for seed in range(3))
             print(
                 f"{objects} objects, {keeps} warm for each server, {hosts:.2f} of the hosts, "
@@ -100,7 +124,16 @@
     parser.add_argument(
         "--agreement", action="store_true", help="measure what hosts with other places cost"
     )
+    parser.add_argument(
+        "--return",
+        dest="returning",
+        action="store_true",
+        help="measure how objects return to a place whose new server is cold",
+    )
     options = parser.parse_args(arguments)
+    if options.returning:
+        print_return(options.seeds)
+        return 0
     if options.agreement:
         print_agreement(options.servers)
         return 0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -45,6 +45,7 @@
     replace_with_gap,
     replace_with_overlap,
 )
+from bench._placement_return import run_replacement, summarize_return
 
 # Bounds of the requirement, set before the ranking by places was written.
 MOVES_MAX = 1.2
@@ -263,6 +264,17 @@
             assert books[0].place_id(server.name) == books[1].place_id(server.name)
 
 
+class TestReturnToAPlace:
+    """A replacement starts cold: its objects must go elsewhere first, and then return for good."""
+
+    def test_objects_return_once_the_replacement_is_warm(self):
+        histories = [run_replacement(by_place=True, seed=seed) for seed in range(3)]
+        intervals = summarize_return(histories, 10.0)
+        assert intervals[0].by_replacement < 0.7
+        assert all(interval.by_replacement > 0.85 for interval in intervals[2:])
+        assert all(interval.switches < 0.2 for interval in intervals[3:])
+
+
 class TestObjectMoves:
     """Operators must see how many objects a change moved, and why."""
 
