--- a/bench/placement.py
+++ b/bench/placement.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from bench._placement_agreement import Disagreement, cold_runs
+from bench._placement_alternatives import METHODS, compare
 from bench._placement_cases import CASES, CAUSES, SERVICE, Result, World
 from bench._placement_return import Setup, run_replacement, summarize_return
 
@@ -59,6 +60,14 @@
     }
 
 
+def print_alternatives(servers: int, objects: int) -> None:
+    """Print moves, shares and costs of other methods."""
+    for name, method in METHODS.items():
+        figures = compare(method, servers, objects)._asdict()
+        cells = ", ".join(f"{column} {value:.2f}" for column, value in figures.items())
+        print(f"{name}, {servers} servers, {objects} objects: {cells}")
+
+
 def print_return(seeds: int) -> None:
     """Print what runs the objects of a replaced server, by seconds since the replacement."""
     for ranking, by_place in RANKINGS.items():
@@ -124,6 +133,9 @@
     parser.add_argument(
         "--agreement", action="store_true", help="measure what hosts with other places cost"
     )
+    parser.add_argument(
+        "--alternatives", action="store_true", help="compare other ways to rank places"
+    )
     parser.add_argument(
         "--return",
         dest="returning",
@@ -131,6 +143,9 @@
         help="measure how objects return to a place whose new server is cold",
     )
     options = parser.parse_args(arguments)
+    if options.alternatives:
+        print_alternatives(options.servers, options.objects)
+        return 0
     if options.returning:
         print_return(options.seeds)
         return 0
