Keep places when a record cannot be applied or written

A server lost its place if a newer server held the one that the record gives it; it keeps it now, and the next record decides. An object with the next sequence that is no record would have blocked all further ones: after a conflict the next attempt skips a number. Rankings are read once per change, not once for each service with pace.

--- a/packages/entry/src/radishbridge/entry/coordinator.py
+++ b/packages/entry/src/radishbridge/entry/coordinator.py
@@ -12,7 +12,7 @@
 from radishbridge.entry.fleet import SUMMARY_MAX_AGE_S, Fleet
 from radishbridge.entry.protocol import FleetStore, Kind, MoveReport, PlaceRecord
 from radishbridge.entry.steering_state import SteeringState
-from radishbridge.records import Failure
+from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import Evidence, MovePhase, PlaceBook
 
 # Pause between two checks of version moves and hosts, in seconds.
@@ -28,16 +28,18 @@
 class FleetCoordinator:
     """Records version moves and places, and removes lost hosts, while this host is coordinator.
 
+    :param place_conflicts: conflicts in a row on writing a service's places.
     :param places_recorded_at: monotonic time of the last record of a service's places that this
         host tried to write.
     """
 
-    __slots__ = ("fleet", "places_recorded_at", "steering_state", "store")
+    __slots__ = ("fleet", "place_conflicts", "places_recorded_at", "steering_state", "store")
 
     def __init__(self, steering_state: SteeringState, fleet: Fleet, store: FleetStore) -> None:
         self.steering_state = steering_state
         self.fleet = fleet
         self.store = store
+        self.place_conflicts: dict[str, int] = {}
         self.places_recorded_at: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -87,9 +89,15 @@
         newest = state.newest_place_record(service)
         if book.differs({} if newest is None else newest.places):
             self.places_recorded_at[service] = now
-            sequence = 1 if newest is None else newest.sequence + 1
+            last = 0 if newest is None else newest.sequence
+            sequence = last + 1 + self.place_conflicts.get(service, 0)
             record = PlaceRecord(service=service, sequence=sequence, places=book.record())
             failure = await self.store.record_places(record)
+            # An object of that name that is no record, or not read yet, must not block the next.
+            if failure is not None and failure.code is ResultCode.VERSION_CONFLICT:
+                self.place_conflicts[service] = self.place_conflicts.get(service, 0) + 1
+            elif failure is None:
+                self.place_conflicts.pop(service, None)
             logger.info(
                 "places recorded",
                 extra={
--- a/packages/steering/src/radishbridge/steering/places.py
+++ b/packages/steering/src/radishbridge/steering/places.py
@@ -143,18 +143,11 @@
         :return: whether a server got another place.
         """
         self.recorded = recorded
-        known = [place.server for place in self.by_name.values()]
-        known += [spare.server for spare in self.spares.values()]
-        movers = [
-            server
-            for server in known
-            if not server.draining
-            and recorded.get(server.name, self.place_id(server.name)) != self.place_id(server.name)
-        ]
-        left = [self.by_name.pop(server.name) for server in movers if server.name in self.by_name]
+        movers = self._find_movers()
+        left = [self.by_name.pop(name) for name in movers if name in self.by_name]
         for place in left:
             place.is_vacant = True
-        for server in sorted(movers, key=_age_order):
+        for server in sorted(movers.values(), key=_age_order):
             self.spares.pop(server.name, None)
             self._put_recorded(server)
         for place in left:
@@ -162,6 +155,29 @@
                 self.places.pop(place.place_id, None)
         return bool(movers)
 
+    def _find_movers(self) -> dict[str, Server]:
+        """Return the servers whose recorded place is another one and can be had, by name."""
+        known = [place.server for place in self.by_name.values()]
+        known += [spare.server for spare in self.spares.values()]
+        movers = {
+            server.name: server
+            for server in known
+            if not server.draining
+            and server.name in self.recorded
+            and self.recorded[server.name] != self.place_id(server.name)
+        }
+        while True:
+            held = {name: self.places.get(self.recorded[name]) for name in movers}
+            blocked = [
+                name
+                for name, place in held.items()
+                if place is not None and not place.is_open and place.server.name not in movers
+            ]
+            if not blocked:
+                return movers
+            for name in blocked:
+                del movers[name]
+
     def _put_recorded(self, server: Server) -> None:
         """Give a server its recorded place, or let it wait if another server has taken that."""
         place_id = self.recorded[server.name]
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -249,14 +249,13 @@
 
         :param are_weights: only the weights of regions changed.
         """
-        for service in self.services_with_pace:
-            firsts = [
-                ((pool_key.home_regions, key), ranking[0].server.name)
-                for (pool_key, key), ranking in self.rankings.items()
-                if pool_key.service == service and pool_key.names is None and ranking
-            ]
-            if firsts:
-                self.object_moves.record_change(service, firsts, are_weights)
+        firsts: dict[str, list[tuple[t.Hashable, str]]] = {}
+        for (pool_key, key), ranking in self.rankings.items() if self.services_with_pace else ():
+            if pool_key.service in self.services_with_pace and pool_key.names is None and ranking:
+                first = ((pool_key.home_regions, key), ranking[0].server.name)
+                firsts.setdefault(pool_key.service, []).append(first)
+        for service, by_object in firsts.items():
+            self.object_moves.record_change(service, by_object, are_weights)
         self.rankings.clear()
 
     def usable_servers(self, service: str) -> list[ServerState]:
--- a/tests/test_place_records.py
+++ b/tests/test_place_records.py
@@ -92,6 +92,12 @@
         assert book.place_id("server-40") == "10.0.0.1:80"
         assert "server-1" in book.spares
 
+    def test_a_server_keeps_its_place_if_a_newer_one_holds_the_recorded_one(self, book):
+        book.put(make_server(1, draining=True))
+        book.put(make_server(40, data_center="dc-1"))
+        assert not book.adopt({"server-5": "10.0.0.1:80"})
+        assert book.place_id("server-5") == "10.0.0.5:80"
+
     def test_a_draining_server_does_not_take_its_place_back(self, book):
         book.put(make_server(1, draining=True))
         book.put(make_server(40, data_center="dc-1"))
@@ -223,6 +229,17 @@
         await coordinator.step(T0 + PLACES_INTERVAL_S)
         assert coordinator.store.calls == [("record", 1), ("record", 1)]
 
+    async def test_an_object_with_the_next_sequence_does_not_block_records(self, coordinator):
+        coordinator.steering_state.selector.record_pace(SERVICE)
+        self.replace(coordinator, 1, 40)
+        coordinator.store.failure = Failure(ResultCode.VERSION_CONFLICT, "it exists")
+        await coordinator.step(T0)
+        coordinator.store.failure = None
+        await coordinator.step(T0 + PLACES_INTERVAL_S)
+        self.replace(coordinator, 2, 41)
+        await coordinator.step(T0 + 2.0 * PLACES_INTERVAL_S)
+        assert [sequence for _, sequence in coordinator.store.calls][:3] == [1, 2, 3]
+
     async def test_an_older_record_that_arrives_late_is_not_used(self, coordinator):
         state = coordinator.steering_state
         state.selector.record_pace(SERVICE)
