--- a/packages/client/src/radishbridge/client/explain_request.py
+++ b/packages/client/src/radishbridge/client/explain_request.py
@@ -184,6 +184,9 @@
     shown = {
         **{name: fields[name] for name in ("configuration", "route", "service", "versions")},
         "home regions": fields["home regions"],
+        "admitted in the home region": (
+            f"{explanation.admitted_fraction:.0%}" if explanation.admitted_fraction < 1.0 else ""
+        ),
         "workspace": explanation.workspace,
         "rate": "" if rate is None else _format_rate(rate.per_s, rate.burst, rate.tokens),
         "data": f"summary {summary}, store {store}",
