--- a/packages/entry/src/radishbridge/entry/steering_state.py
+++ b/packages/entry/src/radishbridge/entry/steering_state.py
@@ -20,6 +20,7 @@
     DrainOrder,
     HostEntry,
     Kind,
+    PlaceRecord,
     StoredObject,
 )
 from radishbridge.records import Failure
@@ -130,6 +131,7 @@
     :param cold_servers: servers that this host found cold while the store was silent.
     :param crash_reports: crashes of servers, and the requests that are refused for them.
     :param odd_servers: servers of whose headers one was logged as not understood.
+    :param place_records: records of places in the store, by object name.
     :param proven: whether the evidence of a service's version move shows no fault, by service.
     :param warm_pairs: servers and objects for which a server has answered a request before.
     :param unreadable: objects whose newest version cannot be decoded.
@@ -158,6 +160,7 @@
         "moves",
         "odd_servers",
         "orders",
+        "place_records",
         "proven",
         "rate_limiters",
         "ready",
@@ -200,6 +203,7 @@
         self.entries: dict[str, HostEntry] = {}
         self.orders: dict[str, MoveOrder] = {}
         self.moves: dict[str, Move] = {}
+        self.place_records: dict[str, PlaceRecord] = {}
         self.proven: dict[str, bool] = {}
         self.warm_pairs: set[tuple[str, str]] = set()
         self.home_meters: dict[HomeRegion, HomeMeter] = {}
@@ -261,6 +265,9 @@
             self._apply_home_demand(service, by_region, now)
         self.selector.update_median_latencies()
         self.load_exchange.apply_summary(summary.loads, now)
+        for service in self.selector.loads:
+            self.selector.record_pace(service)
+        self._settle_places(now)
         self.crash_reports.apply_summary(summary, now)
         for cold in summary.cold_servers:
             self.selector.record_cold(cold.server, cold.incarnation, cold.cold_for_s, now)
@@ -272,6 +279,19 @@
                 move.fault = fault
                 logger.warning("new version is bad", extra={"service": service, "reason": fault})
 
+    def _settle_places(self, now: float) -> None:
+        self.selector.settle_places(now)
+        for report in self.selector.object_moves.take_reports(now):
+            logger.info(
+                "objects moved",
+                extra={
+                    "service": report.service,
+                    "moved": report.total,
+                    "compared": report.compared,
+                    "by_cause": {cause.value: count for cause, count in report.moved.items()},
+                },
+            )
+
     def _apply_home_demand(
         self, service: str, by_region: t.Mapping[str, HomeDemand], now: float
     ) -> None:
@@ -507,6 +527,11 @@
         """Return the phase of a service's move by the evidence of all hosts."""
         return decide_phase(self.moves[service], evidence, now)
 
+    def newest_place_record(self, service: str) -> PlaceRecord | None:
+        """Return the record of a service's places that applies; ``None`` if there is none."""
+        records = (record for record in self.place_records.values() if record.service == service)
+        return max(records, key=lambda record: record.sequence, default=None)
+
     def _log_change(self, stored: StoredObject, source: str) -> None:
         # Objects that a host reads when it starts are not logged one by one; one line reports the
         # end of the start.
@@ -532,6 +557,11 @@
         elif isinstance(decoded, DrainOrder):
             self.drains[name] = decoded
             self._apply_drains()
+        elif isinstance(decoded, PlaceRecord):
+            self.place_records[name] = decoded
+            newest = self.newest_place_record(decoded.service)
+            if newest is decoded:
+                self.selector.adopt_places(decoded.service, decoded.places)
         elif isinstance(decoded, HostEntry):
             self.entries[decoded.peer_address] = decoded
             self.slow_start.update_hosts(self.entries)
@@ -571,6 +601,8 @@
         elif stored.kind is Kind.DRAIN:
             self.drains.pop(stored.name, None)
             self._apply_drains()
+        elif stored.kind is Kind.HOST and stored.name in self.place_records:
+            del self.place_records[stored.name]
         elif stored.kind is Kind.HOST:
             self.entries.pop(stored.name, None)
             self.slow_start.update_hosts(self.entries)
--- a/packages/steering/src/radishbridge/steering/__init__.py
+++ b/packages/steering/src/radishbridge/steering/__init__.py
@@ -10,6 +10,8 @@
     WeightedService,
     WorkspaceRule,
 )
+from radishbridge.steering.explain import Candidate, ChoiceExplanation, explain_choice
+from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.homes import HomeAdmission, HomeDemand, HomeMeter, HomeRegion
 from radishbridge.steering.load import Choice, Refusal, ServiceLoad, retry_delay_s
 from radishbridge.steering.moves import (
@@ -21,7 +23,8 @@
     stable_versions,
 )
 from radishbridge.steering.notices import Notice, ServerNotices
-from radishbridge.steering.placement import unit_hash
+from radishbridge.steering.object_moves import ObjectMoveCause, ObjectMoveMeter, ObjectMoveReport
+from radishbridge.steering.places import PlaceBook
 from radishbridge.steering.rates import (
     DemandMeter,
     FleetShare,
@@ -36,7 +39,9 @@
 
 __all__ = [
     "CallerLimits",
+    "Candidate",
     "Choice",
+    "ChoiceExplanation",
     "Configuration",
     "DemandMeter",
     "Evidence",
@@ -50,6 +55,10 @@
     "MoveOrder",
     "MovePhase",
     "Notice",
+    "ObjectMoveCause",
+    "ObjectMoveMeter",
+    "ObjectMoveReport",
+    "PlaceBook",
     "RateLimiter",
     "RateSlice",
     "Refusal",
@@ -66,6 +75,7 @@
     "WeightedService",
     "WorkspaceRule",
     "decide_phase",
+    "explain_choice",
     "is_rate_divided",
     "retry_delay_s",
     "stable_versions",
--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -9,7 +9,7 @@
 import enum
 import typing as t
 
-from radishbridge.steering.placement import unit_hash
+from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.servers import ServerState
 
 # Length of a run on a warm object relative to one on a cold object. The platform states this
--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -15,6 +15,8 @@
 import msgspec
 
 from radishbridge.steering.configuration import ServiceRule
+from radishbridge.steering.exclusions import find_unsuitable, find_unusable
+from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.load import (
     Choice,
     Limits,
@@ -23,7 +25,9 @@
     is_moved,
 )
 from radishbridge.steering.notices import Notice, ServerNotices
-from radishbridge.steering.placement import RegionWeights, rank_servers, unit_hash
+from radishbridge.steering.object_moves import ObjectMoveMeter
+from radishbridge.steering.place_registry import PlaceRegistry
+from radishbridge.steering.placement import RegionWeights, rank_places, rank_servers
 from radishbridge.steering.servers import Server, ServerState
 from radishbridge.steering.service_loads import ServiceLoads
 from radishbridge.steering.slowstart import SlowStart
@@ -100,6 +104,10 @@
     :param region: this host's region.
     :param loads: load by service whose servers report pace. Their servers are selected by expected
         time, all others by occupancy.
+    :param services_with_pace: services whose servers report pace; their objects are ranked by the
+        stable places of servers, all others by the names of servers.
+    :param places: the places of these services' servers.
+    :param object_moves: counts the objects of these services that change their first server.
     """
 
     __slots__ = (
@@ -107,11 +115,14 @@
         "loads",
         "median_latencies",
         "notices",
+        "object_moves",
         "own_region_services",
+        "places",
         "pools",
         "rankings",
         "region",
         "rules",
+        "services_with_pace",
         "slow_start",
         "states",
         "version_counts",
@@ -132,6 +143,9 @@
         self.rankings: dict[tuple[_PoolKey, str], list[ServerState]] = {}
         self.version_counts: dict[str, dict[str, int]] = {}
         self.loads = ServiceLoads()
+        self.services_with_pace: set[str] = set()
+        self.places = PlaceRegistry()
+        self.object_moves = ObjectMoveMeter()
 
     def put(self, server: Server, now: float) -> bool:
         """Add or update a server.
@@ -139,6 +153,7 @@
         :return: whether it is new or was restarted.
         """
         state = self.states.get(server.name)
+        self.places.update(None if state is None else state.server, server)
         if state is None or _is_restarted(state.server, server):
             state = self.states[server.name] = ServerState(server, now)
             state.notice = self.notices.find(server)
@@ -152,7 +167,9 @@
 
     def remove(self, name: str) -> None:
         """Remove a server whose entry was deleted."""
-        if self.states.pop(name, None) is not None:
+        state = self.states.pop(name, None)
+        if state is not None:
+            self.places.update(state.server, None)
             self.clear_caches()
 
     def record_cold(self, name: str, incarnation: int, cold_for_s: float, now: float) -> bool:
@@ -232,14 +249,45 @@
         """Prefer servers in this host's region for a service, because its responses are large."""
         if service not in self.own_region_services:
             self.own_region_services.add(service)
+            self._clear_rankings(are_weights=True)
+
+    def record_pace(self, service: str) -> None:
+        """Record that a service's servers report pace; its objects are then ranked by places."""
+        if service not in self.services_with_pace:
+            self.services_with_pace.add(service)
+            self.places.open_book(service, (state.server for state in self.states.values()))
             self.rankings.clear()
 
+    def adopt_places(self, service: str, recorded: t.Mapping[str, str]) -> None:
+        """Use the places, by server name, that the coordinator has recorded in the store."""
+        if self.places.adopt(service, recorded):
+            self._clear_rankings()
+
+    def settle_places(self, now: float) -> None:
+        """Give places to servers that have waited for one long enough; called periodically."""
+        if self.places.settle(now):
+            self._clear_rankings()
+
     def clear_caches(self) -> None:
         """Clear the cached pools, rankings and counts; they are rebuilt on demand."""
         self.pools.clear()
-        self.rankings.clear()
+        self._clear_rankings()
         self.version_counts.clear()
 
+    def _clear_rankings(self, are_weights: bool = False) -> None:
+        """Clear the cached rankings, and remember the first servers of services with pace.
+
+        :param are_weights: only the weights of regions changed.
+        """
+        firsts: dict[str, list[tuple[t.Hashable, str]]] = {}
+        for (pool_key, key), ranking in self.rankings.items() if self.services_with_pace else ():
+            if pool_key.service in self.services_with_pace and pool_key.names is None and ranking:
+                first = ((pool_key.home_regions, key), ranking[0].server.name)
+                firsts.setdefault(pool_key.service, []).append(first)
+        for service, by_object in firsts.items():
+            self.object_moves.record_change(service, by_object, are_weights)
+        self.rankings.clear()
+
     def usable_servers(self, service: str) -> list[ServerState]:
         """Return a service's servers that accept requests and are not drained."""
         return self._pool(_PoolKey(service, None, None, None))
@@ -279,7 +327,7 @@
         slots = self.slots_by_region(service)
         changed = self.weights.setdefault(service, RegionWeights()).update(slots, home_bound, now)
         if changed:
-            self.rankings.clear()
+            self._clear_rankings(are_weights=True)
         return changed
 
     def update_median_latencies(self) -> None:
@@ -294,11 +342,6 @@
             if sum(state.latency_samples for state in states) >= MEDIAN_SAMPLES_MIN
         }
 
-    @property
-    def services_with_pace(self) -> t.Collection[str]:
-        """Return the services whose servers report pace."""
-        return self.loads.keys()
-
     def choose(
         self, criteria: ServerCriteria, tried: t.Collection[str], now: float
     ) -> ServerState | None:
@@ -313,6 +356,14 @@
 
         :param tried: names of servers that must not be chosen again.
         """
+        choice = self.preview(criteria, tried, now)
+        load = self.loads.get(criteria.service)
+        if load is not None and load.is_known:
+            load.record_choice(choice)
+        return choice
+
+    def preview(self, criteria: ServerCriteria, tried: t.Collection[str], now: float) -> Choice:
+        """Return what ``decide`` would return, without counting it as a selection."""
         median_s = self.median_latencies.get(criteria.service, 0.0)
         silence_s = self.loads.silence_latency_s(criteria.service, median_s)
         load = self.loads.get(criteria.service)
@@ -335,11 +386,9 @@
             first = list(itertools.islice(available, SERVERS_PER_OBJECT))
         others = itertools.islice(available, FALLBACK_SERVERS_MAX)
         if load is not None and load.is_known:
-            choice = self._choose_by_time(
+            return self._choose_by_time(
                 load, first, others, criteria, now, lambda state: self._admits(state, now)
             )
-            load.record_choice(choice)
-            return choice
         return Choice(self._pick(first, others, criteria, median_s, now))
 
     def _choose_by_time(
@@ -458,7 +507,21 @@
         def weight(server: Server) -> float:
             return weights.get(server.region, 1.0) * self._region_weight(server)
 
-        return rank_servers(f"{pool_key.service}\0{key}", self._pool(pool_key), weight)
+        pool = self._pool(pool_key)
+        book = self.places.books.get(pool_key.service)
+        if book is None:
+            return rank_servers(f"{pool_key.service}\0{key}", pool, weight)
+        ranking = rank_places(f"{pool_key.service}\0{key}", pool, weight, book)
+        if ranking and pool_key.names is None:
+            first = ranking[0].server.name
+            self.object_moves.record_ranking(
+                pool_key.service, (pool_key.home_regions, key), first, self._takes_objects
+            )
+        return ranking
+
+    def _takes_objects(self, name: str) -> bool:
+        state = self.states.get(name)
+        return state is not None and self._is_usable(state)
 
     def _region_weight(self, server: Server) -> float:
         is_preferred = server.service in self.own_region_services and server.region == self.region
@@ -480,17 +543,14 @@
         return state.notice is None or not state.notice.is_paused(now)
 
     def _is_usable(self, state: ServerState) -> bool:
-        server = state.server
-        return not (server.draining or state.is_leaving or server.data_center in self.drained)
+        return find_unusable(state, self.drained) is None
 
     def _matches(self, state: ServerState, pool_key: _PoolKey) -> bool:
-        server = state.server
         return (
-            server.service == pool_key.service
+            state.server.service == pool_key.service
             and self._is_usable(state)
-            and (pool_key.home_regions is None or server.region in pool_key.home_regions)
-            and (pool_key.versions is None or server.version in pool_key.versions)
-            and (pool_key.names is None or server.name in pool_key.names)
+            and find_unsuitable(state, pool_key.home_regions, pool_key.versions, pool_key.names)
+            is None
         )
 
 
