--- a/packages/client/src/radishbridge/client/explain_request.py
+++ b/packages/client/src/radishbridge/client/explain_request.py
@@ -200,7 +200,7 @@
             one.place,
             f"{one.in_flight}/{one.slots}",
             f"{one.occupancy:.2f}",
-            f"{one.load_age_s:.1f}",
+            "none" if one.load_age_s is None else f"{one.load_age_s:.1f}",
             one.verdict,
         )
         for one in explanation.servers
--- a/packages/entry/src/radishbridge/entry/explain.py
+++ b/packages/entry/src/radishbridge/entry/explain.py
@@ -187,7 +187,7 @@
         slots=server.slots,
         in_flight=state.in_flight,
         occupancy=round(state.occupancy(now), 2),
-        load_age_s=round(max(0.0, now - state.load_reported_at), 2),
+        load_age_s=round(max(0.0, now - state.load_reported_at), 2) if state.is_heard else None,
         verdict=candidate.verdict,
     )
 
--- a/packages/records/src/radishbridge/records/explanations.py
+++ b/packages/records/src/radishbridge/records/explanations.py
@@ -11,7 +11,7 @@
     :param place: id of its place; empty if objects are ranked by server name.
     :param in_flight: requests of this host at the server.
     :param occupancy: requests that it runs or queues per slot, as this host estimates.
-    :param load_age_s: seconds since the server last reported its load to this host.
+    :param load_age_s: seconds since the server last reported its load; ``None`` if it has not.
     :param verdict: ``chosen``, ``eligible``, or why it is passed over.
     """
 
@@ -23,7 +23,7 @@
     slots: int
     in_flight: int
     occupancy: float
-    load_age_s: float
+    load_age_s: float | None
     verdict: str
 
 
--- a/packages/steering/src/radishbridge/steering/servers.py
+++ b/packages/steering/src/radishbridge/steering/servers.py
@@ -172,6 +172,11 @@
             return False
         return now < self.ejected_until or self.is_probing
 
+    @property
+    def is_heard(self) -> bool:
+        """Return whether a load report of the server is known."""
+        return self.load_reported_at > float("-inf")
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the server has said in a response that it is leaving."""
--- a/tests/test_explain_request.py
+++ b/tests/test_explain_request.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 import pytest
-from aiohttp.test_utils import TestServer
+from aiohttp.test_utils import RawTestServer
 from fleet_world import Hosts
 from prometheus_client import CollectorRegistry
 from steering_world import T0, make_route, make_server
@@ -130,7 +130,8 @@
             endpoints = Endpoints(
                 state, explainer.fleet, CollectorRegistry(), 1.0, lambda: True, explainer
             )
-            server = TestServer(endpoints.application(is_operators))
+            handle = endpoints.handle_operators if is_operators else endpoints.handle
+            server = RawTestServer(handle)
             await stack.enter_async_context(server)
             addresses.append(f"{server.host}:{server.port}")
         yield addresses
