Keep the rate whole when the entries of lost hosts are removed

The share of each host whose entry left the store was reserved for 12 s, also where the others had taken it over 90 s before. With half of the hosts lost for good, the rate fell to 0.5 for 12 s from 120 s on; it was whole there before shares expired. Shares that were taken over are not reserved any more; the model of that case uses 0.85 or more of the rate.

--- a/packages/entry/src/radishbridge/entry/share_contact.py
+++ b/packages/entry/src/radishbridge/entry/share_contact.py
@@ -58,7 +58,7 @@
         self.store_contact = StoreContact()
 
     def update_entries(
-        self, entries: t.Mapping[str, HostEntry], departing: t.Container[str], now: float
+        self, entries: t.Mapping[str, HostEntry], departing: t.Collection[str], now: float
     ) -> None:
         """Apply a list of the registered hosts.
 
@@ -66,7 +66,10 @@
         """
         questioned = {name: entry.is_questioned for name, entry in entries.items()}
         self.is_questioned = questioned.get(self.own, False)
-        self.silent_shares.update(questioned, departing, now)
+        # Their shares are in use already; reserving them once more would reduce the rates.
+        registered = self.silent_shares.registered_at
+        taken_over = [name for name in registered if not self.may_use_share(name, now)]
+        self.silent_shares.update(questioned, {*departing, *taken_over}, now)
 
     def update_own_share(
         self,
--- a/packages/steering/src/radishbridge/steering/share_expiry.py
+++ b/packages/steering/src/radishbridge/steering/share_expiry.py
@@ -144,17 +144,18 @@
         self.removed_at: dict[str, float] = {}
 
     def update(
-        self, questioned: t.Mapping[str, bool], departing: t.Container[str], now: float
+        self, questioned: t.Mapping[str, bool], not_reserved: t.Container[str], now: float
     ) -> None:
         """Apply a list of the registered hosts.
 
         :param questioned: by host whether its entry is questioned.
-        :param departing: hosts without an entry that are in contact.
+        :param not_reserved: hosts whose share is not reserved when their entry is removed: they
+            are in contact, or their share has been taken over.
         """
         for name in self.registered_at.keys() - questioned.keys():
             del self.registered_at[name], self.answered_at[name]
             self.questioned_at.pop(name, None)
-            if name not in departing:
+            if name not in not_reserved:
                 self.removed_at[name] = now
         for name, is_questioned in questioned.items():
             self.removed_at.pop(name, None)
--- a/tests/test_rate_limits_under_faults.py
+++ b/tests/test_rate_limits_under_faults.py
@@ -18,6 +18,7 @@
     Registration,
     SteeringState,
 )
+from radishbridge.entry.fleet import HOST_REMOVED_AFTER_S
 from radishbridge.peers import HostAddress
 from radishbridge.steering import Configuration, WorkspaceRule
 
@@ -306,6 +307,19 @@
 
         virtual_time.run(scenario(), monkeypatch)
 
+    def test_rate_stays_whole_when_the_entries_are_removed(self, monkeypatch):
+        async def scenario() -> None:
+            fleet = SplitFleet(8)
+            await fleet.world.run_for(8.0)
+            fleet.kill(fleet.names[-4:])
+            await fleet.world.run_for(HOST_REMOVED_AFTER_S + 12.0)
+            await fleet.stop()
+            fleet.check_limit()
+            start_s = HOST_REMOVED_AFTER_S + 2.0
+            assert fleet.admitted_fraction("large", start_s, start_s + 10.0) >= 0.85
+
+        virtual_time.run(scenario(), monkeypatch)
+
     def test_half_of_the_hosts_are_killed_and_start_again(self, monkeypatch):
         async def scenario() -> None:
             fleet = SplitFleet(8)
