Hand over the usage duty without reporting an unreachable store

A host whose call for the usage record failed for 1 s, or found a record that can't be decoded, reported that it does not reach the store. Such a status lets two hosts check each cold-start server for 4 s although the store answers, and moves other roles. Reports now say separately whether the record is reached, and summaries name the hosts that do not reach it; only the choice of the candidate uses it. Both fields are sent only where the settings name the duty.

--- a/packages/entry/src/radishbridge/entry/fleet.py
+++ b/packages/entry/src/radishbridge/entry/fleet.py
@@ -92,6 +92,10 @@
     def holding(self) -> UsageHolding | None:
         """What the holder of the duty has last told; ``None`` if there is none."""
 
+    @property
+    def unable(self) -> t.Collection[str]:
+        """Hosts that do not reach the record of the duty."""
+
     def build_report(self, now: float) -> UsageReport:
         """Return this host's part of its report."""
 
@@ -377,8 +381,10 @@
         known, candidate = self.ranked_summary
         if known is not summary:
             staying = [status for status in summary.hosts if not status.is_leaving]
-            able = [status.name for status in staying if status.reaches_store]
-            names = able or [status.name for status in staying]
+            reaching = [status.name for status in staying if status.reaches_store]
+            unable = () if self.usage is None else self.usage.unable
+            able = [name for name in reaching if name not in unable]
+            names = able or reaching or [status.name for status in staying]
             candidate = next(iter(self.rank_for("sum", names)), None)
             self.ranked_summary = (summary, candidate)
         return candidate
--- a/packages/entry/src/radishbridge/entry/usage.py
+++ b/packages/entry/src/radishbridge/entry/usage.py
@@ -72,6 +72,7 @@
     :param incarnation: differs for each start of this host.
     :param duty: this host's part in the duty.
     :param dropped_through: newest window whose counts of all hosts were dropped.
+    :param unable: hosts that do not reach the record, by the last summary.
     """
 
     __slots__ = (
@@ -84,6 +85,7 @@
         "rules",
         "sequence",
         "time",
+        "unable",
         "wall_clock",
     )
 
@@ -102,6 +104,7 @@
         self.wall_clock = wall_clock
         self.sequence = 0
         self.dropped_through = 0
+        self.unable: t.Collection[str] = ()
         self.time = FleetTime(wall_clock() - now)
         self.counter = UsageCounter(rules.window_s, rules.useful_s, self.time)
         self.gathering = UsageGathering(rules.window_s)
@@ -124,6 +127,7 @@
             settled_through=self.counter.settled_through(now),
             counts=self.counter.snapshot(now),
             holding=self.duty.holding,
+            reaches_record=self.duty.reaches_store(now),
         )
 
     def record_report(self, name: str, report: UsageReport, is_leaving: bool, now: float) -> None:
@@ -137,11 +141,13 @@
         return UsageNews(
             time_s=now + (self.time.own_offset_s if offset_s is None else offset_s),
             holding=self.gathering.holding,
+            unable=self.gathering.unable(now),
         )
 
     def apply_news(self, news: UsageNews, now: float) -> None:
         """Apply what an aggregator tells."""
         self.time.fleet_offset_s = news.time_s - now
+        self.unable = frozenset(news.unable)
         self.gathering.hold(news.holding)
         self._observe(now)
 
--- a/packages/steering/src/radishbridge/steering/usage_counts.py
+++ b/packages/steering/src/radishbridge/steering/usage_counts.py
@@ -66,6 +66,7 @@
     :param settled_through: newest window whose counts of this host do not change any more.
     :param counts: requests by window and workspace; cumulative, for windows that are not final.
     :param holding: only from the holder of the duty.
+    :param reaches_record: the store answered the host's recent calls for the record, if any.
     """
 
     incarnation: Number
@@ -74,16 +75,19 @@
     settled_through: Number
     counts: CountsByWindow
     holding: UsageHolding | None = None
+    reaches_record: bool = True
 
 
 class UsageNews(msgspec.Struct, frozen=True, array_like=True):
     """What an aggregator tells all hosts with its summary.
 
     :param time_s: the fleet's time, in seconds since the start of 1970.
+    :param unable: hosts that do not reach the record in the store.
     """
 
     time_s: Seconds
     holding: UsageHolding | None = None
+    unable: list[str] = []
 
 
 class FleetTime:
@@ -258,7 +262,15 @@
 class _Gathered:
     """The last report of one incarnation of a host."""
 
-    __slots__ = ("counts", "heard_at", "is_leaving", "name", "sequence", "settled_through")
+    __slots__ = (
+        "counts",
+        "heard_at",
+        "is_leaving",
+        "name",
+        "reaches_record",
+        "sequence",
+        "settled_through",
+    )
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -267,6 +279,7 @@
         self.settled_through = 0
         self.heard_at = float("-inf")
         self.is_leaving = False
+        self.reaches_record = True
 
 
 class Unsettled(t.NamedTuple):
@@ -307,6 +320,7 @@
         gathered.settled_through = report.settled_through
         gathered.heard_at = now
         gathered.is_leaving = is_leaving
+        gathered.reaches_record = report.reaches_record
         gathered.counts.update(report.counts)
         self.time_offsets[name] = report.time_s - now
         self.hold(report.holding)
@@ -345,6 +359,14 @@
         offsets = [self.time_offsets[name] for name in live if name in self.time_offsets]
         return statistics.median(offsets) if offsets else None
 
+    def unable(self, now: float) -> list[str]:
+        """Return the hosts that have lately reported that they do not reach the record."""
+        return [
+            gathered.name
+            for gathered in self.hosts.values()
+            if not gathered.reaches_record and now - gathered.heard_at <= SILENT_AFTER_S
+        ]
+
     def totals(self, window: int) -> dict[str, int]:
         """Return the counts of all hosts in a window, by workspace."""
         totals: dict[str, int] = {}
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -252,6 +252,26 @@
         hosts.run(0.6)
         assert {one.holding.token for one in exchanges.values()} == {3}
 
+    def test_a_candidate_whose_calls_fail_hands_over_only_this_duty(self):
+        # A status that does not reach the store starts status checks of backend servers.
+        hosts = Hosts(6)
+        for fleet in hosts.fleets:
+            fleet.usage = make_exchange(fleet.own.peer_address)
+        hosts.run(2.0)
+        failing = hosts.fleets[0].usage_candidate(hosts.now)
+        duty = next(one.usage.duty for one in hosts.fleets if one.own.peer_address == failing)
+        duty.failing_since, duty.failed_at = hosts.now - 1.5, hosts.now
+        hosts.run(1.0)
+        candidates = {fleet.usage_candidate(hosts.now) for fleet in hosts.fleets}
+        assert len(candidates) == 1
+        assert failing not in candidates
+        for fleet in hosts.fleets:
+            live = fleet.live_hosts(hosts.now).values()
+            assert len(live) == 6
+            assert all(status.reaches_store for status in live)
+        hosts.run(6.0)
+        assert {fleet.usage_candidate(hosts.now) for fleet in hosts.fleets} == {failing}
+
     def test_a_candidate_that_is_no_aggregator_gets_the_reports_too(self):
         hosts = Hosts(6)
         for fleet in hosts.fleets:
