Slow down failing writes of the usage record while reads work

A successful read after a failed write reset the pauses and the time of the first failure. With a store that answers reads but no write, a candidate made ten calls a second and never handed over. Only a write that succeeds, or a read that shows the last one, ends a failure of writes. In the test of that case, calls in 30 s fall from 300 to at most 120.

--- a/packages/steering/src/radishbridge/steering/usage.py
+++ b/packages/steering/src/radishbridge/steering/usage.py
@@ -217,6 +217,7 @@
     :param failing_since: monotonic time since which calls of the store fail; infinite if the last
         one worked.
     :param failed_at: monotonic time of the last failure.
+    :param is_write_open: the last write has not succeeded, as far as this host knows.
     :param left_out: windows that the last write left out, with the reason.
     """
 
@@ -230,6 +231,7 @@
         "highest_token",
         "holder",
         "incarnation",
+        "is_write_open",
         "left_out",
         "must_read",
         "next_call_at",
@@ -270,6 +272,7 @@
         self.store_failures = 0
         self.failing_since = float("inf")
         self.failed_at = float("-inf")
+        self.is_write_open = False
         self.next_call_at = float("-inf")
         self.next_store_at = float("-inf")
 
@@ -340,9 +343,13 @@
         :param stored: ``None`` if there is no record.
         :param now: time after the response.
         """
-        self._reached()
         self.must_read = False
         self._replace(stored, now)
+        if stored is not None and self._is_last_write(stored.record):
+            self.is_write_open = False
+        # The store may answer reads while each write fails, which must not reset the pauses.
+        if not self.is_write_open:
+            self._reached()
 
     def on_written(self, step: WriteRecord, revision: int, now: float) -> None:
         """Record that a write has succeeded."""
@@ -373,7 +380,11 @@
         self.failed_at = now
         self._pause(now)
 
+    def _is_last_write(self, record: UsageRecord) -> bool:
+        return self._is_own(record) and record.sequence == self.sequence
+
     def _reached(self) -> None:
+        self.is_write_open = False
         self.store_failures = 0
         self.failing_since = float("inf")
 
@@ -430,7 +441,7 @@
         self.highest_token = max(self.highest_token, record.token)
         # An earlier write of this host may have taken effect late. It permits nothing, since it
         # is not known when it was sent.
-        if self._is_own(record) and record.sequence == self.sequence:
+        if self._is_last_write(record):
             self.valid_until = self.sent_at + self.rules.lease_s
 
     def _is_useful(self, window: int, time_s: float) -> bool:
@@ -544,6 +555,7 @@
         now: float,
     ) -> WriteRecord:
         self.sequence += 1
+        self.is_write_open = True
         self.sent_at = now
         record = UsageRecord(
             holder=self.holder,
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -26,7 +26,9 @@
     UsageDuty,
     UsageRules,
     WindowReport,
+    WriteRecord,
 )
+from radishbridge.steering.usage_counts import FleetTime, UsageGathering
 
 # Manual runs use 1,000: ``USAGE_SEEDS=1000``.
 SEEDS = int(os.environ.get("USAGE_SEEDS", "15"))
@@ -61,6 +63,33 @@
             assert call.time_s - RULES.end_of(call.window) < 1.5
 
 
+class TestWritesThatFail:
+    """Calls at a high rate, by a host that never hands over, while the store only answers reads."""
+
+    def test_calls_are_few_and_the_host_hands_over(self):
+        duty = UsageDuty(RULES, "host-1", "10.0.0.1:7000", 1, random.Random(1))
+        gathering = UsageGathering(RULES.window_s)
+        calls = 0
+        for tick in range(300):
+            now = 0.1 * tick
+            while True:
+                step = duty.decide(True, gathering, (), FleetTime(1_000.0), now)
+                if step is None:
+                    break
+                calls += 1
+                if isinstance(step, WriteRecord):
+                    duty.on_store_failure(duty.sent_at, now)
+                else:
+                    duty.on_read(None, now)
+        assert calls <= 120
+        assert not duty.reaches_store(now)
+        step = duty.decide(True, gathering, (), FleetTime(1_000.0), now + 2.0)
+        duty.on_read(None, now + 2.0)
+        step = duty.decide(True, gathering, (), FleetTime(1_000.0), now + 2.0)
+        duty.on_written(step, 7, now + 2.0)
+        assert duty.reaches_store(now + 2.0)
+
+
 class OneCandidate:
     """The part of a fleet that a reporter uses, of a host that is always the candidate."""
 
