Release what a closed connection of a client held, and count unread responses by pace

A connection, its task and its request refer to each other, so that the buffered body of a closed connection stayed until the cyclic garbage collector ran; the requests were refused (401) and their bodies read for 2 s more. By review: a large response to a slow caller counted in full, so that it could be reset, and a request begun on a closed connection stayed counted.

A closed connection drops its buffers; a refused request (400, 401, 404, 413) of which more than 64 KB is to come closes its connection after the response; 128 KB are read at a time and 256 KB of a body buffered. Of an unread response 64 KB count while its client reads over 8 KB a second. Requests of closed connections are not counted.

--- a/packages/host/src/radishbridge/host/admission.py
+++ b/packages/host/src/radishbridge/host/admission.py
@@ -54,9 +54,13 @@
         self.unserved[connection] = None
 
     def begin(self, connection: Connection) -> None:
-        """Note that a request has begun."""
-        self.unserved.pop(connection, None)
-        self.idle.pop(connection, None)
+        """Note that a request has begun; nothing is noted of a connection that was closed."""
+        if connection in self.unserved:
+            del self.unserved[connection]
+        elif connection in self.idle:
+            del self.idle[connection]
+        else:
+            return
         self.busy.add(connection)
 
     def end(self, connection: Connection, is_served: bool) -> None:
--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -26,10 +26,25 @@
 # Statuses of requests that ended because of their own bytes, after which callers do not repeat
 # them. A connection with only such responses is closed before others.
 REFUSED_STATUSES = frozenset({BAD_REQUEST, 401, 404, 413, HEAD_TOO_LARGE})
+# Bytes read from a connection at a time. The 256 KB of asyncio for each of many clients fragment
+# the heap far beyond what is held; with 64 KB the kernel keeps its window so small that it does not
+# see the disconnect of a caller that sends a body of 900 KB.
+READ_BYTES = 131_072
+# Half of the body bytes that are buffered before a connection is read no more.
+BODY_BUFFER_BYTES = 131_072
+# Refused requests of which more than this is to come are not read to their end.
+DISCARDED_BYTES_MIN = 65_536
 # Requests of a connection that are parsed before the first of them is answered, and their memory.
 # Ordinary heads cost some 10 KB; further ones wait unparsed, and nothing is refused.
 QUEUED_REQUESTS_MAX = 16
 QUEUED_COST_MAX_BYTES = 131_072
+# Bytes of unread responses that are counted while the client reads at a useful pace. aiohttp waits
+# with further responses on the connection while there are more.
+UNREAD_COUNTED_BYTES = 65_536
+# A response is not read at a useful pace if less than this many bytes are read in each interval of
+# the checks (8 KB a second), in this many intervals in a row.
+UNREAD_PROGRESS_BYTES = 4_096
+STALLED_SWEEPS = 4
 # Memory of a part of a buffered body over its own bytes.
 CHUNK_COST_BYTES = 128
 # The parser's own limits are off; ``Framing`` bounds the bytes.
@@ -77,6 +92,7 @@
         "_framing",
         "_head_costs",
         "_server",
+        "_stalled_sweeps",
         "_unread",
         "_unread_since",
         "head_since",
@@ -92,6 +108,7 @@
         self._framing = Framing(server.client_limits().header_bytes)
         self._body: StreamReader = EMPTY_PAYLOAD
         self._head_costs: collections.deque[int] = collections.deque()
+        self._stalled_sweeps = 0
         self._unread = 0
         self._unread_since = server.now
         self.head_since = self.idle_since = server.now
@@ -101,19 +118,33 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Close another connection if there are too many."""
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
         super().connection_made(transport)
         self._server.add_connection(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop counting the connection."""
         super().connection_lost(exc)
-        self.pending = b""
+        self._release()
         self._server.remove_connection(self)
 
+    def _release(self) -> None:
+        # Connection, task and request refer to each other, so that only the cyclic garbage
+        # collector would release these.
+        self.pending = b""
+        self._messages.clear()
+        if not self._body.is_eof():
+            self._body._buffer.clear()
+            self._body._size = 0
+
     @property
     def held_bytes(self) -> int:
         """Bytes that are held for the connection now."""
         unread = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if self._stalled_sweeps < STALLED_SWEEPS:
+            # Large responses to slow callers are delivered, however many there are.
+            unread = min(unread, UNREAD_COUNTED_BYTES)
         return (
             len(self.pending)
             + self._framing.head_cost_bytes
@@ -244,6 +275,15 @@
         if not isinstance(kwargs.get("exc_info"), web.RequestPayloadError):
             super().log_exception(*args, **kwargs)
 
+    def discard_body(self) -> bool:
+        """Drop what still comes of the body of a refused request, if it is long or may be.
+
+        :return: whether the connection closes after the response.
+        """
+        if not self._body.is_eof() and self._framing.body_bytes_left > DISCARDED_BYTES_MIN:
+            self._close = True
+        return self._close
+
     def begin_request(self) -> None:
         """Count a request that is being answered."""
         self.in_flight += 1
@@ -267,6 +307,8 @@
         if transport is None:
             return
         unread = transport.get_write_buffer_size()
+        is_stalled = unread > 0 and self._unread - unread < UNREAD_PROGRESS_BYTES
+        self._stalled_sweeps = self._stalled_sweeps + 1 if is_stalled else 0
         if unread:
             self._server.update_memory(self)
         if not unread or unread != self._unread:
@@ -332,6 +374,7 @@
             "max_field_size": UNLIMITED,
             "max_headers": UNLIMITED,
             "max_line_size": UNLIMITED,
+            "read_bufsize": BODY_BUFFER_BYTES,
             **options,
         }
         self.occupancy: Occupancy[BoundedConnection] = Occupancy()
@@ -398,6 +441,8 @@
         try:
             response = await self.handler(request)
             is_served = response.status not in REFUSED_STATUSES
+            if not is_served and connection.discard_body():
+                response.force_close()
             return response
         finally:
             connection.end_request()
--- a/packages/host/src/radishbridge/host/framing.py
+++ b/packages/host/src/radishbridge/host/framing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 # Bytes of empty lines that are ignored before a head. Some old clients send one after a body.
 EMPTY_BYTES_MAX = 256
@@ -85,6 +86,13 @@
         """Memory that the head takes once it is parsed."""
         return self.head_bytes + FIELD_COST_BYTES * self.head_fields
 
+    @property
+    def body_bytes_left(self) -> float:
+        """Bytes that are to come of the body; infinite if its length is not announced."""
+        if self.part is Part.HEAD:
+            return 0.0
+        return self._remaining if self.part is Part.BODY else math.inf
+
     def skip_empty_lines(self, data: bytes, start: int) -> int | Excess:
         """Return the position after the empty lines before a head."""
         if self.part is not Part.HEAD or self.head_bytes or data[start] not in _EMPTY:
--- a/tests/test_client_framing.py
+++ b/tests/test_client_framing.py
@@ -218,6 +218,15 @@
         assert order == ["silent", "refused", "served"]
         assert len(occupancy) == 1
 
+    def test_a_request_of_a_closed_connection_is_not_counted(self):
+        """Guards against connections that are counted for ever."""
+        occupancy: Occupancy[str] = Occupancy()
+        occupancy.add("closed")
+        occupancy.remove("closed")
+        occupancy.begin("closed")
+        occupancy.end("closed", True)
+        assert len(occupancy) == 0
+
     def test_shares_follow_the_settings(self):
         assert connections_max(4_100, 0.3) == 1_230
         assert connections_max(0, 0.3) >= 1
@@ -246,6 +255,27 @@
             server.sweep()
         assert connection.transport is None
 
+    @pytest.mark.parametrize(
+        ("read_bytes", "held"), [(100_000, 65_536), (1, 16_000_000 - 100)], ids=["slow", "hardly"]
+    )
+    async def test_a_response_that_is_read_slowly_is_not_held_against_its_caller(
+        self, read_bytes, held, monkeypatch
+    ):
+        """Guards against large responses that are cut off because a caller's link is slow."""
+        now = 0.0
+        monkeypatch.setattr("radishbridge.host.bounded.time.monotonic", lambda: now)
+        server = CallerServer(Echo().handle, LimitSettings(), lambda: LIMITS)
+        connection = await self.connect(server)
+        transport = connection.transport
+        assert isinstance(transport, Transport)
+        transport.unread = 16_000_000
+        for _ in range(100):
+            now += 0.5
+            transport.unread -= read_bytes
+            server.sweep()
+        assert connection.held_bytes == held
+        connection.abort()
+
     async def test_bytes_extend_no_head_timeout(self, monkeypatch):
         now = 0.0
         monkeypatch.setattr("radishbridge.host.bounded.time.monotonic", lambda: now)
@@ -269,13 +299,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
+        self.unread = 0
         self.is_aborted = False
 
     def write(self, data: t.Any) -> None:
         self.written += bytes(data)
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unread
 
     def pause_reading(self) -> None:
         pass
