Lower the cost of the limits for ordinary requests

Change: data that is one whole head goes to the parser at once; connections that hold less than 8 KB are not counted; the limits are taken over with the checks for timeouts, not with each head.

--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -45,6 +45,9 @@
 # the checks (8 KB a second), in this many intervals in a row.
 UNREAD_PROGRESS_BYTES = 4_096
 STALLED_SWEEPS = 4
+# What a connection may hold without being counted: a request of some ten fields. All callers'
+# connections of the smallest host together hold 10 MB at most this way.
+UNCOUNTED_BYTES = 8_192
 # Memory of a part of a buffered body over its own bytes.
 CHUNK_COST_BYTES = 128
 # The parser's own limits are off; ``Framing`` bounds the bytes.
@@ -91,6 +94,8 @@
         "_body",
         "_framing",
         "_head_costs",
+        "_is_counted",
+        "_queued_cost",
         "_server",
         "_stalled_sweeps",
         "_unread",
@@ -108,6 +113,8 @@
         self._framing = Framing(server.client_limits().header_bytes)
         self._body: StreamReader = EMPTY_PAYLOAD
         self._head_costs: collections.deque[int] = collections.deque()
+        self._queued_cost = 0
+        self._is_counted = False
         self._stalled_sweeps = 0
         self._unread = 0
         self._unread_since = server.now
@@ -148,7 +155,7 @@
         return (
             len(self.pending)
             + self._framing.head_cost_bytes
-            + sum(self._head_costs)
+            + self._queued_cost
             + getattr(self._body, "_size", 0)
             + CHUNK_COST_BYTES * len(getattr(self._body, "_buffer", ()))
             + unread
@@ -177,6 +184,11 @@
         if not data:
             # Reading is resumed; the parser may have kept a part of a body.
             super().data_received(data)
+        elif not self.pending and not self._must_wait() and self._framing.is_one_head(data):
+            self.head_since = self._server.now
+            self._parse(data)
+            self._update_memory()
+            return
         data = self.pending + data if self.pending else data
         end = self._feed(data)
         self.pending = data[end:]
@@ -187,7 +199,7 @@
                 self._pause_reading_for_buffer()
         elif self._buffer_paused:
             self._resume_reading_for_buffer()
-        self._server.update_memory(self)
+        self._update_memory()
 
     def _resume_reading_for_buffer(self) -> None:
         if not self.pending and not self.is_broken:
@@ -208,7 +220,6 @@
             if start == len(data):
                 return start
             if framing.part is Part.HEAD and not framing.head_bytes:
-                framing.head_bytes_max = self._server.client_limits().header_bytes
                 self.head_since = self._server.now
             end = framing.take(data, start)
             if isinstance(end, Excess):
@@ -224,7 +235,7 @@
         if self._framing.part is not Part.HEAD:
             return False
         return len(self._messages) >= QUEUED_REQUESTS_MAX or (
-            sum(self._head_costs) >= QUEUED_COST_MAX_BYTES
+            self._queued_cost >= QUEUED_COST_MAX_BYTES
         )
 
     def _parse(self, piece: bytes) -> None:
@@ -236,7 +247,9 @@
         if not isinstance(message, RawRequestMessage):
             self._end_malformed(message.exc)
             return
-        self._head_costs.append(self._framing.head_cost_bytes)
+        cost = self._framing.head_cost_bytes
+        self._head_costs.append(cost)
+        self._queued_cost += cost
         self._framing.end_head()
         self._body = payload
         if payload is not EMPTY_PAYLOAD:
@@ -292,11 +305,23 @@
         """Stop counting a request, and parse the next one if it had to wait for this."""
         self.in_flight -= 1
         self.idle_since = self._server.now
+        if self._body is not EMPTY_PAYLOAD and self._body.at_eof():
+            self._body = EMPTY_PAYLOAD
         if self._head_costs:
-            self._head_costs.popleft()
+            self._queued_cost -= self._head_costs.popleft()
         if self._buffer_paused and not self._force_close:
             self._resume_reading_if_drained()
-        self._server.update_memory(self)
+        self._update_memory()
+
+    def _update_memory(self) -> None:
+        # Most requests hold little, and are not counted.
+        if (
+            self._is_counted
+            or self._body is not EMPTY_PAYLOAD
+            or len(self.pending) + self._queued_cost + self._framing.head_cost_bytes
+            > UNCOUNTED_BYTES
+        ):
+            self._is_counted = self._server.update_memory(self)
 
     def check_timeouts(self, now: float, limits: ClientLimits) -> None:
         """End the connection if its client is too slow.
@@ -306,11 +331,12 @@
         transport = self.transport
         if transport is None:
             return
+        self._framing.head_bytes_max = limits.header_bytes
         unread = transport.get_write_buffer_size()
         is_stalled = unread > 0 and self._unread - unread < UNREAD_PROGRESS_BYTES
         self._stalled_sweeps = self._stalled_sweeps + 1 if is_stalled else 0
         if unread:
-            self._server.update_memory(self)
+            self._is_counted = self._server.update_memory(self)
         if not unread or unread != self._unread:
             self._unread, self._unread_since = unread, now
         idle_s = IDLE_FACTOR * limits.idle_s + TIMEOUT_MARGIN_S
@@ -410,10 +436,11 @@
         self.occupancy.remove(connection)
         self.memory.remove(connection)
 
-    def update_memory(self, connection: BoundedConnection) -> None:
-        """Count the bytes that are held for a connection now."""
-        if connection.transport is not None:
-            self.memory.update(connection, time.monotonic())
+    def update_memory(self, connection: BoundedConnection) -> bool:
+        """Count the bytes that are held for a connection now; return whether there are any."""
+        if connection.transport is None:
+            return False
+        return self.memory.update(connection, time.monotonic())
 
     def sweep(self) -> None:
         """Check all connections for timeouts."""
--- a/packages/host/src/radishbridge/host/client_memory.py
+++ b/packages/host/src/radishbridge/host/client_memory.py
@@ -97,10 +97,11 @@
         """
         return cls(excess_log, int(CLIENT_FRACTION * (memory_bytes or HOST_MEMORY_BYTES)))
 
-    def update(self, client: Client, now: float) -> None:
+    def update(self, client: Client, now: float) -> bool:
         """Count what is held for a client now, and enforce the limit.
 
         :param now: monotonic time in seconds.
+        :return: whether something is counted for the client.
         """
         size = client.held_bytes
         self.held_bytes += size - self._by_client.get(client, 0)
@@ -114,6 +115,7 @@
             self.remove(largest)
             self.excess_log.record("client memory", largest.peer_text, size, "reset", now)
             largest.abort()
+        return client in self._by_client
 
     def remove(self, client: Client) -> None:
         """Stop counting a client whose connection ended."""
--- a/packages/host/src/radishbridge/host/framing.py
+++ b/packages/host/src/radishbridge/host/framing.py
@@ -93,6 +93,24 @@
             return 0.0
         return self._remaining if self.part is Part.BODY else math.inf
 
+    def is_one_head(self, data: bytes) -> bool:
+        """Return whether the data is one head inside the limit, as most that callers send is.
+
+        If it is, it counts as received.
+        """
+        size = len(data)
+        if (
+            self.part is not Part.HEAD
+            or self.head_bytes
+            or size > self.head_bytes_max
+            or data.find(_END_OF_HEAD) != size - len(_END_OF_HEAD)
+            or data[0] in _EMPTY
+        ):
+            return False
+        self.head_bytes = size
+        self.head_fields = data.count(b"\n")
+        return True
+
     def skip_empty_lines(self, data: bytes, start: int) -> int | Excess:
         """Return the position after the empty lines before a head."""
         if self.part is not Part.HEAD or self.head_bytes or data[start] not in _EMPTY:
--- a/packages/peers/src/radishbridge/peers/listener.py
+++ b/packages/peers/src/radishbridge/peers/listener.py
@@ -47,8 +47,8 @@
 class ReceiveMemory(t.Protocol):
     """Counts the bytes held for connections, and resets the largest when there are too many."""
 
-    def update(self, client: PeerInput, now: float) -> None:
-        """Count what is held for a connection now."""
+    def update(self, client: PeerInput, now: float) -> bool:
+        """Count what is held for a connection now; return whether something is counted."""
 
     def remove(self, client: PeerInput) -> None:
         """Stop counting a connection that ended."""
