--- a/tests/test_client_framing.py
+++ b/tests/test_client_framing.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import math
+import os
 import typing as t
 
 import pytest
@@ -27,6 +28,8 @@
 from radishbridge.peers.listener import PeerInput, PeerListener, ReceiveLimits
 from radishbridge.records import LimitSettings
 
+# Examples of each fuzzed test; more in manual runs: CLIENT_LIMITS_EXAMPLES=2000.
+EXAMPLES = int(os.environ.get("CLIENT_LIMITS_EXAMPLES", "80"))
 HEAD_MAX = 1_000
 LIMITS = ClientLimits(HEAD_MAX, 10.0, 60.0)
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -107,7 +110,7 @@
 fuzzed = settings(
     derandomize=True,
     deadline=None,
-    max_examples=80,
+    max_examples=EXAMPLES,
     suppress_health_check=[HealthCheck.too_slow],
 )
 
