--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -26,10 +26,28 @@
 # Statuses of requests that ended because of their own bytes, after which callers do not repeat
 # them. A connection with only such responses is closed before others.
 REFUSED_STATUSES = frozenset({BAD_REQUEST, 401, 404, 413, HEAD_TOO_LARGE})
+# Bytes read from a connection at a time. The 256 KB of asyncio for each of many clients fragment
+# the heap far beyond what is held; with 64 KB the kernel keeps its window so small that it does not
+# see the disconnect of a caller that sends a body of 900 KB.
+READ_BYTES = 131_072
+# Half of the body bytes that are buffered before a connection is read no more.
+BODY_BUFFER_BYTES = 131_072
+# Refused requests of which more than this is to come are not read to their end.
+DISCARDED_BYTES_MIN = 65_536
 # Requests of a connection that are parsed before the first of them is answered, and their memory.
 # Ordinary heads cost some 10 KB; further ones wait unparsed, and nothing is refused.
 QUEUED_REQUESTS_MAX = 16
 QUEUED_COST_MAX_BYTES = 131_072
+# Bytes of unread responses that are counted while the client reads at a useful pace. aiohttp waits
+# with further responses on the connection while there are more.
+UNREAD_COUNTED_BYTES = 65_536
+# A response is not read at a useful pace if less than this many bytes are read in each interval of
+# the checks (8 KB a second), in this many intervals in a row.
+UNREAD_PROGRESS_BYTES = 4_096
+STALLED_SWEEPS = 4
+# What a connection may hold without being counted: a request of some ten fields. All callers'
+# connections of the smallest host together hold 10 MB at most this way.
+UNCOUNTED_BYTES = 8_192
 # Memory of a part of a buffered body over its own bytes.
 CHUNK_COST_BYTES = 128
 # The parser's own limits are off; ``Framing`` bounds the bytes.
@@ -76,7 +94,10 @@
         "_body",
         "_framing",
         "_head_costs",
+        "_is_counted",
+        "_queued_cost",
         "_server",
+        "_stalled_sweeps",
         "_unread",
         "_unread_since",
         "answering",
@@ -92,6 +113,9 @@
         self._framing = Framing(server.client_limits().header_bytes)
         self._body: StreamReader = EMPTY_PAYLOAD
         self._head_costs: collections.deque[int] = collections.deque()
+        self._queued_cost = 0
+        self._is_counted = False
+        self._stalled_sweeps = 0
         self._unread = 0
         self._unread_since = server.now
         self.head_since = self.idle_since = server.now
@@ -101,15 +125,26 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Close another connection if there are too many."""
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
         super().connection_made(transport)
         self._server.add_connection(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop counting the connection."""
         super().connection_lost(exc)
-        self.pending = b""
+        self._release()
         self._server.remove_connection(self)
 
+    def _release(self) -> None:
+        # Connection, task and request refer to each other, so that only the cyclic garbage
+        # collector would release these.
+        self.pending = b""
+        self._messages.clear()
+        if not self._body.is_eof():
+            self._body._buffer.clear()
+            self._body._size = 0
+
     @property
     def in_flight(self) -> int:
         """Number of requests that are being answered."""
@@ -119,10 +154,13 @@
     def held_bytes(self) -> int:
         """Bytes that are held for the connection now."""
         unread = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if self._stalled_sweeps < STALLED_SWEEPS:
+            # Large responses to slow callers are delivered, however many there are.
+            unread = min(unread, UNREAD_COUNTED_BYTES)
         return (
             len(self.pending)
             + self._framing.head_cost_bytes
-            + sum(self._head_costs)
+            + self._queued_cost
             + getattr(self._body, "_size", 0)
             + CHUNK_COST_BYTES * len(getattr(self._body, "_buffer", ()))
             + unread
@@ -151,6 +189,11 @@
         if not data:
             # Reading is resumed; the parser may have kept a part of a body.
             super().data_received(data)
+        elif not self.pending and not self._must_wait() and self._framing.is_one_head(data):
+            self.head_since = self._server.now
+            self._parse(data)
+            self._update_memory()
+            return
         data = self.pending + data if self.pending else data
         end = self._feed(data)
         self.pending = data[end:]
@@ -161,7 +204,7 @@
                 self._pause_reading_for_buffer()
         elif self._buffer_paused:
             self._resume_reading_for_buffer()
-        self._server.update_memory(self)
+        self._update_memory()
 
     def _resume_reading_for_buffer(self) -> None:
         if not self.pending and not self.is_broken:
@@ -182,7 +225,6 @@
             if start == len(data):
                 return start
             if framing.part is Part.HEAD and not framing.head_bytes:
-                framing.head_bytes_max = self._server.client_limits().header_bytes
                 self.head_since = self._server.now
             end = framing.take(data, start)
             if isinstance(end, Excess):
@@ -198,7 +240,7 @@
         if self._framing.part is not Part.HEAD:
             return False
         return len(self._messages) >= QUEUED_REQUESTS_MAX or (
-            sum(self._head_costs) >= QUEUED_COST_MAX_BYTES
+            self._queued_cost >= QUEUED_COST_MAX_BYTES
         )
 
     def _parse(self, piece: bytes) -> None:
@@ -210,7 +252,9 @@
         if not isinstance(message, RawRequestMessage):
             self._end_malformed(message.exc)
             return
-        self._head_costs.append(self._framing.head_cost_bytes)
+        cost = self._framing.head_cost_bytes
+        self._head_costs.append(cost)
+        self._queued_cost += cost
         self._framing.end_head()
         self._body = payload
         if payload is not EMPTY_PAYLOAD:
@@ -249,6 +293,15 @@
         if not isinstance(kwargs.get("exc_info"), web.RequestPayloadError):
             super().log_exception(*args, **kwargs)
 
+    def discard_body(self) -> bool:
+        """Drop what still comes of the body of a refused request, if it is long or may be.
+
+        :return: whether the connection closes after the response.
+        """
+        if not self._body.is_eof() and self._framing.body_bytes_left > DISCARDED_BYTES_MIN:
+            self._close = True
+        return self._close
+
     def begin_request(self) -> None:
         """Count a request that is being answered."""
         self.answering += 1
@@ -257,11 +310,23 @@
         """Stop counting a request, and parse the next one if it had to wait for this."""
         self.answering -= 1
         self.idle_since = self._server.now
+        if self._body is not EMPTY_PAYLOAD and self._body.at_eof():
+            self._body = EMPTY_PAYLOAD
         if self._head_costs:
-            self._head_costs.popleft()
+            self._queued_cost -= self._head_costs.popleft()
         if self._buffer_paused and not self._force_close:
             self._resume_reading_if_drained()
-        self._server.update_memory(self)
+        self._update_memory()
+
+    def _update_memory(self) -> None:
+        # Most requests hold little, and are not counted.
+        if (
+            self._is_counted
+            or self._body is not EMPTY_PAYLOAD
+            or len(self.pending) + self._queued_cost + self._framing.head_cost_bytes
+            > UNCOUNTED_BYTES
+        ):
+            self._is_counted = self._server.update_memory(self)
 
     def check_timeouts(self, now: float, limits: ClientLimits) -> None:
         """End the connection if its client is too slow.
@@ -271,9 +336,12 @@
         transport = self.transport
         if transport is None:
             return
+        self._framing.head_bytes_max = limits.header_bytes
         unread = transport.get_write_buffer_size()
+        is_stalled = unread > 0 and self._unread - unread < UNREAD_PROGRESS_BYTES
+        self._stalled_sweeps = self._stalled_sweeps + 1 if is_stalled else 0
         if unread:
-            self._server.update_memory(self)
+            self._is_counted = self._server.update_memory(self)
         if not unread or unread != self._unread:
             self._unread, self._unread_since = unread, now
         idle_s = IDLE_FACTOR * limits.idle_s + TIMEOUT_MARGIN_S
@@ -337,6 +405,7 @@
             "max_field_size": UNLIMITED,
             "max_headers": UNLIMITED,
             "max_line_size": UNLIMITED,
+            "read_bufsize": BODY_BUFFER_BYTES,
             **options,
         }
         self.occupancy: Occupancy[BoundedConnection] = Occupancy()
@@ -372,10 +441,11 @@
         self.occupancy.remove(connection)
         self.memory.remove(connection)
 
-    def update_memory(self, connection: BoundedConnection) -> None:
-        """Count the bytes that are held for a connection now."""
-        if connection.transport is not None:
-            self.memory.update(connection, time.monotonic())
+    def update_memory(self, connection: BoundedConnection) -> bool:
+        """Count the bytes that are held for a connection now; return whether there are any."""
+        if connection.transport is None:
+            return False
+        return self.memory.update(connection, time.monotonic())
 
     def sweep(self) -> None:
         """Check all connections for timeouts."""
@@ -406,6 +476,8 @@
         try:
             response = await self._respond(request)
             is_served = response.status not in REFUSED_STATUSES
+            if not is_served and connection.discard_body():
+                response.force_close()
             return response
         finally:
             connection.end_request()
--- a/tests/test_client_framing.py
+++ b/tests/test_client_framing.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import math
+import os
 import typing as t
 
 import pytest
@@ -27,6 +28,8 @@
 from radishbridge.peers.listener import PeerInput, PeerListener, ReceiveLimits
 from radishbridge.records import LimitSettings
 
+# Examples of each fuzzed test; more in manual runs: CLIENT_LIMITS_EXAMPLES=2000.
+EXAMPLES = int(os.environ.get("CLIENT_LIMITS_EXAMPLES", "80"))
 HEAD_MAX = 1_000
 LIMITS = ClientLimits(HEAD_MAX, 10.0, 60.0)
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -107,7 +110,7 @@
 fuzzed = settings(
     derandomize=True,
     deadline=None,
-    max_examples=80,
+    max_examples=EXAMPLES,
     suppress_health_check=[HealthCheck.too_slow],
 )
 
@@ -218,6 +221,15 @@
         assert order == ["silent", "refused", "served"]
         assert len(occupancy) == 1
 
+    def test_a_request_of_a_closed_connection_is_not_counted(self):
+        """Guards against connections that are counted for ever."""
+        occupancy: Occupancy[str] = Occupancy()
+        occupancy.add("closed")
+        occupancy.remove("closed")
+        occupancy.begin("closed")
+        occupancy.end("closed", True)
+        assert len(occupancy) == 0
+
     def test_shares_follow_the_settings(self):
         assert connections_max(4_100, 0.3) == 1_230
         assert connections_max(0, 0.3) >= 1
@@ -246,6 +258,27 @@
             server.sweep()
         assert connection.transport is None
 
+    @pytest.mark.parametrize(
+        ("read_bytes", "held"), [(100_000, 65_536), (1, 16_000_000 - 100)], ids=["slow", "hardly"]
+    )
+    async def test_a_response_that_is_read_slowly_is_not_held_against_its_caller(
+        self, read_bytes, held, monkeypatch
+    ):
+        """Guards against large responses that are cut off because a caller's link is slow."""
+        now = 0.0
+        monkeypatch.setattr("radishbridge.host.bounded.time.monotonic", lambda: now)
+        server = CallerServer(Echo().handle, LimitSettings(), lambda: LIMITS)
+        connection = await self.connect(server)
+        transport = connection.transport
+        assert isinstance(transport, Transport)
+        transport.unread = 16_000_000
+        for _ in range(100):
+            now += 0.5
+            transport.unread -= read_bytes
+            server.sweep()
+        assert connection.held_bytes == held
+        connection.abort()
+
     async def test_bytes_extend_no_head_timeout(self, monkeypatch):
         now = 0.0
         monkeypatch.setattr("radishbridge.host.bounded.time.monotonic", lambda: now)
@@ -269,13 +302,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
+        self.unread = 0
         self.is_aborted = False
 
     def write(self, data: t.Any) -> None:
         self.written += bytes(data)
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unread
 
     def pause_reading(self) -> None:
         pass
