--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -188,6 +188,9 @@
             )
         self._record_response(response.status >= SERVER_ERROR, now)
         if success:
+            # Other responses may take no run, as if all objects were warm.
+            loads = self.steering_state.selector.loads
+            loads.record_run(self.state, self.choice, now - self.sent_at)
             self.steering_state.record_response_size(self.context.service, len(response.body))
         failed = response.status >= SERVER_ERROR and self.context.route.repeatable
         self.outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
@@ -211,8 +214,6 @@
             self._count_failure("it responded with a server error")
         else:
             self.state.record_success(latency_s, now)
-            loads = self.steering_state.selector.loads
-            loads.record_run(self.state, self.choice, now - self.sent_at)
             if self.context.route.has_affinity:
                 self.state.mark_object_warm(self.context.routing_key, now)
         self._record_latency(failed)
--- a/tests/test_entry_forwarder.py
+++ b/tests/test_entry_forwarder.py
@@ -129,6 +129,14 @@
             assert 'load_refusals_total{reason="deadline",service="catalogue"} 1.0' in metrics
             assert 'load_pace{service="catalogue"} 1.0' in metrics
 
+    async def test_only_successful_responses_count_as_runs(self):
+        # A server answers 404 without a run, which must not make its runs look short.
+        missing = reply(404, Server_Load="0,0,4,100")
+        async with running(missing, missing) as (world, _):
+            for number in range(4):
+                assert (await world.request(Affinity_Key=str(number)))[0] == 404
+            assert world.steering_state.selector.loads["catalogue"].runs.samples == 0
+
     async def test_three_figures_add_no_series_and_no_field(self, caplog):
         caplog.set_level("INFO")
         with_load = reply(Server_Load="4,400,4")
