--- a/packages/steering/src/radishbridge/steering/selector.py
+++ b/packages/steering/src/radishbridge/steering/selector.py
@@ -18,6 +18,7 @@
 from radishbridge.steering.exclusions import find_unsuitable, find_unusable
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.load import (
+    OTHER_SERVERS_MAX,
     Choice,
     Limits,
     ServiceLoad,
@@ -416,7 +417,10 @@
             if remote is not None:
                 estimates.append(load.estimate(remote, 1, key, now))
         limits = Limits(criteria.target_s, criteria.remaining_s, criteria.rank)
-        by_time = (load.estimate(state, SERVERS_PER_OBJECT, key, now) for state in others)
+        by_time = (
+            load.estimate(state, SERVERS_PER_OBJECT, key, now)
+            for state in itertools.islice(others, OTHER_SERVERS_MAX)
+        )
         return choose_by_time(estimates, by_time, limits, admits)
 
     def has_room(self, criteria: ServerCriteria, now: float) -> bool:
