--- a/tests/test_place_records.py
+++ b/tests/test_place_records.py
@@ -24,6 +24,7 @@
 )
 from radishbridge.entry.coordinator import PLACES_INTERVAL_S
 from radishbridge.platform.objects import PlatformDecoder, encode_place_record
+from radishbridge.platform.store import PlatformStore
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import ServerCriteria
 from radishbridge.steering.places import SPARE_S, PlaceBook
@@ -288,3 +289,41 @@
             assert await client.remove_places(self.RECORD) is None
             assert await client.remove_places(self.RECORD) is None
             assert (await client.list(Kind.HOST)).objects == []
+
+    async def test_a_host_that_starts_reads_the_places_that_the_coordinator_wrote(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(FleetCoordinator, "_is_coordinator", lambda *_: True)
+        monkeypatch.setattr(Fleet, "lost_hosts", lambda *_: [])
+        states = [SteeringState(name, PlatformDecoder({}), Bounds()) for name in ("a", "b")]
+        first, second = (state.selector for state in states)
+        for number in range(8):
+            first.put(make_server(number), T0)
+        first.record_pace(SERVICE)
+        async with running_store() as (_, client):
+            coordinator = FleetCoordinator(states[0], Hosts(3).fleets[0], client)
+            for old, new in ((1, 41), (2, 42)):
+                first.remove(f"server-{old}")
+                first.put(make_server(new, data_center=f"dc-{old}"), T0)
+                for tick in range(2):
+                    await coordinator.step(T0 + PLACES_INTERVAL_S * (10 * old + tick))
+                    for state in states:
+                        await self.follow(client, state)
+            assert [len(state.place_records) for state in states] == [1, 1]
+        for state in first.states.values():
+            second.put(state.server, T0)
+        second.record_pace(SERVICE)
+        assert second.places.books[SERVICE].record() == first.places.books[SERVICE].record()
+        assert second.places.books[SERVICE].place_id("server-42") == "10.0.0.2:80"
+
+    async def follow(self, client: PlatformStore, state: SteeringState) -> None:
+        listing = await client.list(Kind.HOST)
+        names = {stored.name for stored in listing.objects}
+        for name in set(state.place_records) - names:
+            state.apply_object(
+                StoredObject(kind=Kind.HOST, name=name, version=listing.revision, value=None), "s"
+            )
+        for stored in listing.objects:
+            state.apply_object(stored, "s")
+        assert not state.unreadable
+        assert not state.entries
