--- a/packages/steering/src/radishbridge/steering/hashing.py
+++ b/packages/steering/src/radishbridge/steering/hashing.py
@@ -14,7 +14,9 @@
 
 def unit_hash(*parts: str) -> float:
     """Return a hash of strings as a number from 0 to below 1, the same on every host."""
-    return hash64(*parts) / _DIGEST_END
+    # Not by way of hash64: rankings by name call this for each server.
+    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big") / _DIGEST_END
 
 
 def hash64(*parts: str) -> int:
