Measure the length of runs on warm objects

The length of a warm run was a constant fraction of a cold one, which no page of the platform states. It is now the mean of the runs that count as warm. The new test failed before for fractions of 0.15 and 0.45, and passes now.

--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -12,10 +12,9 @@
 from radishbridge.steering.hashing import unit_hash
 from radishbridge.steering.servers import ServerState
 
-# Length of a run on a warm object relative to one on a cold object. The platform states this
-# ratio, so that one length per service is enough to know both.
-WARM_RUN_FRACTION = 0.3
-# A run shorter than this fraction of a cold one counts as warm: the geometric mean of both.
+# Length of a run on a warm object relative to one on a cold object, until runs were measured.
+WARM_RUN_FRACTION_INITIAL = 0.3
+# A run shorter than this fraction of a cold one counts as warm.
 WARM_RUN_FRACTION_MAX = 0.55
 # Longest run, relative to a cold one, that is counted in full: 3 % of the runs of some services
 # take seven times as long, which says nothing of the others.
@@ -139,19 +138,21 @@
 
     :param cold_s: mean length of a run on a cold object in seconds.
     :param warm_fraction: fraction of warm runs.
+    :param warm_run_fraction: mean length of a warm run, relative to a cold one.
     """
 
-    __slots__ = ("cold_s", "samples", "warm_fraction")
+    __slots__ = ("cold_s", "samples", "warm_fraction", "warm_run_fraction")
 
     def __init__(self) -> None:
         self.cold_s = 0.0
         self.samples = 0
         self.warm_fraction = WARM_FRACTIONS[0]
+        self.warm_run_fraction = WARM_RUN_FRACTION_INITIAL
 
     @property
     def warm_s(self) -> float:
         """Return the mean length of a run on a warm object in seconds."""
-        return WARM_RUN_FRACTION * self.cold_s
+        return self.warm_run_fraction * self.cold_s
 
     @property
     def mean_s(self) -> float:
@@ -168,7 +169,10 @@
         :param run_s: its length in seconds at the usual pace, without the wait in the queue.
         """
         is_warm = run_s < WARM_RUN_FRACTION_MAX * self.cold_s
-        as_cold_s = run_s / WARM_RUN_FRACTION if is_warm else run_s
+        as_cold_s = run_s / self.warm_run_fraction if is_warm else run_s
+        if is_warm:
+            excess = run_s / self.cold_s - self.warm_run_fraction
+            self.warm_run_fraction += RUN_SAMPLE_WEIGHT * excess
         if self.cold_s:
             as_cold_s = min(as_cold_s, RUN_OUTLIER_FACTOR * self.cold_s)
         self.samples += 1
--- a/tests/test_steering_load.py
+++ b/tests/test_steering_load.py
@@ -167,6 +167,18 @@
         assert runs.cold_s == pytest.approx(COLD_S, rel=0.1)
         assert runs.warm_fraction == pytest.approx(0.8, abs=0.15)
 
+    @pytest.mark.parametrize("warm_run_fraction", [0.15, 0.3, 0.45])
+    def test_the_length_of_warm_runs_is_measured(self, warm_run_fraction):
+        # A service whose warm runs take another fraction of a cold one was judged by a constant.
+        rng = random.Random(3)
+        runs = RunLengths()
+        for number in range(600):
+            is_warm = number > 20 and rng.random() < 0.7
+            length_s = warm_run_fraction * COLD_S if is_warm else COLD_S
+            runs.add(length_s * rng.lognormvariate(0.0, 0.1))
+        assert runs.warm_s == pytest.approx(warm_run_fraction * COLD_S, rel=0.15)
+        assert runs.cold_s == pytest.approx(COLD_S, rel=0.15)
+
     def test_runs_of_seven_times_the_length_change_little(self):
         rng = random.Random(2)
         runs = RunLengths()
