--- a/packages/entry/src/radishbridge/entry/usage.py
+++ b/packages/entry/src/radishbridge/entry/usage.py
@@ -18,7 +18,6 @@
     StoredUsage,
     UsageDuty,
     UsageRecord,
-    UsageRules,
     WriteRecord,
 )
 from radishbridge.steering.usage_counts import (
@@ -29,6 +28,7 @@
     UsageNews,
     UsageReport,
 )
+from radishbridge.steering.usage_rules import UsageRules
 
 # Pause in seconds between two decisions when there is nothing to do.
 POLL_INTERVAL_S = 0.1
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -14,7 +14,7 @@
 from radishbridge.platform.settings import read_settings
 from radishbridge.records import Failure
 from radishbridge.steering import WorkspaceRule
-from radishbridge.steering.usage import UsageDuty, UsageRules
+from radishbridge.steering.usage import UsageDuty
 from radishbridge.steering.usage_counts import (
     AttemptEnding,
     FleetTime,
@@ -23,6 +23,7 @@
     UsageHolding,
     UsageReport,
 )
+from radishbridge.steering.usage_rules import UsageRules
 
 WINDOW_S = 5.0
 CLOUD = """
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -24,9 +24,9 @@
     SendOutcome,
     SendReport,
     UsageDuty,
-    UsageRules,
     WindowReport,
 )
+from radishbridge.steering.usage_rules import UsageRules
 
 # Manual runs use 1,000: ``USAGE_SEEDS=1000``.
 SEEDS = int(os.environ.get("USAGE_SEEDS", "15"))
--- a/tests/usage_world.py
+++ b/tests/usage_world.py
@@ -18,10 +18,10 @@
     StoredUsage,
     UsageDuty,
     UsageRecord,
-    UsageRules,
     WriteRecord,
 )
 from radishbridge.steering.usage_counts import FleetTime, UsageGathering, UsageReport
+from radishbridge.steering.usage_rules import UsageRules
 
 RULES = UsageRules()
 TICK_S = 0.1
