--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -24,11 +24,11 @@
     SendOutcome,
     SendReport,
     UsageDuty,
-    UsageRules,
     WindowReport,
     WriteRecord,
 )
 from radishbridge.steering.usage_counts import FleetTime, UsageGathering
+from radishbridge.steering.usage_rules import UsageRules
 
 # Manual runs use 1,000: ``USAGE_SEEDS=1000``.
 SEEDS = int(os.environ.get("USAGE_SEEDS", "15"))
