Explain full servers of services that are selected by expected time

Such servers were shown as eligible, since only occupancy was examined. The predicate of the selection is now a function that explain uses as well. The new test failed before.

--- a/packages/steering/src/radishbridge/steering/explain.py
+++ b/packages/steering/src/radishbridge/steering/explain.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from radishbridge.steering.exclusions import find_unsuitable, find_unusable
+from radishbridge.steering.load import Limits, has_room_in_time
 from radishbridge.steering.selector import (
     FALLBACK_OCCUPANCY_LIMIT,
     SERVERS_PER_OBJECT,
@@ -71,8 +72,15 @@
         itertools.repeat(FALLBACK_OCCUPANCY_LIMIT),
     )
     verdicts = [
-        (state, CHOSEN if state is chosen else _passed_over(selector, criteria, state, limit, now))
-        for state, limit in zip(ranking, limits, strict=False)
+        (
+            state,
+            (
+                CHOSEN
+                if state is chosen
+                else _passed_over(selector, criteria, state, position, limit, now)
+            ),
+        )
+        for position, (state, limit) in enumerate(zip(ranking, limits, strict=False))
     ]
     ranked = set(ranking)
     excluded = [
@@ -101,7 +109,12 @@
 
 
 def _passed_over(
-    selector: Selector, criteria: ServerCriteria, state: ServerState, limit: float, now: float
+    selector: Selector,
+    criteria: ServerCriteria,
+    state: ServerState,
+    position: int,
+    limit: float,
+    now: float,
 ) -> str:
     median_s = selector.median_latencies.get(criteria.service, 0.0)
     if state.is_ejected(now):
@@ -110,13 +123,29 @@
         return SILENT
     if state.is_paused(now):
         return PAUSED
-    # Services with pace are limited by the expected time, not by occupancy.
-    if criteria.service not in selector.services_with_pace and state.occupancy(now) >= limit:
+    if _is_full(selector, criteria, state, position, limit, now):
         return FULL
     with _unchanged_slow_start(selector):
         return ELIGIBLE if selector._admits(state, now) else COLD
 
 
+def _is_full(
+    selector: Selector,
+    criteria: ServerCriteria,
+    state: ServerState,
+    position: int,
+    limit: float,
+    now: float,
+) -> bool:
+    load = selector.loads.get(criteria.service)
+    if load is None or not load.is_known:
+        return state.occupancy(now) >= limit
+    key = criteria.key if criteria.has_affinity else ""
+    estimate = load.estimate(state, min(position, SERVERS_PER_OBJECT), key, now)
+    limits = Limits(criteria.target_s, criteria.remaining_s, criteria.rank)
+    return not has_room_in_time(estimate, limits)
+
+
 def _exclusion(selector: Selector, criteria: ServerCriteria, state: ServerState) -> str:
     exclusion = find_unusable(state, selector.drained) or find_unsuitable(
         state, criteria.home_regions, criteria.versions, criteria.names
--- a/packages/steering/src/radishbridge/steering/load.py
+++ b/packages/steering/src/radishbridge/steering/load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import typing as t
 
 from radishbridge.steering.hashing import unit_hash
@@ -360,6 +361,19 @@
         return min(self.remaining_s, self.target_s * (TARGET_TOLERANCE - penalty))
 
 
+def has_room_in_time(one: Estimate, limits: Limits) -> bool:
+    """Return whether a server may run a request without making others late.
+
+    :param one: its position tells whether the server is one of the object's.
+    """
+    if one.position >= len(WARM_FRACTIONS) - 1:
+        in_time = one.wait_s + one.run_s <= min(limits.target_s, limits.remaining_s)
+        return one.occupancy < IDLE_OCCUPANCY_MAX and in_time
+    longest_s = limits.longest_s(one.warm_finish_s - one.wait_s)
+    displaces = one.warm_finish_s > longest_s and one.wait_s > 0.0
+    return not displaces and one.wait_s + one.run_s <= limits.remaining_s
+
+
 def choose_by_time(
     estimates: t.Iterable[Estimate],
     others: t.Iterable[Estimate],
@@ -373,15 +387,8 @@
     :param admits: whether a server's slow start admits the request.
     """
     by_cost = sorted(estimates, key=lambda one: one.cost_s)
-    for one in by_cost:
-        longest_s = limits.longest_s(one.warm_finish_s - one.wait_s)
-        if (one.warm_finish_s <= longest_s or not one.wait_s) and (
-            one.wait_s + one.run_s <= limits.remaining_s and admits(one.state)
-        ):
-            return one.choice()
-    for one in others:
-        in_time = one.wait_s + one.run_s <= min(limits.target_s, limits.remaining_s)
-        if one.occupancy < IDLE_OCCUPANCY_MAX and in_time and admits(one.state):
+    for one in itertools.chain(by_cost, others):
+        if has_room_in_time(one, limits) and admits(one.state):
             return one.choice()
     if not by_cost:
         return Choice(None)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -8,6 +8,8 @@
 from steering_world import T0, make_selector, make_server
 
 from radishbridge.steering import Notice, Selector, ServerCriteria, ServiceRule, explain_choice
+from radishbridge.steering.load import RUN_SAMPLES_MIN
+from radishbridge.steering.servers import LoadReport
 
 SERVICE = "catalogue"
 
@@ -47,6 +49,19 @@
             assert choice.chosen is chosen
             assert names == ([] if chosen is None else [chosen.server.name])
 
+    def test_servers_that_cannot_finish_in_time_are_full(self):
+        # Servers whose service is selected by expected time were shown as eligible.
+        selector = make_selector(6)
+        for state in selector.states.values():
+            report = LoadReport(state.server.slots, 400, state.server.slots, 1.0, has_pace=True)
+            selector.loads.record_load(state, report, T0)
+        for _ in range(2 * RUN_SAMPLES_MIN):
+            selector.loads[SERVICE].runs.add(1.0)
+        limited = criteria()._replace(target_s=0.5, remaining_s=4.0)
+        explained = explain_choice(selector, [limited], T0)
+        assert explained.chosen is None
+        assert {one.verdict for one in explained.candidates} == {"full"}
+
     def test_candidates_are_in_the_order_of_the_ranking(self):
         selector = make_selector(8)
         choice = explain_choice(selector, [criteria()], T0)
