--- a/tests/test_rate_limits_under_faults.py
+++ b/tests/test_rate_limits_under_faults.py
@@ -257,6 +257,7 @@
             count = rng.randint(4, 8)
             fleet = SplitFleet(count)
             world = fleet.world
+            fleet.callers.moving = rng.random() < 0.5
             await world.run_for(8.0)
             next_number = count
             for _ in range(rng.randint(1, 2)):
@@ -276,13 +277,18 @@
                         world.sides[name] = rng.randrange(side_count)
                         world.hosts[name].link.is_unresponsive = world.sides[name] in without
                         next_number += 1
-                    elif event < 0.55 and len(world.hosts) > 3:
+                    elif event < 0.5:
+                        # Messages arrive late: lost packets are sent again.
+                        late = rng.sample(sorted(world.hosts), 2)
+                        world.packet_loss = dict.fromkeys(late, rng.choice((0.1, 0.3)))
+                    elif event < 0.58 and len(world.hosts) > 3:
                         fleet.kill([rng.choice(list(world.hosts))])
                     elif event < 0.75:
                         side = rng.randrange(side_count)
                         without ^= {side}
                         fleet.split(world.sides, without)
                 fleet.heal()
+                world.packet_loss = {}
                 await world.run_for(rng.uniform(1.0, 12.0))
             await fleet.stop()
             fleet.check_limit()
