Wait for all hosts in the fixture of the tests of notices

The store fell silent as soon as the servers had been reached, which one host alone can do. A host that had not read anything by then never became ready: TimeoutError in 4 of 12 runs beside other load (14 to 21 on seven cores). The fixture now waits until each host has served a request.

--- a/tests/test_server_notices_fleet.py
+++ b/tests/test_server_notices_fleet.py
@@ -36,6 +36,8 @@
             callers = Callers(world.hosts, world.keys, world.history, 7)
             task = asyncio.create_task(callers.run(12))
             await self.wait_until(lambda: len(self.servers_reached()) == len(world.servers))
+            # The store may fall silent next: a host that has read nothing would never be ready.
+            await self.wait_until(lambda: len(self.hosts_that_serve()) == HOSTS)
             # Hosts that have just started are excused.
             await self.wait_until(self.is_undisturbed)
             yield
@@ -45,6 +47,9 @@
     def servers_reached(self) -> set[str]:
         return {execution.server for execution in self.world.history.executions}
 
+    def hosts_that_serve(self) -> set[str]:
+        return {one.host for one in self.world.history.outcomes if one.status == 200}
+
     def is_undisturbed(self) -> bool:
         now = time.monotonic()
         names = [process_name(host.name) for host in self.world.hosts]
