Let a majority question lost hosts that new hosts replace

Hosts that registered during the silence of others counted against the majority that may question these.

--- a/packages/steering/src/radishbridge/steering/share_expiry.py
+++ b/packages/steering/src/radishbridge/steering/share_expiry.py
@@ -187,12 +187,16 @@
     def may_question(self, present: t.Iterable[str], last_seen_at: float) -> bool:
         """Return whether the hosts in contact are a majority that may question a silent host.
 
-        Hosts that registered during its silence do not count, since it may not know of them.
+        Hosts in contact that registered during its silence count on neither side: it may not know
+        of them, but they cannot be part of a majority with it.
 
         :param last_seen_at: time of the last contact to the silent host.
         """
-        known = {name for name in present if self.registered_at.get(name, math.inf) <= last_seen_at}
-        return has_majority(known, self.registered_at.keys())
+        in_contact = set(present)
+        known = {
+            name for name in in_contact if self.registered_at.get(name, math.inf) <= last_seen_at
+        }
+        return has_majority(known, self.registered_at.keys() - (in_contact - known))
 
 
 def _first(since: float | None, now: float) -> float:
--- a/tests/test_rate_limits_under_faults.py
+++ b/tests/test_rate_limits_under_faults.py
@@ -307,6 +307,21 @@
 
         virtual_time.run(scenario(), monkeypatch)
 
+    def test_rate_is_whole_again_if_new_hosts_replace_the_lost_ones(self, monkeypatch):
+        async def scenario() -> None:
+            fleet = SplitFleet(8)
+            await fleet.world.run_for(8.0)
+            fleet.kill(fleet.names[:3])
+            await fleet.world.run_for(2.0)
+            for number in (100, 101, 102):
+                fleet.world.start(number)
+            await fleet.world.run_for(45.0)
+            await fleet.stop()
+            fleet.check_limit()
+            assert fleet.admitted_fraction("large", 35.0, 45.0) >= 0.85
+
+        virtual_time.run(scenario(), monkeypatch)
+
     def test_rate_stays_whole_when_the_entries_are_removed(self, monkeypatch):
         async def scenario() -> None:
             fleet = SplitFleet(8)
