Accept a rate of no calls where no duty is in use

A settings file with dutiesPerS = 0 in [cloud] was refused, so the host did not start, although the settings name no duty.

--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -317,6 +317,10 @@
     def test_nothing_without_the_duty(self, tmp_path, text):
         assert self.read(tmp_path, text).usage is None
 
+    def test_a_rate_of_zero_without_the_duty_does_not_prevent_the_start(self, tmp_path):
+        text = CLOUD.replace("usage_reporting", "other").replace("20.0", "0.0")
+        assert self.read(tmp_path, text).usage is None
+
     def test_the_duty_is_read(self, tmp_path):
         usage = self.read(tmp_path, CLOUD).usage
         assert usage.address == "10.9.0.1:8100"
