Wait for earlier leases before a deleted usage record is created

If someone deleted the record, another host that read it created a new one at once, with a higher token, while the holder could still send under its lease with the lower one.

--- a/packages/steering/src/radishbridge/steering/usage.py
+++ b/packages/steering/src/radishbridge/steering/usage.py
@@ -205,6 +205,7 @@
     :param incarnation: differs for each start of this host.
     :param rng: spreads retries.
     :param stored: the record as last read or written; ``None`` if there is none.
+    :param missing_since: monotonic time since which the store has had no record.
     :param must_read: the record is unknown, or the outcome of a write is.
     :param observed_revision: the newest revision of the record that this host knows of.
     :param observed_at: monotonic time after which that revision is known not to be newer.
@@ -233,6 +234,7 @@
         "incarnation",
         "is_write_open",
         "left_out",
+        "missing_since",
         "must_read",
         "next_call_at",
         "next_store_at",
@@ -257,6 +259,7 @@
         self.incarnation = incarnation
         self.rng = rng
         self.stored: StoredUsage | None = None
+        self.missing_since = float("inf")
         self.must_read = True
         self.observed_revision = 0
         self.observed_at = float("inf")
@@ -316,7 +319,9 @@
             return ReadRecord()
         stored = self.stored
         if stored is None:
-            started = self.rules.window_of(time.at(now)) - 1
+            if not self._may_create(now):
+                return None
+            started = self.rules.window_of(time.at(self.missing_since)) - 1
             return self._write(0, self.highest_token + 1, max(0, started), (), now)
         record = stored.record
         ready = self._ready_windows(record, gathering, live, time, now)
@@ -433,7 +438,9 @@
         self.stored = stored
         self.valid_until = float("-inf")
         if stored is None:
+            self.missing_since = min(self.missing_since, now)
             return
+        self.missing_since = float("inf")
         if stored.revision != self.observed_revision:
             self.observed_revision = stored.revision
             self.observed_at = now
@@ -473,6 +480,12 @@
         is_due = now >= self.sent_at + leases * self.rules.lease_s - CALL_TIME_MIN_S
         return is_due and bool(self._unconfirmed(self.stored.record, time_s))
 
+    def _may_create(self, now: float) -> bool:
+        # If someone has deleted the record, its holder may still send under its lease.
+        if not self.highest_token:
+            return True
+        return now - self.missing_since > self.rules.takeover_after_s
+
     def _may_take_over(self, record: UsageRecord, now: float) -> bool:
         is_same_host = (record.holder, record.address) == (self.holder, self.address)
         # An earlier process of this host needs no time in which the duty may not return to it.
--- a/tests/test_usage_duty.py
+++ b/tests/test_usage_duty.py
@@ -21,6 +21,7 @@
 from radishbridge.platform.store import PlatformStore
 from radishbridge.platform.usage import RECORD_KIND, RECORD_NAME, PlatformUsage
 from radishbridge.steering.usage import (
+    ReadRecord,
     SendOutcome,
     SendReport,
     UsageDuty,
@@ -90,6 +91,22 @@
         assert duty.reaches_store(now + 2.0)
 
 
+class TestDeletedRecord:
+    """A new record with a higher token while the holder of the deleted one may still send."""
+
+    def test_it_is_created_only_once_no_earlier_lease_can_last(self):
+        duty = UsageDuty(RULES, "host-2", "10.0.0.2:7000", 1, random.Random(1))
+        gathering = UsageGathering(RULES.window_s)
+        clock = FleetTime(1_000.0)
+        duty.observe(7, 12, 0.0)
+        assert isinstance(duty.decide(True, gathering, (), clock, 9.0), ReadRecord)
+        duty.on_read(None, 9.0)
+        assert duty.decide(True, gathering, (), clock, 8.9 + RULES.takeover_after_s) is None
+        step = duty.decide(True, gathering, (), clock, 9.1 + RULES.takeover_after_s)
+        assert isinstance(step, WriteRecord)
+        assert step.record.token == 13
+
+
 class OneCandidate:
     """The part of a fleet that a reporter uses, of a host that is always the candidate."""
 
