Drop usage counts that a host has taken back

An aggregator merged the windows of a host's report into those of the earlier one. If the only attempt of a window was refused after a report had counted it, or its start was estimated anew in the next window, the next report lacked the window and the old count stayed. The last report of a host now replaces the earlier one as a whole.

--- a/packages/steering/src/radishbridge/steering/usage_counts.py
+++ b/packages/steering/src/radishbridge/steering/usage_counts.py
@@ -321,7 +321,7 @@
         gathered.heard_at = now
         gathered.is_leaving = is_leaving
         gathered.reaches_record = report.reaches_record
-        gathered.counts.update(report.counts)
+        gathered.counts = dict(report.counts)
         self.time_offsets[name] = report.time_s - now
         self.hold(report.holding)
 
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -147,6 +147,15 @@
             gathering.record("a", make_usage(sequence, count), False, 36.0)
         assert gathering.totals(7) == {"school": 9}
 
+    def test_an_attempt_that_is_refused_after_a_report_is_not_counted(self):
+        counter = make_counter()
+        gathering = UsageGathering(WINDOW_S)
+        counter.begin("a", "school", "catalogue", 0.5, 0.0, 4.9)
+        gathering.record("a", UsageReport(1, 1, 0.0, 0, counter.snapshot(5.1)), False, 5.1)
+        counter.finish("a", AttemptEnding.NOT_RUN, 5.2)
+        gathering.record("a", UsageReport(1, 2, 0.0, 0, counter.snapshot(5.3)), False, 5.3)
+        assert gathering.totals(0) == {}
+
     def test_counts_of_an_earlier_incarnation_and_of_a_dead_host_are_kept(self):
         gathering = UsageGathering(WINDOW_S)
         gathering.record("a", make_usage(8, 3), False, 36.0)
