--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -342,3 +342,10 @@
     )
     def test_invalid_settings_are_refused(self, tmp_path, old, new):
         assert isinstance(self.read(tmp_path, CLOUD.replace(old, new)), Failure)
+
+    def test_a_lease_too_short_for_a_call_is_refused(self, tmp_path):
+        # Writes would follow each other without a pause, and none would permit a call.
+        text = SETTINGS.replace('ttl_max = "5s"', 'ttl_max = "5s"\nlease_time = "80ms"') + CLOUD
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+        assert isinstance(read_settings(path), Failure)
