--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -148,6 +148,15 @@
             gathering.record("a", make_usage(sequence, count), False, 36.0)
         assert gathering.totals(7) == {"school": 9}
 
+    def test_an_attempt_that_is_refused_after_a_report_is_not_counted(self):
+        counter = make_counter()
+        gathering = UsageGathering(WINDOW_S)
+        counter.begin("a", "school", "catalogue", 0.5, 0.0, 4.9)
+        gathering.record("a", UsageReport(1, 1, 0.0, 0, counter.snapshot(5.1)), False, 5.1)
+        counter.finish("a", AttemptEnding.NOT_RUN, 5.2)
+        gathering.record("a", UsageReport(1, 2, 0.0, 0, counter.snapshot(5.3)), False, 5.3)
+        assert gathering.totals(0) == {}
+
     def test_counts_of_an_earlier_incarnation_and_of_a_dead_host_are_kept(self):
         gathering = UsageGathering(WINDOW_S)
         gathering.record("a", make_usage(8, 3), False, 36.0)
@@ -331,6 +340,10 @@
     def test_nothing_without_the_duty(self, tmp_path, text):
         assert self.read(tmp_path, text).usage is None
 
+    def test_a_rate_of_zero_without_the_duty_does_not_prevent_the_start(self, tmp_path):
+        text = CLOUD.replace("usage_reporting", "other").replace("20.0", "0.0")
+        assert self.read(tmp_path, text).usage is None
+
     def test_the_duty_is_read(self, tmp_path):
         usage = self.read(tmp_path, CLOUD).usage
         assert usage.address == "10.9.0.1:8100"
@@ -343,3 +356,10 @@
     )
     def test_invalid_settings_are_refused(self, tmp_path, old, new):
         assert isinstance(self.read(tmp_path, CLOUD.replace(old, new)), Failure)
+
+    def test_a_lease_too_short_for_a_call_is_refused(self, tmp_path):
+        # Writes would follow each other without a pause, and none would permit a call.
+        text = SETTINGS.replace('ttl_max = "5s"', 'ttl_max = "5s"\nlease_time = "80ms"') + CLOUD
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+        assert isinstance(read_settings(path), Failure)
