Refuse a usage record whose numbers messages cannot carry

A record of another writer with a token above 2^53 made the whole report of its reader malformed, demands included.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.platform.objects import PlatformDecoder, encode_host
 from radishbridge.platform.settings import read_settings
+from radishbridge.platform.usage import decode_record
 from radishbridge.records import Failure, ResultCode
 from radishbridge.steering import Configuration, LoadReport, MoveOrder, MovePhase, Server
 
@@ -279,3 +280,21 @@
     def test_other_texts_are_rejected(self, text):
         with pytest.raises(ValueError, match="duration"):
             parse_duration(text)
+
+
+class TestUsageRecord:
+    @pytest.mark.parametrize("field", ["fencingToken", "finalizedThrough"])
+    def test_a_record_with_numbers_beyond_the_messages_is_refused(self, field):
+        # Such a record of another writer made the whole report of its reader malformed.
+        spec = {
+            "holder": "host",
+            "address": "10.2.0.3:7000",
+            "incarnation": 1,
+            "fencingToken": 1,
+            "sequence": 1,
+            "finalizedThrough": 1,
+        }
+        stored = {"metadata": {"name": "usage", "revision": 4}, "spec": {**spec, field: 2**53 + 1}}
+        assert isinstance(decode_record(msgspec.json.encode(stored)), Failure)
+        stored["spec"] = spec
+        assert not isinstance(decode_record(msgspec.json.encode(stored)), Failure)
