--- a/packages/host/src/radishbridge/host/admission.py
+++ b/packages/host/src/radishbridge/host/admission.py
@@ -14,6 +14,9 @@
 # to servers are not kept idle.
 IN_USE_FRACTION = 0.45
 ENDPOINT_FRACTION = 0.05
+# Fraction for connections to servers of pipelined requests that run before their turn: 128 of
+# 4,100.
+EARLY_FRACTION = 1 / 32
 PEERS_FRACTION = 0.35
 
 Connection = t.TypeVar("Connection")
--- a/packages/host/src/radishbridge/host/pipelining.py
+++ b/packages/host/src/radishbridge/host/pipelining.py
@@ -91,6 +91,8 @@
     :param clock: the clock of arrival times, in seconds.
     :param may_start: returns whether requests may start early, e.g. not during a shutdown.
     :param memory: counts the bytes of responses that wait for their turn.
+    :param early_max: requests of all connections that may run early, if they are fewer than
+        ``EARLY_PER_HOST_MAX``. Each may take a connection to a server.
     :param running: tasks of the requests that have started early and are not answered.
     :param held: number of finished responses that wait for their turn.
     :param held_bytes: bytes of these.
@@ -101,6 +103,7 @@
 
     __slots__ = (
         "clock",
+        "early_max",
         "held",
         "held_bytes",
         "may_start",
@@ -112,8 +115,13 @@
     )
 
     def __init__(
-        self, clock: t.Callable[[], float], may_start: t.Callable[[], bool], memory: CountsBytes
+        self,
+        clock: t.Callable[[], float],
+        may_start: t.Callable[[], bool],
+        memory: CountsBytes,
+        early_max: int = EARLY_PER_HOST_MAX,
     ) -> None:
+        self.early_max = early_max
         self.clock = clock
         self.may_start = may_start
         self.memory = memory
@@ -128,7 +136,7 @@
         """Return whether another request may start early within the bounds of the host."""
         expected_bytes = (len(self.running) - self.held) * self.mean_bytes
         return (
-            len(self.running) < EARLY_PER_HOST_MAX
+            len(self.running) < min(self.early_max, EARLY_PER_HOST_MAX)
             and self.held_bytes + expected_bytes < HELD_BYTES_MAX
         )
 
