Log and count what proves that a refused request did not run

Cause: the log of a request that was refused did not say who decided that it had not run: the host before sending, a server by a statement, or a server's status alone; nor how many requests the connection had carried. Change: lines of 408, 421, 429 and 503 hold the evidence and each attempt's answer, with a budget of lines of their own when the request was sent; radishbridge_refusals_total counts them by status and evidence. No decision changes.

--- a/packages/entry/src/radishbridge/entry/access_log.py
+++ b/packages/entry/src/radishbridge/entry/access_log.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
 from radishbridge.entry.context import RequestContext
+from radishbridge.entry.refusals import REFUSAL_STATUSES, Evidence
 from radishbridge.records import ResultCode
 
 # One of this many requests that the first server answered in time is logged.
@@ -14,6 +15,10 @@
 # Rate and burst of the lines for all other requests. Requests without a line are counted.
 LINES_PER_S = 40.0
 LINES_BURST = 80.0
+# The same for refusals of requests that were sent to a server, so that the lines which tell whether
+# such a refusal is true are not lost among others.
+REFUSAL_LINES_PER_S = 10.0
+REFUSAL_LINES_BURST = 100.0
 LATENCY_BUCKETS_S = (
     0.01,
     0.025,
@@ -35,24 +40,51 @@
 logger = logging.getLogger(__name__)
 
 
+class LineBudget:
+    """Token bucket that bounds the lines of one sort.
+
+    :param per_s: lines per second.
+    :param tokens: lines that may be written now, at most ``burst``.
+    :param refilled_at: monotonic time in seconds of the last refill.
+    """
+
+    __slots__ = ("burst", "per_s", "refilled_at", "tokens")
+
+    def __init__(self, per_s: float, burst: float) -> None:
+        self.per_s = per_s
+        self.burst = burst
+        self.tokens = burst
+        self.refilled_at = 0.0
+
+    def take(self, now: float) -> bool:
+        """Return whether a line may be written."""
+        self.tokens = min(self.burst, self.tokens + self.per_s * (now - self.refilled_at))
+        self.refilled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
 class AccessLog:
     """Records each finished request in the log and the metrics.
 
     :param successes: requests that the first server answered in time and without a server error;
         a sample of them is logged.
     :param unlogged: requests without a line since the last line.
-    :param tokens: token bucket for the lines of all other requests.
-    :param refilled_at: monotonic time in seconds of the last refill of the bucket.
+    :param lines: bounds the lines of all other requests.
+    :param refusal_lines: bounds the lines of refusals of requests that were sent to a server.
     """
 
     __slots__ = (
         "abandoned",
-        "refilled_at",
+        "lines",
+        "refusal_lines",
+        "refusals",
         "registry",
         "requests",
         "seconds",
         "successes",
-        "tokens",
         "unlogged",
     )
 
@@ -77,10 +109,16 @@
             ["delivered"],
             registry=registry,
         )
+        self.refusals = Counter(
+            "radishbridge_refusals",
+            "Responses that say that the request did not run, by what proves it.",
+            ["status", "evidence"],
+            registry=registry,
+        )
         self.successes = 0
         self.unlogged = 0
-        self.tokens = LINES_BURST
-        self.refilled_at = 0.0
+        self.lines = LineBudget(LINES_PER_S, LINES_BURST)
+        self.refusal_lines = LineBudget(REFUSAL_LINES_PER_S, REFUSAL_LINES_BURST)
 
     def record(self, context: RequestContext, now: float) -> None:
         """Record a finished request.
@@ -93,6 +131,8 @@
         self.seconds.labels(route).observe(took_s)
         for attempt in context.abandoned:
             self.abandoned.labels(attempt.delivered).inc()
+        if context.status in REFUSAL_STATUSES:
+            self.refusals.labels(context.status, context.not_run_evidence.value).inc()
         if not self._should_log(context, took_s, now):
             self.unlogged += 1
             return
@@ -114,6 +154,12 @@
             "took_ms": round(took_s * 1000.0),
             "left_out": self.unlogged,
         }
+        if context.status in REFUSAL_STATUSES:
+            fields["evidence"] = context.not_run_evidence.value
+            fields["attempts"] = [
+                {"outcome": attempt.outcome.value, "answer": attempt.answer}
+                for attempt in context.attempts
+            ]
         choice = context.refused_choice
         if choice is not None and choice.expected_s:
             fields["refusal"] = choice.refusal.value
@@ -125,15 +171,14 @@
         return fields
 
     def _should_log(self, context: RequestContext, took_s: float, now: float) -> bool:
+        if context.status in REFUSAL_STATUSES and (
+            context.not_run_evidence is not Evidence.NOT_SENT
+        ):
+            return self.refusal_lines.take(now)
         succeeded = (
             context.code is ResultCode.OK and context.status < 500 and len(context.tried) <= 1
         )
         if succeeded and took_s <= context.route.target_s:
             self.successes += 1
             return self.successes % SUCCESS_SAMPLE_INTERVAL == 1
-        self.tokens = min(LINES_BURST, self.tokens + LINES_PER_S * (now - self.refilled_at))
-        self.refilled_at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        return self.lines.take(now)
--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -22,6 +22,7 @@
 )
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
+from radishbridge.entry.refusals import ServerAnswer
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.sockets import round_trip_s
 from radishbridge.records import Failure, ResultCode
@@ -55,10 +56,12 @@
     :param sent_at: monotonic time in seconds at which the request was sent.
     :param asked_for_pause: the response said that the server wants no requests for a while.
     :param ending: how the attempt ended, once it has.
+    :param answer: what the server answered; ``None`` without a complete response.
     :param is_silent: the server sent no response for longer than usual.
     """
 
     __slots__ = (
+        "answer",
         "asked_for_pause",
         "check_before_send",
         "choice",
@@ -105,6 +108,7 @@
         self.ending = AttemptEnding.CANCELLED
         self.is_silent = False
         self.asked_for_pause = False
+        self.answer: ServerAnswer | None = None
 
     async def run(self) -> BackendResponse | Failure:
         """Send the request and return the response, or why there is none."""
@@ -200,6 +204,7 @@
     ) -> BackendResponse | Failure:
         self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
+        self.answer = ServerAnswer(response.status, metadata.not_run, connection.requests)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
             # A refusal without an id is not trusted either: it may belong to an earlier request.
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -75,6 +75,7 @@
     :param lost_unanswered: it broke before any byte of the response.
     :param on_head: called with status and headers of a final response, before its body is in.
     :param received_bytes: bytes received for the current request, head and framing included.
+    :param requests: requests sent on the connection.
     :param body_bytes: bytes of the response's body received so far.
     """
 
@@ -96,6 +97,7 @@
         "on_head",
         "parser",
         "received_bytes",
+        "requests",
         "status",
         "transport",
         "unacknowledged_bytes",
@@ -122,6 +124,7 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.received_bytes = 0
+        self.requests = 0
         self.complete = False
         self.keep_alive = False
 
@@ -186,6 +189,7 @@
         """Send one request and return its response; cancellation closes the connection."""
         assert self.transport is not None
         self._reset_response(is_head_request)
+        self.requests += 1
         self.on_head = on_head
         self.waiter = self.loop.create_future()
         self.transport.write(head + body)
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from radishbridge.entry.protocol import RequestMetadata
+from radishbridge.entry.refusals import Evidence, ServerAnswer
 from radishbridge.records import Execution, Failure, ResultCode
 from radishbridge.steering import Choice, HomeRegion, RouteRule, WeightedService
 
@@ -41,10 +42,11 @@
 )
 
 
-class HasOutcome(t.Protocol):
+class AttemptRecord(t.Protocol):
     """An attempt, reduced to what the context of its request reads."""
 
     outcome: AttemptOutcome
+    answer: ServerAnswer | None
 
 
 class AbandonedAttempt(t.NamedTuple):
@@ -132,7 +134,7 @@
         self.tried: list[str] = []
         self.send_count = 0
         self.abandoned: list[AbandonedAttempt] = []
-        self.attempts: list[HasOutcome] = []
+        self.attempts: list[AttemptRecord] = []
         self.held_s = 0.0
         self.refused_choice: Choice | None = None
         self.retry_after_s = 0.0
@@ -145,6 +147,22 @@
         """Return whether any server ran the request or may have, which holds once it is sent."""
         return any(attempt.outcome in MAY_HAVE_RUN_OUTCOMES for attempt in self.attempts)
 
+    @property
+    def not_run_evidence(self) -> Evidence:
+        """What proves that the request did not run, if it is refused."""
+        if self.may_have_run:
+            return Evidence.NONE
+        refusals = [
+            attempt.answer
+            for attempt in self.attempts
+            if attempt.outcome is AttemptOutcome.NOT_RUN and attempt.answer is not None
+        ]
+        if not refusals:
+            return Evidence.NOT_SENT
+        if all(refusal.states_not_run for refusal in refusals):
+            return Evidence.SERVER_STATEMENT
+        return Evidence.SERVER_STATUS
+
     @property
     def home_region(self) -> HomeRegion | None:
         """The only region that may run the request, with its service; ``None`` if several may."""
