Take a server's status alone for no promise that the request did not run

Callers of requests that may run once were told 408, 421, 429 or 503 for requests that had run: a server that answers with one of these statuses and without Not-Executed had its status passed on, and a bare 421 was taken as proof, so that the request was sent to another server as well. Repeatable requests were answered so after their last attempt.

Only Not-Executed states that a request did not run; the platform says that no other response does. The one exception is a 421 whose Instance-Id names another server than Expect-Instance did, since a server rejects requests for others. The decision is one pure function now, refusals.judge. A refusal without proof means that the request may have run: one that may run once is answered 502, a repeatable one is retried within its attempts and budget. It counts as a failure of the server, and the reason is logged. Evidence.SERVER_STATUS can't occur any more and is removed.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -22,7 +22,7 @@
 )
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
-from radishbridge.entry.refusals import ServerAnswer
+from radishbridge.entry.refusals import Judgement, ServerAnswer, Verdict, judge
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.sockets import round_trip_s
 from radishbridge.records import Failure, ResultCode
@@ -204,7 +204,8 @@
     ) -> BackendResponse | Failure:
         self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
-        self.answer = ServerAnswer(response.status, metadata.not_run, connection.requests)
+        judgement = judge(response.status, metadata, self.state.server.name)
+        self.answer = ServerAnswer(response.status, judgement.proves_not_run, connection.requests)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
             # A refusal without an id is not trusted either: it may belong to an earlier request.
@@ -220,10 +221,12 @@
             connection.close()
         connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
-        if metadata.not_run or metadata.misdirected:
-            return self._record_refusal(metadata, now)
+        if judgement.proves_not_run:
+            return self._record_refusal(judgement, metadata)
         if metadata.is_signed:
             self.steering_state.crash_reports.record_completed_run(self.context.fingerprint, now)
+        if judgement.verdict is Verdict.UNPROVEN:
+            return self._record_unproven_refusal(judgement)
         success = FIRST_SUCCESS <= response.status < FIRST_REDIRECT
         if success and (not metadata.is_signed or metadata.is_encoded):
             return self._record_exchange_failure(
@@ -242,9 +245,15 @@
         self.outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
         return response
 
-    def _record_refusal(self, metadata: ResponseMetadata, now: float) -> Failure:
+    def _record_unproven_refusal(self, judgement: Judgement) -> Failure:
+        # The outcome stays that the request may have run.
+        self._count_failure(judgement.reason)
+        self._record_latency(True)
+        return Failure(ResultCode.BACKEND_FAILED, judgement.reason)
+
+    def _record_refusal(self, judgement: Judgement, metadata: ResponseMetadata) -> Failure:
         self.outcome = AttemptOutcome.NOT_RUN
-        if metadata.misdirected:
+        if judgement.verdict is Verdict.MISDIRECTED:
             self._count_failure("the address belongs to another server now", FAILURES_TO_EJECT)
             return Failure(ResultCode.BACKEND_REFUSED, "the address belongs to another server now")
         load = metadata.load
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -159,9 +159,9 @@
         ]
         if not refusals:
             return Evidence.NOT_SENT
-        if all(refusal.states_not_run for refusal in refusals):
+        if all(refusal.proves_not_run for refusal in refusals):
             return Evidence.SERVER_STATEMENT
-        return Evidence.SERVER_STATUS
+        return Evidence.NONE
 
     @property
     def home_region(self) -> HomeRegion | None:
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -174,7 +174,7 @@
     :param request_id: id of the request that it answers; empty if not given.
     :param is_signed: it carries the server's proof that it ran the request.
     :param not_run: it states that the request did not run.
-    :param misdirected: another server has the address now.
+    :param server: name of the server that answers; empty if not given.
     :param load: the server's report of its load.
     :param is_encoded: the body has a content encoding, so its bytes are not the server's own.
     """
@@ -182,7 +182,7 @@
     request_id: str
     is_signed: bool
     not_run: bool
-    misdirected: bool
+    server: str
     load: LoadReport | None
     is_encoded: bool
 
--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -5,8 +5,11 @@
 import enum
 import typing as t
 
+from radishbridge.entry.protocol import ResponseMetadata
+
+MISDIRECTED = 421
 # Statuses by which callers know that their request has not run and never will.
-REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+REFUSAL_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 
 
 class Evidence(enum.Enum):
@@ -14,7 +17,6 @@
 
     NOT_SENT = "not sent"
     SERVER_STATEMENT = "server statement"
-    SERVER_STATUS = "server status"
     NONE = "none"
 
 
@@ -22,10 +24,60 @@
     """What a server answered to one attempt.
 
     :param status: HTTP status.
-    :param states_not_run: the answer states that the request did not run.
+    :param proves_not_run: the answer proves that the request did not run.
     :param connection_requests: requests sent on the connection, this one included.
     """
 
     status: int
-    states_not_run: bool
+    proves_not_run: bool
     connection_requests: int
+
+
+class Verdict(enum.Enum):
+    """What a server's answer says of the request.
+
+    ``UNPROVEN`` is a refusal without proof that it is one of this request, which may have run.
+    """
+
+    RESPONSE = "response"
+    SHED = "shed"
+    MISDIRECTED = "misdirected"
+    UNPROVEN = "unproven"
+
+
+class Judgement(t.NamedTuple):
+    """A verdict on a server's answer.
+
+    :param reason: why a refusal proves nothing; empty for other verdicts.
+    """
+
+    verdict: Verdict
+    reason: str = ""
+
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request did not run and never will."""
+        return self.verdict in (Verdict.SHED, Verdict.MISDIRECTED)
+
+
+_RESPONSE = Judgement(Verdict.RESPONSE)
+_SHED = Judgement(Verdict.SHED)
+_MISDIRECTED = Judgement(Verdict.MISDIRECTED)
+_STATUS_ALONE = Judgement(Verdict.UNPROVEN, "the server did not state that the request did not run")
+
+
+def judge(status: int, metadata: ResponseMetadata, server: str) -> Judgement:
+    """Decide whether an answer with the request's id proves that the request did not run.
+
+    The server's statement proves it, and so does the name of another server with status 421, by
+    which servers reject requests for others. A status alone proves nothing: it may come from a
+    server that ran the request, or from something in front of it.
+
+    :param server: name of the server that the request was meant for.
+    """
+    if not metadata.not_run and status not in REFUSAL_STATUSES:
+        return _RESPONSE
+    if status == MISDIRECTED:
+        is_other = metadata.server not in ("", server)
+        return _MISDIRECTED if metadata.not_run or is_other else _STATUS_ALONE
+    return _SHED if metadata.not_run else _STATUS_ALONE
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 
 import pytest
-from entry_world import running, shed
+from entry_world import reply, running, shed
 from raw_server import GOOD, RawConnection, raw_server
 from steering_world import make_route, make_server
 
@@ -18,6 +19,44 @@
 ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
 
 
+class TestStatusWithoutAStatement:
+    """A server ran the request, or may have, and answers with a status that promises otherwise.
+
+    If the status were passed on or taken for a refusal, the caller would send the request again.
+    """
+
+    @pytest.mark.parametrize("headers", [{}, {"Instance_Id": "server-0"}])
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    async def test_a_request_that_may_run_once_is_neither_retried_nor_refused(
+        self, caplog, status, headers
+    ):
+        caplog.set_level(logging.INFO)
+        async with running(reply(status, **headers), route=ONCE) as (world, backends):
+            answer, _, received = await world.request(method="POST", Request_Id="r9")
+        assert (answer, len(backends[0].requests)) == (502, 1)
+        assert "Response-Signature" not in received
+        (line,) = [vars(one) for one in caplog.records if getattr(one, "id", "") == "r9"]
+        assert line["reason"] == "the server did not state that the request did not run"
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    async def test_a_repeatable_request_is_retried_and_not_refused(self, status):
+        async with running(reply(status), reply()) as (world, backends):
+            answers = [(await world.request(Affinity_Key=str(n)))[0] for n in range(6)]
+            assert answers == [200] * 6
+            assert backends[0].requests
+        async with running(reply(status), reply(status)) as (world, backends):
+            assert (await world.request())[0] == 502
+            assert [len(backend.requests) for backend in backends] == [1, 1]
+
+    @pytest.mark.parametrize("headers", [{"Not_Executed": "1"}, {"Instance_Id": "i-other"}])
+    async def test_misdirected_request_is_retried(self, headers):
+        async with running(reply(421, **headers), reply(), route=ONCE) as (world, _):
+            answers = [
+                (await world.request(method="POST", Affinity_Key=str(n)))[0] for n in range(6)
+            ]
+        assert answers == [200] * 6
+
+
 class TestRefusalOfAnotherRequest:
     """A server sends a refusal without a request id while it runs the next request.
 
