Trust no refusal whose id another request was sent with

A late copy of a server's refusal that met a request with the same id again was taken for the refusal of that request: it was sent to another server although it ran, or its caller was told 503. The id identifies the answer only as long as callers use an id once, which they are free not to do.

Each host remembers the ids that it has sent to servers, for 30 to 60 s, with the number of the caller's request that sent them. A refusal of an id with another sender proves nothing: a request that may run once is answered 502, a repeatable one is retried. The attempts of one request count as one sender, so that a refused request is retried elsewhere as before. Such a refusal is no failure of the server, or callers could have servers ejected by using ids again.

What remains: an id that comes again after the memory has forgotten it, or through another host, which has connections of its own.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -143,6 +143,9 @@
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
         self.sent_at = uptime.now()
         self.context.send_count += 1
+        self.pool.sent_ids.record(
+            self.context.metadata.request_id, self.context.number, self.sent_at
+        )
         if self.steering_state.usage is not None:
             self.steering_state.usage.begin(
                 self,
@@ -204,7 +207,12 @@
     ) -> BackendResponse | Failure:
         self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
-        judgement = judge(response.status, metadata, self.state.server.name)
+        judgement = judge(
+            response.status,
+            metadata,
+            self.state.server.name,
+            self.pool.sent_ids.has_another_sender(metadata.request_id, self.context.number),
+        )
         self.answer = ServerAnswer(response.status, judgement.proves_not_run, connection.requests)
         now = uptime.now()
         if metadata.request_id != self.context.metadata.request_id:
@@ -247,8 +255,9 @@
 
     def _record_unproven_refusal(self, judgement: Judgement) -> Failure:
         # The outcome stays that the request may have run.
-        self._count_failure(judgement.reason)
-        self._record_latency(True)
+        if judgement.is_servers_fault:
+            self._count_failure(judgement.reason)
+            self._record_latency(True)
         return Failure(ResultCode.BACKEND_FAILED, judgement.reason)
 
     def _record_refusal(self, judgement: Judgement, metadata: ResponseMetadata) -> Failure:
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -18,6 +18,7 @@
 from radishbridge.entry import uptime
 from radishbridge.entry.idle import ANNOUNCED_IDLE_FRACTION, DROP_NOTICED_S, IDLE_MAX_S, IdleRules
 from radishbridge.entry.memory import ResponseMemory
+from radishbridge.entry.sent_ids import SentIds
 from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
 
@@ -351,6 +352,7 @@
     :param opened: connections opened since the start, failed ones included.
     :param acquired: requests that asked for a connection since the start.
     :param rules: how long connections may be idle.
+    :param sent_ids: ids of the requests that were sent lately.
     :param idle_descriptors_max: descriptors of the process above which none is kept idle.
     """
 
@@ -362,6 +364,7 @@
         "memory",
         "opened",
         "rules",
+        "sent_ids",
     )
 
     def __init__(
@@ -374,6 +377,7 @@
         self.opened = 0
         self.acquired = 0
         self.rules = IdleRules()
+        self.sent_ids = SentIds()
 
     async def acquire(self, address: str, at_most_once: bool) -> BackendConnection | Failure:
         """Return an idle or a new connection.
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import typing as t
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from radishbridge.records import Execution, Failure, ResultCode
 from radishbridge.steering import Choice, HomeRegion, RouteRule, WeightedService
 
+_numbers = itertools.count(1)
 _NO_ROUTE = RouteRule(
     name="",
     host="",
@@ -72,6 +74,7 @@
 class RequestContext:
     """One request, the decisions made for it and its result.
 
+    :param number: tells requests of this host apart that have the same id.
     :param arrived_at: monotonic time in seconds.
     :param deadline: monotonic time at which the request fails.
     :param configuration_version: version of the configuration that the request was matched with.
@@ -102,6 +105,7 @@
         "fingerprint",
         "held_s",
         "metadata",
+        "number",
         "rank",
         "reason",
         "refused_choice",
@@ -117,6 +121,7 @@
     )
 
     def __init__(self, request: web.BaseRequest, arrived_at: float) -> None:
+        self.number = next(_numbers)
         self.request = request
         self.arrived_at = arrived_at
         self.metadata = RequestMetadata("", None, "", "")
--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -49,10 +49,12 @@
     """A verdict on a server's answer.
 
     :param reason: why a refusal proves nothing; empty for other verdicts.
+    :param is_servers_fault: the server should not have sent such a refusal.
     """
 
     verdict: Verdict
     reason: str = ""
+    is_servers_fault: bool = False
 
     @property
     def proves_not_run(self) -> bool:
@@ -63,10 +65,16 @@
 _RESPONSE = Judgement(Verdict.RESPONSE)
 _SHED = Judgement(Verdict.SHED)
 _MISDIRECTED = Judgement(Verdict.MISDIRECTED)
-_STATUS_ALONE = Judgement(Verdict.UNPROVEN, "the server did not state that the request did not run")
+_STATUS_ALONE = Judgement(
+    Verdict.UNPROVEN, "the server did not state that the request did not run", True
+)
+# No fault of the server, or callers could have servers ejected by using an id again.
+_ID_USED_AGAIN = Judgement(
+    Verdict.UNPROVEN, "the refusal may be that of another request with the same id"
+)
 
 
-def judge(status: int, metadata: ResponseMetadata, server: str) -> Judgement:
+def judge(status: int, metadata: ResponseMetadata, server: str, id_used_again: bool) -> Judgement:
     """Decide whether an answer with the request's id proves that the request did not run.
 
     The server's statement proves it, and so does the name of another server with status 421, by
@@ -74,10 +82,13 @@
     server that ran the request, or from something in front of it.
 
     :param server: name of the server that the request was meant for.
+    :param id_used_again: another request with the same id was sent, whose refusal this may be.
     """
     if not metadata.not_run and status not in REFUSAL_STATUSES:
         return _RESPONSE
-    if status == MISDIRECTED:
-        is_other = metadata.server not in ("", server)
-        return _MISDIRECTED if metadata.not_run or is_other else _STATUS_ALONE
-    return _SHED if metadata.not_run else _STATUS_ALONE
+    names_another = status == MISDIRECTED and metadata.server not in ("", server)
+    if not (metadata.not_run or names_another):
+        return _STATUS_ALONE
+    if id_used_again:
+        return _ID_USED_AGAIN
+    return _MISDIRECTED if status == MISDIRECTED else _SHED
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 
 import pytest
 from entry_world import reply, running, shed
 from raw_server import GOOD, RawConnection, raw_server
-from steering_world import make_route, make_server
+from steering_world import T0, make_route, make_server
+
+from radishbridge.entry.sent_ids import GENERATION_IDS_MAX, KEPT_S, SentIds
 
 REFUSAL = (
     "HTTP/1.1 503 Busy\r\n{id}Not-Executed: 1\r\nServer-Load: 3,1,4\r\nContent-Length: 0\r\n\r\n"
 )
+WITH_ID = REFUSAL.replace("{id}", "Request-Id: {id}\r\n")
 WITHOUT_ID = REFUSAL.replace("{id}", "")
 MISDIRECTED = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
 ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
@@ -57,6 +61,76 @@
         assert answers == [200] * 6
 
 
+class TestIdUsedAgain:
+    """A late copy of the refusal of an earlier request arrives while one with the same id runs.
+
+    If it were taken for a refusal of that request, the request would be retried and run twice, or
+    its caller would be told that it did not run.
+    """
+
+    @pytest.mark.parametrize("servers", [1, 2])
+    async def test_a_copy_of_a_refusal_proves_nothing(self, servers):
+        executed: list[str] = []
+        refuses = True
+
+        async def serve(connection: RawConnection, request_id: str) -> None:
+            connection.write(WITH_ID, request_id)
+            if not refuses:
+                executed.append(request_id)
+                await asyncio.sleep(0.1)
+                connection.write(GOOD, request_id)
+
+        async with contextlib.AsyncExitStack() as stack:
+            world, _ = await stack.enter_async_context(running(route=ONCE))
+            selector = world.steering_state.selector
+            for number in range(servers):
+                raw = await stack.enter_async_context(raw_server(serve))
+                selector.put(make_server(number, address=raw.address), time.monotonic())
+            statuses = [(await world.request(method="POST", Request_Id="r9"))[0]]
+            refuses = False
+            statuses.append((await world.request(method="POST", Request_Id="r9"))[0])
+            assert statuses == [503, 502]
+            assert executed == ["r9"]
+
+    async def test_callers_cannot_have_a_server_ejected(self):
+        refusing = reply(503, b"", Not_Executed="1", Server_Load="3,1,4")
+        async with running(refusing, route=ONCE) as (world, _):
+            statuses = [(await world.request(Request_Id="r9"))[0] for _ in range(4)]
+            (state,) = world.steering_state.selector.states.values()
+        assert statuses == [503, 502, 502, 502]
+        assert (state.ejections, state.consecutive_failures) == (0, 0)
+
+    async def test_attempts_of_one_request_have_one_sender(self):
+        async with running(shed(), shed(), reply(), route=ONCE) as (world, _):
+            answers = [(await world.request(Affinity_Key=str(n)))[0] for n in range(6)]
+        assert answers == [200] * 6
+
+
+class TestSentIds:
+    """Ids are forgotten too early, or kept without bound."""
+
+    def test_an_id_is_remembered_for_its_time(self):
+        ids = SentIds()
+        ids.record("r9", 1, T0)
+        ids.record("r8", 2, T0 + KEPT_S)
+        ids.record("r9", 3, T0 + 2.0 * KEPT_S - 0.1)
+        assert [ids.has_another_sender("r9", sender) for sender in (1, 3)] == [True, True]
+        assert not ids.has_another_sender("r8", 2)
+
+    def test_memory_is_bounded_in_size(self):
+        ids = SentIds()
+        for number in range(1, 2 + 2 * GENERATION_IDS_MAX):
+            ids.record(f"r{number}", number, T0)
+        assert len(ids.current) + len(ids.previous) <= 2 * GENERATION_IDS_MAX
+        assert not ids.has_another_sender("r1", 0)
+
+    def test_an_id_is_forgotten(self):
+        ids = SentIds()
+        for number in range(3):
+            ids.record(f"r{number}", number, T0 + number * KEPT_S)
+        assert not ids.has_another_sender("r0", 9)
+
+
 class TestRefusalOfAnotherRequest:
     """A server sends a refusal without a request id while it runs the next request.
 
