Send no request on a connection that has carried its id

A late copy of a response that arrived on a kept connection when a request with the same id was in flight there was taken for the response to that request. A caller that used an id again got an earlier response, and a request that a server refused could meet a copy of the refusal in its own second attempt, if the other server has the same address: it was reported as not run although it ran.

Each connection remembers the ids of its last eight requests and is closed instead of used for one of them. Bytes of an earlier exchange can only come on its own connection, so that a copy can't reach a request with its id, while connections between requests with ids of their own are reused as before.

Evidence: both cases of test_a_copy_on_a_kept_connection_meets_no_request_with_its_id failed before; the request ran at the server that had refused it.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -171,7 +171,9 @@
         address = self.state.server.address
         if self.needs_new_connection:
             return await self.pool.open(address)
-        return await self.pool.acquire(address, not self.context.route.repeatable)
+        return await self.pool.acquire(
+            address, not self.context.route.repeatable, self.context.metadata.request_id
+        )
 
     async def _exchange(self, connection: BackendConnection) -> BackendResponse | Failure:
         context = self.context
@@ -185,7 +187,11 @@
             request.method, request.raw_path, headers, len(context.body) if sized else None
         )
         return await connection.exchange(
-            head, context.body, request.method == "HEAD", self._read_head
+            head,
+            context.body,
+            request.method == "HEAD",
+            self._read_head,
+            context.metadata.request_id,
         )
 
     def _read_head(self, status: int, headers: HeaderList) -> None:
--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -38,6 +38,9 @@
 # twice what common servers allow for a head; the second suffices for chunks of one byte.
 HEAD_BYTES_MAX = 65_536
 FRAMING_PER_BODY_BYTE = 8
+# Request ids that a connection remembers. The next request on it reads a late copy of a response,
+# and one with another id closes it, so that a few are enough.
+CARRIED_IDS = 8
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 _KEEPALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
@@ -77,6 +80,7 @@
     :param on_head: called with status and headers of a final response, before its body is in.
     :param received_bytes: bytes received for the current request, head and framing included.
     :param requests: requests sent on the connection.
+    :param carried_ids: hashes of the ids of its last requests; ids may be long.
     :param body_bytes: bytes of the response's body received so far.
     """
 
@@ -84,6 +88,7 @@
         "announced_idle_s",
         "body",
         "body_bytes",
+        "carried_ids",
         "complete",
         "headers",
         "idle_before_s",
@@ -126,6 +131,7 @@
         self.body_bytes = 0
         self.received_bytes = 0
         self.requests = 0
+        self.carried_ids: collections.deque[int] = collections.deque(maxlen=CARRIED_IDS)
         self.complete = False
         self.keep_alive = False
 
@@ -186,11 +192,16 @@
         body: bytes,
         is_head_request: bool,
         on_head: HeadListener = _ignore_head,
+        request_id: str = "",
     ) -> BackendResponse | Failure:
-        """Send one request and return its response; cancellation closes the connection."""
+        """Send one request and return its response; cancellation closes the connection.
+
+        :param request_id: kept, so that no other request with the id uses the connection.
+        """
         assert self.transport is not None
         self._reset_response(is_head_request)
         self.requests += 1
+        self.carried_ids.append(hash(request_id))
         self.on_head = on_head
         self.waiter = self.loop.create_future()
         self.transport.write(head + body)
@@ -379,18 +390,27 @@
         self.rules = IdleRules()
         self.sent_ids = SentIds()
 
-    async def acquire(self, address: str, at_most_once: bool) -> BackendConnection | Failure:
+    async def acquire(
+        self, address: str, at_most_once: bool, request_id: str = ""
+    ) -> BackendConnection | Failure:
         """Return an idle or a new connection.
 
+        A connection that has carried a request with the same id is closed: a late copy of that
+        request's response would be taken for the response to this one.
+
         :param address: ``IP:port`` of the backend server.
         :param at_most_once: the request may not be retried, so that only a connection that was
             used very recently is reused.
+        :param request_id: id of the request; empty if it has none.
         """
         now = uptime.now()
         self.acquired += 1
         connections = self.idle.get(address)
         while connections:
             connection = connections[-1]
+            if request_id and hash(request_id) in connection.carried_ids:
+                connections.pop().close()
+                continue
             if self.rules.is_reusable(address, connection, now, at_most_once):
                 connection.idle_before_s = now - connection.idle_since
                 return connections.pop()
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -92,6 +92,25 @@
             assert statuses == [503, 502]
             assert executed == ["r9"]
 
+    @pytest.mark.parametrize("first", [WITH_ID, GOOD])
+    async def test_a_copy_on_a_kept_connection_meets_no_request_with_its_id(self, first):
+        # Two servers have one address, so that the second attempt would use the connection of the
+        # first one; so would a second request.
+        executed: list[str] = []
+
+        async def serve(connection: RawConnection, request_id: str) -> None:
+            connection.write(first, request_id)
+            if connection.requests > 1:
+                executed.append(request_id)
+
+        async with raw_server(serve) as raw, running(route=ONCE) as (world, _):
+            for number in range(2):
+                server = make_server(number, address=raw.address)
+                world.steering_state.selector.put(server, time.monotonic())
+            for _ in range(2):
+                await world.request(method="POST", Request_Id="r9")
+        assert executed == []
+
     async def test_callers_cannot_have_a_server_ejected(self):
         refusing = reply(503, b"", Not_Executed="1", Server_Load="3,1,4")
         async with running(refusing, route=ONCE) as (world, _):
