--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -213,20 +213,20 @@
     ) -> BackendResponse | Failure:
         self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
+        request_id = self.context.metadata.request_id
         judgement = judge(
             response.status,
             metadata,
+            request_id,
             self.state.server.name,
-            self.pool.sent_ids.has_another_sender(metadata.request_id, self.context.number),
+            self.pool.sent_ids.has_another_sender(request_id, self.context.number),
         )
         self.answer = ServerAnswer(response.status, judgement.proves_not_run, connection.requests)
         now = uptime.now()
-        if metadata.request_id != self.context.metadata.request_id:
-            # A refusal without an id is not trusted either: it may belong to an earlier request.
+        if judgement.verdict is Verdict.FOREIGN:
             connection.close()
-            fault = "belongs to another request" if metadata.request_id else "has no request id"
             return self._record_exchange_failure(
-                Failure(ResultCode.BACKEND_FAILED, f"the response {fault}")
+                Failure(ResultCode.BACKEND_FAILED, judgement.reason)
             )
         self.state.record_response(now)
         if metadata.load is not None:
--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -36,9 +36,11 @@
 class Verdict(enum.Enum):
     """What a server's answer says of the request.
 
-    ``UNPROVEN`` is a refusal without proof that it is one of this request, which may have run.
+    ``FOREIGN`` is an answer to another request, and ``UNPROVEN`` a refusal without proof that it is
+    one of this request. After both the request may have run.
     """
 
+    FOREIGN = "foreign"
     RESPONSE = "response"
     SHED = "shed"
     MISDIRECTED = "misdirected"
@@ -48,7 +50,7 @@
 class Judgement(t.NamedTuple):
     """A verdict on a server's answer.
 
-    :param reason: why a refusal proves nothing; empty for other verdicts.
+    :param reason: why the answer is foreign or proves nothing; empty for other verdicts.
     :param is_servers_fault: the server should not have sent such a refusal.
     """
 
@@ -62,6 +64,8 @@
         return self.verdict in (Verdict.SHED, Verdict.MISDIRECTED)
 
 
+_OTHER_ID = Judgement(Verdict.FOREIGN, "the response belongs to another request", True)
+_NO_ID = Judgement(Verdict.FOREIGN, "the response has no request id", True)
 _RESPONSE = Judgement(Verdict.RESPONSE)
 _SHED = Judgement(Verdict.SHED)
 _MISDIRECTED = Judgement(Verdict.MISDIRECTED)
@@ -74,16 +78,21 @@
 )
 
 
-def judge(status: int, metadata: ResponseMetadata, server: str, id_used_again: bool) -> Judgement:
-    """Decide whether an answer with the request's id proves that the request did not run.
+def judge(
+    status: int, metadata: ResponseMetadata, request_id: str, server: str, id_used_again: bool
+) -> Judgement:
+    """Decide whether an answer is one to a request, and proves that the request did not run.
 
-    The server's statement proves it, and so does the name of another server with status 421, by
+    An answer without the request's id proves nothing, as it may answer an earlier one. With the id,
+    the server's statement proves it, and so does the name of another server with status 421, by
     which servers reject requests for others. A status alone proves nothing: it may come from a
     server that ran the request, or from something in front of it.
 
     :param server: name of the server that the request was meant for.
     :param id_used_again: another request with the same id was sent, whose refusal this may be.
     """
+    if metadata.request_id != request_id:
+        return _OTHER_ID if metadata.request_id else _NO_ID
     if not metadata.not_run and status not in REFUSAL_STATUSES:
         return _RESPONSE
     names_another = status == MISDIRECTED and metadata.server not in ("", server)
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -20,6 +20,21 @@
 WITH_ID = REFUSAL.replace("{id}", "Request-Id: {id}\r\n")
 WITHOUT_ID = REFUSAL.replace("{id}", "")
 MISDIRECTED = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+ID, STATEMENT = "Request-Id: {id}\r\n", "Not-Executed: 1\r\n"
+UNCLEAR = {
+    "no id": WITHOUT_ID,
+    "misdirected without id": MISDIRECTED,
+    "two ids": REFUSAL.replace("{id}", "Request-Id: r8\r\n" + ID),
+    "statement in an interim response": (
+        f"HTTP/1.1 103 Early\r\n{ID}{STATEMENT}\r\n"
+        f"HTTP/1.1 503 Busy\r\n{ID}Content-Length: 0\r\n\r\n"
+    ),
+    "id in an interim response": f"HTTP/1.1 103 Early\r\n{ID}\r\n" + WITHOUT_ID,
+    "names of two servers": (
+        f"HTTP/1.1 421 Misdirected\r\n{ID}Instance-Id: i-2\r\nInstance-Id: i-3\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ),
+}
 ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
 
 
@@ -151,18 +166,18 @@
 
 
 class TestRefusalOfAnotherRequest:
-    """A server sends a refusal without a request id while it runs the next request.
+    """A server sends a refusal that does not identify its request while it runs the next one.
 
     If the refusal were taken for that request's, the request would be retried and run twice.
     """
 
-    @pytest.mark.parametrize("refusal", [WITHOUT_ID, MISDIRECTED])
+    @pytest.mark.parametrize("refusal", UNCLEAR.values(), ids=UNCLEAR)
     async def test_a_running_request_is_neither_retried_nor_reported_as_not_run(self, refusal):
         executed: list[str] = []
 
         async def serve(connection: RawConnection, request_id: str) -> None:
             executed.append(request_id)
-            connection.write(refusal)
+            connection.write(refusal, request_id)
             await asyncio.sleep(0.1)
             connection.write(GOOD, request_id)
 
