Read no trailers of a response as headers of its head

Trailers of a chunked response were collected like headers, because the parser reports both alike. A Request-Id or Not-Executed after the body, which a server or something before it may add to whatever came through, made a refusal that the head did not contain. HTTP forbids merging trailers whose definition does not allow it, and none of the platform's headers has such a definition. They are dropped now, and no longer passed on to callers among the headers.

Evidence: the two cases of TestRefusalOfAnotherRequest with trailers failed before.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -261,8 +261,8 @@
         self.complete = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        if not self.complete:
+        """Collect a header of the response's head; trailers come after its status is known."""
+        if not (self.complete or self.status):
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -20,11 +20,14 @@
 WITH_ID = REFUSAL.replace("{id}", "Request-Id: {id}\r\n")
 WITHOUT_ID = REFUSAL.replace("{id}", "")
 MISDIRECTED = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+TRAILER = "HTTP/1.1 503 Busy\r\n{head}Transfer-Encoding: chunked\r\n\r\n0\r\n{trailer}\r\n"
 ID, STATEMENT = "Request-Id: {id}\r\n", "Not-Executed: 1\r\n"
 UNCLEAR = {
     "no id": WITHOUT_ID,
     "misdirected without id": MISDIRECTED,
     "two ids": REFUSAL.replace("{id}", "Request-Id: r8\r\n" + ID),
+    "id in a trailer": TRAILER.replace("{head}", STATEMENT).replace("{trailer}", ID),
+    "statement in a trailer": TRAILER.replace("{head}", ID).replace("{trailer}", STATEMENT),
     "statement in an interim response": (
         f"HTTP/1.1 103 Early\r\n{ID}{STATEMENT}\r\n"
         f"HTTP/1.1 503 Busy\r\n{ID}Content-Length: 0\r\n\r\n"
