Trust no statement that contradicts its own response

A response with Not-Executed counted as a refusal whatever else it said: with a success, a redirect, a 500 or a 504, which the platform counts as run, or with the value "false". A request that may run once was then sent to another server and ran twice, or its caller was told 503.

A statement counts with the statuses by which a server can refuse, 4xx and 503. A success with it is the response of a request that ran; other statuses with it prove nothing.

--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -8,8 +8,12 @@
 from radishbridge.entry.protocol import ResponseMetadata
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Statuses by which callers know that their request has not run and never will.
-REFUSAL_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
+REFUSAL_STATUSES = frozenset({408, MISDIRECTED, 429, UNAVAILABLE})
+FIRST_REDIRECT = 300
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
 
 
 class Evidence(enum.Enum):
@@ -72,6 +76,11 @@
 _STATUS_ALONE = Judgement(
     Verdict.UNPROVEN, "the server did not state that the request did not run", True
 )
+_CONTRADICTION = Judgement(
+    Verdict.UNPROVEN,
+    "the server states that the request did not run, but its status does not",
+    True,
+)
 # No fault of the server, or callers could have servers ejected by using an id again.
 _ID_USED_AGAIN = Judgement(
     Verdict.UNPROVEN, "the refusal may be that of another request with the same id"
@@ -86,17 +95,21 @@
     An answer without the request's id proves nothing, as it may answer an earlier one. With the id,
     the server's statement proves it, and so does the name of another server with status 421, by
     which servers reject requests for others. A status alone proves nothing: it may come from a
-    server that ran the request, or from something in front of it.
+    server that ran the request, or from something in front of it. A statement with a status that
+    is no refusal contradicts itself; with a success the request ran.
 
     :param server: name of the server that the request was meant for.
     :param id_used_again: another request with the same id was sent, whose refusal this may be.
     """
     if metadata.request_id != request_id:
         return _OTHER_ID if metadata.request_id else _NO_ID
-    if not metadata.not_run and status not in REFUSAL_STATUSES:
+    if metadata.not_run:
+        is_refusal = FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR or status == UNAVAILABLE
+        if not is_refusal:
+            return _RESPONSE if status < FIRST_REDIRECT else _CONTRADICTION
+    elif status not in REFUSAL_STATUSES:
         return _RESPONSE
-    names_another = status == MISDIRECTED and metadata.server not in ("", server)
-    if not (metadata.not_run or names_another):
+    elif status != MISDIRECTED or metadata.server in ("", server):
         return _STATUS_ALONE
     if id_used_again:
         return _ID_USED_AGAIN
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -24,6 +24,7 @@
 ID, STATEMENT = "Request-Id: {id}\r\n", "Not-Executed: 1\r\n"
 UNCLEAR = {
     "no id": WITHOUT_ID,
+    "statement denied": REFUSAL.replace("{id}", "Request-Id: {id}\r\nNot-Executed: false\r\n"),
     "misdirected without id": MISDIRECTED,
     "two ids": REFUSAL.replace("{id}", "Request-Id: r8\r\n" + ID),
     "id in a trailer": TRAILER.replace("{head}", STATEMENT).replace("{trailer}", ID),
@@ -60,6 +61,13 @@
         (line,) = [vars(one) for one in caplog.records if getattr(one, "id", "") == "r9"]
         assert line["reason"] == "the server did not state that the request did not run"
 
+    @pytest.mark.parametrize(("status", "answer"), [(200, 200), (302, 502), (500, 502), (504, 502)])
+    async def test_a_statement_with_the_status_of_a_request_that_ran(self, status, answer):
+        contradicting = reply(status, Not_Executed="1")
+        async with running(contradicting, contradicting, route=ONCE) as (world, backends):
+            assert (await world.request(method="POST"))[0] == answer
+            assert sum(len(backend.requests) for backend in backends) == 1
+
     @pytest.mark.parametrize("status", [408, 421, 429, 503])
     async def test_a_repeatable_request_is_retried_and_not_refused(self, status):
         async with running(reply(status), reply()) as (world, backends):
