Claim no delivery failure from a missing acknowledgement

The log and radishbridge_attempts_abandoned said "delivered: no" of an abandoned attempt with unacknowledged bytes, and a comment that its server does not begin. An acknowledgement may be delayed or lost after the bytes arrived, so that the server may run the request. The value is "unacknowledged" now.

No answer to a caller followed from it: the attempt's outcome stays that the request may have run. The usage counts leave such an attempt out as before, as an estimate.

Evidence: test_missing_acknowledgements_prove_nothing failed before for 7 bytes.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -313,7 +313,8 @@
 
     def _record_abandoned(self, connection: BackendConnection) -> None:
         if connection.unacknowledged_bytes:
-            # The reset discards these bytes, so the server does not begin.
+            # The reset discards bytes that are still under way, so the server most likely does not
+            # begin. It is no proof, so that only the usage counts rely on it: the outcome stays.
             self.ending = AttemptEnding.NOT_RUN
         running_ms = round((uptime.now() - self.sent_at) * 1000.0)
         self.context.abandoned.append(
--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -65,10 +65,14 @@
 
     @property
     def delivered(self) -> str:
-        """Return whether the server received the whole request: ``yes``, ``no`` or ``unknown``."""
+        """Return whether the server received the whole request.
+
+        ``yes``, ``unknown``, or ``unacknowledged``: the acknowledgement may have been late or lost,
+        so that this does not prove that it received less.
+        """
         if self.unacknowledged_bytes is None:
             return "unknown"
-        return "no" if self.unacknowledged_bytes else "yes"
+        return "unacknowledged" if self.unacknowledged_bytes else "yes"
 
 
 class RequestContext:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -8,6 +8,8 @@
 from entry_world import reply, running, shed
 from steering_world import make_route
 
+from radishbridge.entry.context import AbandonedAttempt
+
 ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
 
 
@@ -46,6 +48,12 @@
             await world.request(method="POST", Request_Id="refused")
         assert [one for one in caplog.records if getattr(one, "id", "") == "refused"]
 
+    @pytest.mark.parametrize(
+        ("unacknowledged", "delivered"), [(0, "yes"), (7, "unacknowledged"), (None, "unknown")]
+    )
+    def test_missing_acknowledgements_prove_nothing(self, unacknowledged, delivered):
+        assert AbandonedAttempt("server-0", 1, unacknowledged).delivered == delivered
+
     async def test_other_responses_have_no_evidence(self, caplog):
         caplog.set_level(logging.INFO)
         async with running(reply(500), route=ONCE) as (world, _):
