Give each request without an id a connection of its own

Nothing tells the response to a request without an id from a late one to an earlier request, since both have none: a copy of an earlier refusal, or of any other response, on a kept connection was taken for the response to the request in flight. Servers refuse such requests, so that few of them arrive.

They use new connections, which are closed afterwards. The first answer on a connection can only be that to its only request, so that their refusals prove what they say.

Evidence: test_a_request_without_an_id_uses_a_connection_of_its_own failed before; the second and the third request were sent on the kept connection and ran.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -169,7 +169,8 @@
 
     async def _connect(self) -> BackendConnection | Failure:
         address = self.state.server.address
-        if self.needs_new_connection:
+        # Without an id, nothing tells the response from a late one to an earlier request.
+        if self.needs_new_connection or not self.context.metadata.request_id:
             return await self.pool.open(address)
         return await self.pool.acquire(
             address, not self.context.route.repeatable, self.context.metadata.request_id
@@ -231,7 +232,7 @@
         self.state.record_response(now)
         if metadata.load is not None:
             self.steering_state.load_exchange.record(self.state, metadata.load, now)
-        if self.state.is_leaving:
+        if self.state.is_leaving or not request_id:
             connection.close()
         connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
--- a/packages/entry/src/radishbridge/entry/sent_ids.py
+++ b/packages/entry/src/radishbridge/entry/sent_ids.py
@@ -34,11 +34,13 @@
         self.current_since = 0.0
 
     def record(self, request_id: str, sender: int, now: float) -> None:
-        """Remember that a request is sent.
+        """Remember that a request is sent; one without an id is not remembered.
 
         :param sender: number of the caller's request, the same for all of its attempts.
         :param now: monotonic time in seconds.
         """
+        if not request_id:
+            return
         if now - self.current_since >= KEPT_S or len(self.current) >= GENERATION_IDS_MAX:
             self.previous, self.current, self.current_since = self.current, {}, now
         known = self._sender(request_id)
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -201,6 +201,20 @@
         assert executed == ["r9"]
         assert status == 502
 
+    async def test_a_request_without_an_id_uses_a_connection_of_its_own(self):
+        executed: list[int] = []
+
+        async def serve(connection: RawConnection, request_id: str) -> None:
+            connection.write(WITHOUT_ID)
+            if connection.requests > 1:
+                executed.append(connection.requests)
+
+        async with raw_server(serve) as raw, running(route=ONCE) as (world, _):
+            server = make_server(0, address=raw.address)
+            world.steering_state.selector.put(server, time.monotonic())
+            statuses = [(await world.request(method="POST", Request_Id=""))[0] for _ in range(3)]
+        assert (statuses, executed) == ([503] * 3, [])
+
     async def test_a_refusal_with_the_requests_id_is_passed_on(self):
         async with running(shed(), route=ONCE) as (world, _):
             status, *_ = await world.request(method="POST", Request_Id="r9")
