Hosts with records of their own: trust no contradicting X-Not-Run

A 503 with two X-Not-Run headers, "1" and another value, counted as a refusal: the first one won. A request that may run once was sent to the next server, or its caller got code 108, "not run". Only "1" alone states it now.

A server's own 408, 421, 429 or 503 without the statement is passed on with its body and without a code, and not retried, as designed: on this interface the code tells whether a request ran.

Evidence: of TestStatusWithoutAStatement the case with two headers failed before; the four with a status alone held.

--- a/packages/host/src/radishbridge/host/attempt.py
+++ b/packages/host/src/radishbridge/host/attempt.py
@@ -104,7 +104,9 @@
         return response
 
     def _record_response(self, response: aiohttp.ClientResponse) -> None:
-        shed = response.status == SHED_STATUS and response.headers.get(NOT_RUN_HEADER) == "1"
+        # Several values that differ contradict each other.
+        values = set(response.headers.getall(NOT_RUN_HEADER, ()))
+        shed = response.status == SHED_STATUS and values == {"1"}
         failed = response.status >= SERVER_ERROR_STATUS and not shed
         latency_s = time.monotonic() - self.started_at
         self.outcome = AttemptOutcome(latency_s, failed=failed, shed=shed)
--- a/tests/test_forward_misleading.py
+++ b/tests/test_forward_misleading.py
@@ -9,7 +9,8 @@
 from in_process import WITH_KEY, Harness
 from raw_server import RawConnection, raw_server
 
-REFUSAL = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+NOT_RUN = "X-Not-Run: 1\r\n"
+REFUSAL = f"HTTP/1.1 503 Busy\r\n{NOT_RUN}Content-Length: 0\r\n\r\n"
 GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 ONCE = "/catalogue/once/1"
 HEAD = "HTTP/1.1 200 OK\r\nX-Note: a\r\n"
@@ -35,6 +36,31 @@
             return response.status
 
 
+class TestStatusWithoutAStatement:
+    """The status, or a contradiction, is taken for a statement that the request did not run.
+
+    It would be sent to another server, and its caller would get a code that says "not run".
+    """
+
+    @pytest.mark.parametrize(
+        ("status", "headers"),
+        [(408, ""), (421, ""), (429, ""), (503, ""), (503, NOT_RUN + NOT_RUN.replace("1", "0"))],
+    )
+    async def test_the_servers_answer_is_passed_on(self, status, headers):
+        requests: list[int] = []
+
+        async def script(connection: RawConnection, request_id: str) -> None:
+            requests.append(connection.requests)
+            connection.write(f"HTTP/1.1 {status} Own\r\n{headers}Content-Length: 3\r\n\r\nown")
+
+        async with raw_server(script) as one, raw_server(script) as other, Harness() as host:
+            host.add_address("one", one.address)
+            host.add_address("other", other.address)
+            async with host.caller.post(host.url(ONCE), headers=WITH_KEY, data=b"x") as response:
+                assert (response.status, await response.read()) == (status, b"own")
+        assert requests == [1]
+
+
 class TestRefusalOfAnEarlierRequest:
     """A server sends a refusal twice, so that the copy arrives while the next request runs."""
 
