Close connections that hold bytes after a complete response

A connection on which a server sent more than its response was neither reused nor closed. It stayed open until the server closed it, held a descriptor of the host and one of the connections that the server accepts, and read whatever came.

Evidence: the three cases of test_connection_with_foreign_bytes_is_closed_at_once failed before.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -433,9 +433,7 @@
 
     def release(self, address: str, connection: BackendConnection) -> None:
         """Keep a connection for another request, unless it must be closed."""
-        if connection.must_close:
-            return
-        if connection.descriptor >= self.idle_descriptors_max:
+        if connection.must_close or connection.descriptor >= self.idle_descriptors_max:
             connection.close()
         else:
             self.idle.setdefault(address, collections.deque()).append(connection)
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -147,6 +147,14 @@
             assert result.body == b"good"
             assert script.connections == 2
 
+    @pytest.mark.parametrize("extra", [COMPLETE, b"HTTP/1.1 503 Busy\r\nRequ", b"trailing bytes"])
+    async def test_connection_with_foreign_bytes_is_closed_at_once(self, extra):
+        async with serving(ScriptedServer(COMPLETE + extra, COMPLETE)) as (pool, address):
+            connection = await pool.acquire(address, False)
+            await connection.exchange(request_head("GET", "/", [], None), b"", False)
+            pool.release(address, connection)
+            assert connection.transport.is_closing()
+
     async def test_connection_that_receives_bytes_while_idle_is_not_reused(self):
         writers: list[asyncio.StreamWriter] = []
 
