Reuse no connection whose request was not sent whole

A server may refuse a request before it has read the body, and need not read the rest. The connection was kept, with the rest of the body still unsent, and the next request on it waited behind those bytes until its deadline, or the server took parts of the body for a request.

Evidence: test_connection_whose_request_is_not_sent_whole_is_closed failed before.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -329,11 +329,15 @@
         names = {name.lower() for name, _ in self.headers}
         return not names & {b"content-length", b"transfer-encoding"}
 
+    def _has_unsent_bytes(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def _deliver(self) -> None:
         waiter, self.waiter = self.waiter, None
         self.idle_since = uptime.now()
         self._read_keep_alive()
-        if not self.keep_alive:
+        # A server that answers before it has the whole request need not read the rest.
+        if not self.keep_alive or self._has_unsent_bytes():
             self.close()
         if waiter is not None and not waiter.done():
             waiter.set_result(BackendResponse(self.status, self.headers, b"".join(self.body)))
--- a/tests/test_entry_backends.py
+++ b/tests/test_entry_backends.py
@@ -5,11 +5,14 @@
 import time
 
 import pytest
+from raw_server import RawConnection, raw_server
 
 from radishbridge.entry.backends import BackendPool, BackendResponse, request_head
 from radishbridge.host.sockets import reset as reset_connection
 from radishbridge.records import Failure, ResultCode
 
+# More than the kernel buffers of a connection hold.
+LARGE = bytes(8 * 1_048_576)
 COMPLETE = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\ngood"
 
 
@@ -155,6 +158,20 @@
             pool.release(address, connection)
             assert connection.transport.is_closing()
 
+    async def test_connection_whose_request_is_not_sent_whole_is_closed(self):
+        async def answer_early(connection: RawConnection, request_id: str) -> None:
+            connection.write(COMPLETE.decode())
+            await asyncio.sleep(10.0)
+
+        async with raw_server(answer_early) as raw:
+            pool = BackendPool()
+            connection = await pool.acquire(raw.address, False)
+            # The head announces no body, so that the server answers without reading it.
+            response = await connection.exchange(request_head("PUT", "/", [], None), LARGE, False)
+            pool.release(raw.address, connection)
+            assert isinstance(response, BackendResponse)
+            assert not pool.has_idle(raw.address)
+
     async def test_connection_that_receives_bytes_while_idle_is_not_reused(self):
         writers: list[asyncio.StreamWriter] = []
 
