Let a refusal leave only if the request is known not to have run

What callers saw: 408, 421, 429 and 503 are a promise that the request has not run and never will, and nothing checked it where the response is created. A server's own status of these went out as it came, and a failure with such a status kept it whichever path it took; only those that passed failure_for_caller were compared with the attempts. Cause: each path that ends a request was trusted to have looked at its attempts. Nothing kept an attempt that is still connecting from sending its request after the response; only its cancellation did. Change: RequestForwarder withholds a response with such a status unless the attempts prove it (evidence other than "none"), and answers 502, code 109, with the reason; radishbridge_refusals_withheld_total counts them. An attempt asks, at the moment it sends and without waiting in between, whether its request has been answered.

--- a/packages/entry/src/radishbridge/entry/access_log.py
+++ b/packages/entry/src/radishbridge/entry/access_log.py
@@ -74,6 +74,7 @@
     :param unlogged: requests without a line since the last line.
     :param lines: bounds the lines of all other requests.
     :param refusal_lines: bounds the lines of refusals of requests that were sent to a server.
+    :param withheld: responses replaced by 502 because nothing proved that the request did not run.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "seconds",
         "successes",
         "unlogged",
+        "withheld",
     )
 
     def __init__(self, registry: CollectorRegistry) -> None:
@@ -115,6 +117,12 @@
             ["status", "evidence"],
             registry=registry,
         )
+        self.withheld = Counter(
+            "radishbridge_refusals_withheld",
+            "Refusals replaced by 502, since nothing proved that the request did not run.",
+            ["status"],
+            registry=registry,
+        )
         self.successes = 0
         self.unlogged = 0
         self.lines = LineBudget(LINES_PER_S, LINES_BURST)
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -20,6 +20,7 @@
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.hedge import AttemptResult, Hedge
 from radishbridge.entry.protocol import HeaderCodec, RequestMetadata
+from radishbridge.entry.refusals import REFUSAL_STATUSES, Evidence
 from radishbridge.entry.request_body import BodyReader, is_large
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.headers import HOP_BY_HOP
@@ -69,6 +70,7 @@
 _SHUTTING_DOWN = Failure(
     ResultCode.HOST_LEAVING, "the host is shutting down and would stop before the request ends"
 )
+_ANSWERED = Failure(ResultCode.NO_BACKEND, "the request was answered before it was sent")
 _NOT_REACHED = "the connection closed before the request's turn"
 _DEADLINE_PASSED = Failure(ResultCode.DEADLINE_EXCEEDED, "the deadline passed")
 
@@ -352,6 +354,9 @@
     def _check_before_send(self, context: RequestContext) -> Failure | None:
         # Checked anew before each send: the request may have waited for its body, its rate, a
         # connection or an earlier attempt.
+        if context.status:
+            # The response may say that the request will never run.
+            return _ANSWERED
         if is_closed_by_peer(context.request.transport):
             return _CALLER_GONE
         # A host that was paused may get here before its timers fire.
@@ -438,6 +443,7 @@
     def _create_response(
         self, context: RequestContext, result: BackendResponse | Failure
     ) -> web.Response:
+        result = self._withhold_unproven_refusal(context, result)
         if isinstance(result, BackendResponse):
             context.status = result.status
             return _response_from_backend(result)
@@ -447,6 +453,20 @@
         context.status = response.status
         return response
 
+    def _withhold_unproven_refusal(
+        self, context: RequestContext, result: BackendResponse | Failure
+    ) -> BackendResponse | Failure:
+        # Whatever led to the result: callers repeat a request after one of these statuses.
+        if isinstance(result, BackendResponse):
+            status, origin = result.status, "a server's answer"
+        else:
+            status, origin = result.info.http_status, result.reason
+        if status not in REFUSAL_STATUSES or context.not_run_evidence is not Evidence.NONE:
+            return result
+        self.access_log.withheld.labels(status).inc()
+        reason = f"nothing proves that the request did not run, as {status} says: {origin}"
+        return Failure(ResultCode.BACKEND_FAILED, reason)
+
 
 def _deadline(context: RequestContext, route: RouteRule, metadata: RequestMetadata) -> float:
     allowed_s = route.timeout_s
--- /dev/null
+++ b/tests/test_host_refusals.py
@@ -0,0 +1,144 @@
+"""What a host itself says of requests that did not run: it must be true, and stay true."""
+
+from __future__ import annotations
+
+import random
+import types
+
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from entry_world import GENEROUS_BOUNDS
+from prometheus_client import CollectorRegistry
+from steering_world import make_route, make_server
+
+from radishbridge.entry import AccessLog, BackendPool, RequestForwarder, SteeringState, uptime
+from radishbridge.entry.backends import BackendResponse
+from radishbridge.entry.context import AttemptOutcome, RequestContext
+from radishbridge.entry.refusals import REFUSAL_STATUSES, ServerAnswer
+from radishbridge.platform.headers import PlatformHeaderCodec
+from radishbridge.records import CODE_INFO, Failure, LimitSettings, ResultCode
+from radishbridge.steering import ServerState
+
+ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
+REFUSING_CODES = [code for code, info in CODE_INFO.items() if info.http_status in REFUSAL_STATUSES]
+UNSENT = (AttemptOutcome.UNSENT, None)
+NOT_RUN = (AttemptOutcome.NOT_RUN, ServerAnswer(503, True, 1))
+MAY_HAVE_RUN = (AttemptOutcome.MAY_HAVE_RUN, None)
+FAILED = (AttemptOutcome.FAILED, ServerAnswer(500, False, 1))
+ANSWERED = (AttemptOutcome.ANSWERED, ServerAnswer(503, False, 1))
+
+
+@pytest.fixture
+async def forwarder():
+    """Return a forwarder without servers and without a network."""
+    return RequestForwarder(
+        SteeringState("host", None, GENEROUS_BOUNDS),
+        PlatformHeaderCodec(),
+        BackendPool(),
+        None,
+        AccessLog(CollectorRegistry()),
+        LimitSettings(),
+        random.Random(1),
+    )
+
+
+def make_context(*attempts: tuple[AttemptOutcome, ServerAnswer | None]) -> RequestContext:
+    """Return the context of a request that may run once, after these attempts."""
+    request = make_mocked_request("POST", "/devices/7", headers={"Request-Id": "r1"})
+    request.transport.is_closing = lambda: False
+    request.transport.get_extra_info = lambda name: None
+    context = RequestContext(request, uptime.now())
+    context.route = ONCE
+    context.deadline = uptime.now() + 3.0
+    context.attempts += [
+        types.SimpleNamespace(outcome=outcome, answer=answer) for outcome, answer in attempts
+    ]
+    return context
+
+
+class TestRefusalWithoutProof:
+    """A refusal leaves only if every attempt is known not to have run, however it came about.
+
+    Callers repeat a request after 408, 421, 429 and 503, so that it would run twice.
+    """
+
+    @pytest.mark.parametrize("code", REFUSING_CODES)
+    @pytest.mark.parametrize(
+        "attempts",
+        [[MAY_HAVE_RUN], [FAILED], [ANSWERED], [NOT_RUN, MAY_HAVE_RUN], [MAY_HAVE_RUN, UNSENT]],
+    )
+    async def test_a_failure_becomes_502(self, forwarder, attempts, code):
+        context = make_context(*attempts)
+        response = forwarder._create_response(context, Failure(code, "no room"))
+        assert (response.status, context.status) == (502, 502)
+        assert context.code is ResultCode.BACKEND_FAILED
+        assert "no room" in context.reason
+        assert "Retry-After" not in response.headers
+
+    @pytest.mark.parametrize("status", sorted(REFUSAL_STATUSES))
+    @pytest.mark.parametrize("outcome", [ANSWERED, FAILED])
+    async def test_a_servers_answer_becomes_502(self, forwarder, outcome, status):
+        context = make_context(outcome)
+        answer = BackendResponse(status, [(b"Response-Signature", b"s")], b"theirs")
+        response = forwarder._create_response(context, answer)
+        assert (response.status, context.code) == (502, ResultCode.BACKEND_FAILED)
+        assert "Response-Signature" not in response.headers
+        assert b"theirs" not in response.body
+        registry = forwarder.access_log.registry
+        name = "radishbridge_refusals_withheld_total"
+        assert registry.get_sample_value(name, {"status": str(status)}) == 1.0
+
+    @pytest.mark.parametrize("code", REFUSING_CODES)
+    @pytest.mark.parametrize("attempts", [[], [UNSENT], [NOT_RUN], [UNSENT, NOT_RUN]])
+    async def test_a_proven_refusal_leaves_unchanged(self, forwarder, attempts, code):
+        response = forwarder._create_response(make_context(*attempts), Failure(code, "no room"))
+        assert response.status == CODE_INFO[code].http_status
+
+    @pytest.mark.parametrize("status", [200, 404, 500, 502, 504])
+    async def test_other_answers_leave_unchanged(self, forwarder, status):
+        response = forwarder._create_response(
+            make_context(ANSWERED), BackendResponse(status, [], b"theirs")
+        )
+        assert response.status == status
+
+
+class RecordingConnection:
+    """A connection to a server that records what is sent on it."""
+
+    transport = None
+    must_close = False
+    requests = 0
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def exchange(self, *_: object) -> Failure:
+        self.sent += 1
+        return Failure(ResultCode.BACKEND_FAILED, "not a real server")
+
+    def was_dropped_while_idle(self, *_: object) -> bool:
+        return False
+
+
+class TestNothingIsSentAfterTheResponse:
+    """An attempt that still connects when its request is answered must not send it any more."""
+
+    @pytest.mark.parametrize("is_answered", [False, True])
+    async def test_an_attempt_checks_when_it_sends(self, forwarder, monkeypatch, is_answered):
+        state = ServerState(make_server(1), uptime.now())
+        context = make_context()
+        connection = RecordingConnection()
+
+        async def connect(*_: object) -> RecordingConnection:
+            if is_answered:
+                refusal = Failure(ResultCode.NO_BACKEND, "no room")
+                assert forwarder._create_response(context, refusal).status == 503
+            return connection
+
+        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        monkeypatch.setattr(
+            type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
+        )
+        await forwarder._create_attempt(context, state).run()
+        assert connection.sent == (0 if is_answered else 1)
+        assert context.may_have_run is not is_answered
