Name the request in the host's own refusals and failures

What callers saw: responses that the host makes itself (401, 404, 408, 413, 429, 502, 503, 504) carried no Request-Id, while servers echo it. A client process that shares a connection among callers could not tell that a 503 belonged to a request that one of them had given up, and could take it for the response to the next request, which runs. Cause: the header was left to servers. Change: HeaderCodec.failure_headers returns the header for a request with one id in UTF-8, and nothing for a request with none, with several, or with a malformed one. Line ends and other control characters never reach it: the parser refuses them with 400.

--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -449,7 +449,8 @@
             return _response_from_backend(result)
         context.code = result.code
         context.reason = result.reason
-        response = _response_from_failure(result, context.retry_after_s)
+        headers = self.header_codec.failure_headers(context.request.raw_headers)
+        response = _response_from_failure(result, context.retry_after_s, headers)
         context.status = response.status
         return response
 
@@ -488,10 +489,12 @@
     return web.Response(status=response.status, headers=headers, body=response.body or None)
 
 
-def _response_from_failure(failure: Failure, retry_after_s: float) -> web.Response:
+def _response_from_failure(
+    failure: Failure, retry_after_s: float, headers: dict[str, str]
+) -> web.Response:
     info = failure.info
     status = info.http_status or SERVER_ERROR
-    headers = {"Content-Type": "text/plain"}
+    headers["Content-Type"] = "text/plain"
     if retry_after_s > 0.0 and status in (429, 503):
         headers["Retry-After"] = f"{retry_after_s:.2f}"
     text = f"{int(failure.code)} {failure.reason}\n"
--- a/packages/entry/src/radishbridge/entry/protocol.py
+++ b/packages/entry/src/radishbridge/entry/protocol.py
@@ -230,6 +230,9 @@
         :param remaining_s: seconds until the request's deadline.
         """
 
+    def failure_headers(self, headers: Headers) -> dict[str, str]:
+        """Return the headers that name the request which the host itself answers, if any can."""
+
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Decode the headers of a backend server's response."""
 
--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import types
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
-from entry_world import GENEROUS_BOUNDS
+from entry_world import GENEROUS_BOUNDS, running
 from prometheus_client import CollectorRegistry
 from steering_world import make_route, make_server
 
@@ -17,7 +18,7 @@
 from radishbridge.entry.refusals import REFUSAL_STATUSES, ServerAnswer
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import CODE_INFO, Failure, LimitSettings, ResultCode
-from radishbridge.steering import ServerState
+from radishbridge.steering import ServerState, WorkspaceRule
 
 ONCE = make_route(timeout_s=3.0, attempts=3, repeatable=False)
 REFUSING_CODES = [code for code, info in CODE_INFO.items() if info.http_status in REFUSAL_STATUSES]
@@ -142,3 +143,76 @@
         await forwarder._create_attempt(context, state).run()
         assert connection.sent == (0 if is_answered else 1)
         assert context.may_have_run is not is_answered
+
+
+async def send(address: str, *parts: bytes, pause_s: float = 0.05, wait_s: float = 5.0) -> bytes:
+    """Send bytes with pauses between the parts; return what comes until the connection ends."""
+    host, _, port = address.removeprefix("http://").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for part in parts:
+        writer.write(part)
+        await asyncio.sleep(pause_s)
+    try:
+        async with asyncio.timeout(wait_s):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def post(*headers: bytes, path: bytes = b"/devices/7") -> bytes:
+    """Return a request whose response ends its connection."""
+    lines = [b"POST %s HTTP/1.1" % path, b"Host: one.example", b"Connection: close", *headers]
+    return b"\r\n".join([*lines, b"Content-Length: 0", b"", b""])
+
+
+def ids_in(response: bytes) -> list[bytes]:
+    lines = response.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    pairs = (line.partition(b": ") for line in lines)
+    return [value for name, _, value in pairs if name.lower() == b"request-id"]
+
+
+class TestRefusalsNameTheirRequest:
+    """A refusal of the host carries the request's id, as servers' responses do.
+
+    Several callers may share a connection. Without the id, a refusal of a request that one of them
+    gave up could be taken for the response to the next one, which runs.
+    """
+
+    @pytest.mark.parametrize(
+        ("headers", "ids"),
+        [
+            ([b"Request-Id: r1"], [b"r1"]),
+            ([b"request-ID:   r1  "], [b"r1"]),
+            ([b"Request-Id: \xc3\xa9"], [b"\xc3\xa9"]),
+            ([b"Request-Id: a\tb"], [b"a\tb"]),
+            ([], []),
+            ([b"Request-Id:"], []),
+            ([b"Request-Id: r1", b"Request-Id: r2"], []),
+        ],
+    )
+    @pytest.mark.parametrize("is_starting", [False, True])
+    async def test_the_id_is_echoed_once(self, headers, ids, is_starting):
+        async with running(route=ONCE) as (world, _):
+            if is_starting:
+                world.steering_state.configuration = None
+            response = await send(world.url, post(*headers))
+        assert response.startswith(b"HTTP/1.1 503 ")
+        assert ids_in(response) == ids
+
+    @pytest.mark.parametrize(("path", "status"), [(b"/devices/7", b"401"), (b"/none", b"404")])
+    async def test_every_failure_of_the_host_has_it(self, path, status):
+        school = WorkspaceRule(name="school")
+        async with running(route=ONCE, workspaces=[school], keys={"k": "school"}) as (world, _):
+            response = await send(world.url, post(b"Request-Id: r1", path=path))
+        assert response[9:12] == status
+        assert ids_in(response) == [b"r1"]
+
+    @pytest.mark.parametrize(
+        "value", [b"\xff", b"a\x85", b"a\x00b", b"a\x01b", b"a\rSet-Cookie: b", b"a\n b", b"a\x7f"]
+    )
+    async def test_a_malformed_id_is_neither_echoed_nor_splits_the_head(self, value):
+        async with running(route=ONCE) as (world, _):
+            response = await send(world.url, post(b"Request-Id: " + value))
+        assert response[9:12] == b"400"
+        assert ids_in(response) == []
+        assert b"Set-Cookie" not in response
