Name the request in responses to errors inside the host

What callers saw: a 500 after an error inside the host carried no Request-Id, so that a caller with several requests could not tell which of them it belongs to. Cause: aiohttp's error handler creates this response outside of the forwarder. Change: CallerServer takes the function that names a request from its raw headers; the composition root passes that of the header codec. Responses to heads that are incomplete, too large or malformed still have no id, since no request was parsed. Evidence: without the line in handle_error the new case of tests/test_host_refusals.py fails.

--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -41,6 +41,8 @@
 
 logger = logging.getLogger(__name__)
 
+FailureHeaders = t.Callable[[t.Sequence[tuple[bytes, bytes]]], t.Mapping[str, str]]
+
 _INTERNAL_ERROR = Failure(
     ResultCode.INTERNAL_ERROR, "an internal error occurred while handling the request"
 )
@@ -51,6 +53,10 @@
 }
 
 
+def _no_headers(_: t.Sequence[tuple[bytes, bytes]]) -> t.Mapping[str, str]:
+    return {}
+
+
 class CallerConnection(BoundedConnection):
     """One connection of a caller.
 
@@ -116,6 +122,9 @@
                 reset(request.transport)
             raise ConnectionError("a part of the response was already sent")
         response = problem_response(_parse_failure(status, exc))
+        if isinstance(self._server, CallerServer):
+            # Empty for a request that cannot be parsed.
+            response.headers.update(self._server.failure_headers(request.raw_headers))
         response.force_close()
         if self.pipeline is not None:
             self.pipeline.settle_close(response)
@@ -138,6 +147,7 @@
     :param connections_max: connections above which others are closed.
     :param descriptors_max: descriptors of the process above which others are closed.
     :param pipelining: bounds of the requests that start early; ``None`` if none do.
+    :param failure_headers: returns the headers that name a request, from its raw headers.
     """
 
     connection_type = CallerConnection
@@ -151,6 +161,7 @@
         connections_max: int = UNLIMITED,
         descriptors_max: int = UNLIMITED,
         pipelining: Pipelining | None = None,
+        failure_headers: FailureHeaders = _no_headers,
     ) -> None:
         # The handler of the other edition checks the size of the whole head and answers with 413;
         # aiohttp's own timeout closes its connections.
@@ -168,6 +179,7 @@
             max_line_size=line_bytes,
         )
         self.pipelining = pipelining
+        self.failure_headers = failure_headers
         self.connections_by_workspace: dict[str, int] = {}
         self.open_connections = 0
 
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -152,7 +152,12 @@
             steering_state, PlatformHeaderCodec(), pool, rates, access_log, limits, random.Random(1)
         )
         pipelining = Pipelining(uptime.now, lambda: not forwarder.leaving, pool.memory)
-        server = CallerServer(forwarder.handle, limits, pipelining=pipelining)
+        server = CallerServer(
+            forwarder.handle,
+            limits,
+            pipelining=pipelining,
+            failure_headers=forwarder.header_codec.failure_headers,
+        )
         Supervisor(stack).start("disconnects", server.watch_disconnects)
         address = await _listen(stack, server)
         session = await stack.enter_async_context(aiohttp.ClientSession())
--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -207,6 +207,13 @@
         assert response[9:12] == status
         assert ids_in(response) == [b"r1"]
 
+    async def test_an_error_inside_the_host_has_it(self, monkeypatch):
+        monkeypatch.setattr(RequestForwarder, "_check_request", None)
+        async with running(route=ONCE) as (world, _):
+            response = await send(world.url, post(b"Request-Id: r1"))
+        assert response[9:12] == b"500"
+        assert ids_in(response) == [b"r1"]
+
     @pytest.mark.parametrize(
         "value", [b"\xff", b"a\x85", b"a\x00b", b"a\x01b", b"a\rSet-Cookie: b", b"a\n b", b"a\x7f"]
     )
