Reset connections with a request at a server when a shutdown ends

What callers saw: at the end of a shutdown, a request that a server was still running ended with an orderly close and no response. By the protocol, callers send any request again if its connection was closed before it was read, and on the wire an orderly close without a byte of a response looks like that: a request that may run once could run twice. Cause: Shutdown.run closed all connections that were left with aiohttp's force_close, which sends the rest of the responses and ends the connection in an orderly way. Change: connections on which a request is being answered are reset, which promises nothing; the others are closed as before, after their written bytes. Evidence: without the change the new case of tests/test_shutdown.py reads an orderly end of the connection. Measured: tests/test_shutdown.py and tests/test_host_daemon.py pass; lint and types clean.

--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -95,6 +95,17 @@
         if not self.in_flight and self.transport is not None:
             self.transport.close()
 
+    def cut(self) -> None:
+        """Close the connection although a request may be at a server.
+
+        An orderly close without a response would say that the request was not read, and callers
+        would send it again, whatever its kind.
+        """
+        if self.in_flight:
+            self.abort()
+        else:
+            self.force_close()
+
     @property
     def caller_disconnected(self) -> bool:
         """Whether the caller has disconnected while its connection is not being read."""
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -96,8 +96,9 @@
         await self._close_idle()
         finished = await self._wait(lambda: not self.server.open_connections)
         logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
-        for connection in self.server.connections:
-            connection.force_close()
+        for connection in list(self.server.connections):
+            if isinstance(connection, CallerConnection):
+                connection.cut()
 
     async def _close_idle(self) -> None:
         # A connection with a request in flight stays open for the rest of the request's body and
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,7 +5,7 @@
 
 import pytest
 from aiohttp import web
-from entry_world import reply, running
+from entry_world import reply, running, stall
 from in_process import Harness
 from steering_world import make_route
 
@@ -137,6 +137,24 @@
         assert status_line[:12] == b"HTTP/1.1 200"
         assert len(backends[0].requests) == 1
 
+    @pytest.mark.parametrize("is_at_server", [False, True])
+    async def test_the_end_never_looks_as_if_a_request_at_a_server_was_not_read(self, is_at_server):
+        route = make_route(timeout_s=9.0, repeatable=False)
+        async with running(stall, route=route) as (world, backends):
+            host, port = world.url[7:].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            if is_at_server:
+                writer.write(PARTIAL_REQUEST.format(path="/devices/7").encode() + b"67890")
+                while not backends[0].requests:
+                    await asyncio.sleep(0.01)
+            limits = LimitSettings(shutdown_lookup_s=0.05, shutdown_s=0.3)
+            await Shutdown(world.forwarder, world.server, FakeListener(), limits).run()
+            if is_at_server:
+                with pytest.raises(ConnectionResetError):
+                    await reader.read()
+            else:
+                assert await reader.read() == b""
+
     async def test_a_retry_that_would_be_interrupted_is_not_started(self):
         async def respond_with_error(request: web.BaseRequest) -> web.StreamResponse:
             await asyncio.sleep(LATENCY_S)
