Keep the rest of a body whose head was read as a shutdown closes idle connections

What callers saw: a request whose head reached the host in the step in which a shutdown closes idle connections waited until its deadline and got 503. The refusal was true, since the request was never sent, but it came late and for no reason. Cause: a connection counted as idle until the handler of its request had begun, and aiohttp drops what a connection receives after its close: the rest of the body. Change: a connection with a request that has been read, or with a body that is to come, is not idle. Evidence: without the change the new case of tests/test_shutdown.py gets 503 after its deadline of 2 s. Measured: tests/test_shutdown.py, test_host_daemon, test_client_framing and test_pipelining pass; lint and types clean.

--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -150,6 +150,11 @@
         """Number of requests that are being answered."""
         return self.answering
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request has been read that is not answered, or whose body is to come."""
+        return bool(self.in_flight or self._messages or not self._body.is_eof())
+
     @property
     def held_bytes(self) -> int:
         """Bytes that are held for the connection now."""
--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -91,8 +91,8 @@
             self.pipeline.cancel()
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is being answered; written bytes are still sent."""
-        if not self.in_flight and self.transport is not None:
+        """Close the connection unless it has a request; written bytes are still sent."""
+        if not self.has_request and self.transport is not None:
             self.transport.close()
 
     def cut(self) -> None:
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -105,7 +105,7 @@
         # closes after the response. A request that was read just now is answered first.
         connections = [one for one in self.server.connections if isinstance(one, CallerConnection)]
         for connection in connections:
-            if not connection.in_flight:
+            if not connection.has_request:
                 connection.close()
         await asyncio.sleep(CLOSE_POLL_S)
         for connection in connections:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -191,3 +191,30 @@
             status_line = await posting
             await stopping
         assert status_line[:12] == (b"HTTP/1.1 200" if server.requests else b"HTTP/1.1 503")
+
+
+class TestBodyThatArrivesWhileConnectionsAreClosed:
+    """A request whose head was read just now must get the rest of its body.
+
+    The connection looked idle until the handler had begun; the rest of the body was dropped, and
+    the request waited until its deadline.
+    """
+
+    async def test_it_is_answered(self):
+        route = make_route(timeout_s=2.0, repeatable=False)
+        async with running(reply(), route=route) as (world, backends):
+            host, port = world.url[7:].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            while not world.server.connections or world.server.connections[0]._waiter is None:
+                await asyncio.sleep(0.0)
+            shutdown = Shutdown(world.forwarder, world.server, FakeListener(), LimitSettings())
+            world.forwarder.leaving = True
+            # Received in the same step of the event loop in which the connections are closed.
+            world.server.connections[0].data_received(
+                PARTIAL_REQUEST.format(path="/devices/7").encode()
+            )
+            await shutdown._close_idle()
+            writer.write(b"67890")
+            response = await reader.read()
+        assert response[9:12] == b"200"
+        assert len(backends[0].requests) == 1
