--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -16,6 +16,7 @@
 from radishbridge.entry.backends import BackendResponse
 from radishbridge.entry.context import AttemptOutcome, RequestContext
 from radishbridge.entry.refusals import REFUSAL_STATUSES, ServerAnswer
+from radishbridge.entry.sent_ids import SentIds
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import CODE_INFO, Failure, LimitSettings, ResultCode
 from radishbridge.steering import ServerState, WorkspaceRule
@@ -136,7 +137,9 @@
                 assert forwarder._create_response(context, refusal).status == 503
             return connection
 
-        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        forwarder.pool = types.SimpleNamespace(
+            open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
+        )
         monkeypatch.setattr(
             type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
         )
