Tests: scripted transports report an empty write buffer

Connections read the size of the write buffer since. The transports of test_fuzz and test_odd_entries, which discard what is written, did not implement it, so that seven of their tests failed.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -188,6 +188,9 @@
     def write(self, data: t.Any) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def abort(self) -> None:
         self.closed = True
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -436,6 +436,9 @@
     def write(self, data: t.Any) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def abort(self) -> None:
         pass
 
