--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -214,6 +214,17 @@
             b"Tenant": b"school",
         }
 
+    @pytest.mark.parametrize(
+        "further", [(b"Connection", b"close, Request-Id"), (b"request-id", b"r2")]
+    )
+    def test_a_server_gets_the_id_that_its_response_must_have(self, header_codec, further):
+        # Otherwise callers could have servers ejected, whose responses would have another id.
+        server = PlatformDecoder({"north": "east"}).decode(
+            make_stored(Kind.SERVER, "i-1", make_server_spec())
+        )
+        forwarded = header_codec.server_headers([(b"Request-Id", b"r1"), further], server, "", 0.7)
+        assert [value for name, value in forwarded if name.lower() == b"request-id"] == [b"r1"]
+
     @pytest.mark.parametrize(
         ("value", "load"),
         [
