Tests: a delayed acquire passes on what it is given

BackendPool.acquire takes the request's id since. The replacement in test_servers_that_leave, which removes the server while a connection opens, took two arguments only, so that the tests of the entry host got a TypeError.

--- a/tests/test_servers_that_leave.py
+++ b/tests/test_servers_that_leave.py
@@ -45,8 +45,8 @@
         async with running(reply(), reply(), route=route) as (world, backends):
             acquire, left = BackendPool.acquire, []
 
-            async def slow_acquire(pool, address, at_most_once):
-                connection = await acquire(pool, address, at_most_once)
+            async def slow_acquire(pool, address, *details):
+                connection = await acquire(pool, address, *details)
                 if not left:
                     states = world.steering_state.selector.states.values()
                     left.extend(one for one in states if one.server.address == address)
@@ -64,8 +64,8 @@
         async with running(reply(), route=route) as (world, (backend,)):
             acquire = BackendPool.acquire
 
-            async def slow_acquire(pool, address, at_most_once):
-                connection = await acquire(pool, address, at_most_once)
+            async def slow_acquire(pool, address, *details):
+                connection = await acquire(pool, address, *details)
                 _remove(world, next(iter(world.steering_state.selector.states.values())))
                 return connection
 
