Close a connection after a refusal only for the refused request's own body

What callers saw: with pipelined requests, a refused one (400, 401, 404, 413) closed the connection in an orderly way although a request behind it was at a server, and a third one's body was arriving. By the protocol, both count as not read and are sent again, while the first of them runs. It can only be one of a safe route, since others wait for their turn. Cause: whether the rest of a long body is dropped was asked of the body that the connection receives now, whichever request it belongs to. Change: only the body of the request being answered counts. Evidence: without the change, the new case of tests/test_pipelining.py meets the end of the connection after the 404. Measured: tests/test_pipelining.py, test_client_framing, test_forward_requests, test_host_refusals and test_uploads pass.

--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -298,11 +298,14 @@
         if not isinstance(kwargs.get("exc_info"), web.RequestPayloadError):
             super().log_exception(*args, **kwargs)
 
-    def discard_body(self) -> bool:
+    def discard_body(self, request: web.BaseRequest) -> bool:
         """Drop what still comes of the body of a refused request, if it is long or may be.
 
         :return: whether the connection closes after the response.
         """
+        # The body that is being received may be that of a later request.
+        if request.content is not self._body:
+            return False
         if not self._body.is_eof() and self._framing.body_bytes_left > DISCARDED_BYTES_MIN:
             self._close = True
         return self._close
@@ -481,7 +484,7 @@
         try:
             response = await self._respond(request)
             is_served = response.status not in REFUSED_STATUSES
-            if not is_served and connection.discard_body():
+            if not is_served and connection.discard_body(request):
                 response.force_close()
             return response
         finally:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -16,6 +16,7 @@
 
 from radishbridge.entry import AccessLog, uptime
 from radishbridge.host import pipelining
+from radishbridge.host.bounded import DISCARDED_BYTES_MIN
 from radishbridge.host.shutdown import Shutdown
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import LimitSettings
@@ -376,6 +377,19 @@
             assert await caller.is_closed()
             assert gates.arrived == ["a", "b"]
 
+    async def test_a_refusal_does_not_drop_the_body_of_another_request(self):
+        # The connection closed after the refusal, with a request behind it at a server.
+        body_bytes = 4 * DISCARDED_BYTES_MIN
+        upload = head("c", "POST", f"Content-Length: {body_bytes}")
+        async with pipelining_world() as (_, gates, caller, _):
+            unknown = heads("a").replace(b"/devices/", b"/unknown/")
+            caller.send(unknown + heads("b") + upload + bytes(10))
+            assert (await caller.read())[:2] == (404, False)
+            await gates.wait_for("b")
+            caller.send(bytes(body_bytes - 10))
+            gates.open("b", "c")
+            assert await caller.read_bodies(2) == [b"b", b"c"]
+
 
 class TestTimes:
     """The time and the deadline of a request count from its arrival."""
