Refuse a request whose body stops or is malformed instead of forwarding a part of it

What callers saw: a request whose body stopped coming for 75 s, or was malformed, was forwarded with the part that had arrived, as if that were all, and answered with the server's response. It should have got 408 or 400 and never run. Since the route's time limit usually ends before 75 s, it mostly met malformed chunked bodies; after those the connection also stops being read, so that on the wire the request could look as if it had not been read while it ran. Cause: a Failure is false, so that "body.failure or ..." in BodyReader.read was the bytes whenever there was a failure. Change: both returns compare with None. Evidence: without the change all 8 new cases of tests/test_host_refusals.py end with 200 and a request at the server.

--- a/packages/entry/src/radishbridge/entry/request_body.py
+++ b/packages/entry/src/radishbridge/entry/request_body.py
@@ -55,8 +55,10 @@
         if length is not None and not self._reserve(context, length):
             return _NO_MEMORY
         failure = await body.prepare()
-        if failure is not None or body.buffered is not None:
-            return failure or body.buffered or b""
+        if failure is not None:
+            return failure
+        if body.buffered is not None:
+            return body.buffered
         chunks: list[bytes] = []
         async for chunk in body.read_chunks():
             chunks.append(chunk)
@@ -64,7 +66,7 @@
                 return _NO_MEMORY
             if context.body_memory_bytes > max_bytes:
                 return _TOO_LARGE
-        return body.failure or b"".join(chunks)
+        return b"".join(chunks) if body.failure is None else body.failure
 
     def release(self, context: RequestContext) -> None:
         """Release the memory of a request that has ended."""
--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -8,7 +8,7 @@
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
-from entry_world import GENEROUS_BOUNDS, running
+from entry_world import GENEROUS_BOUNDS, reply, running
 from prometheus_client import CollectorRegistry
 from steering_world import make_route, make_server
 
@@ -223,3 +223,38 @@
         assert response[9:12] == b"400"
         assert ids_in(response) == []
         assert b"Set-Cookie" not in response
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+IDLE_S = 0.3
+
+
+class TestBodyThatDoesNotArriveWhole:
+    """A request whose body stops or is malformed is refused, and reaches no server.
+
+    A failure counts as false, so that ``failure or body`` was the part of the body that had come.
+    """
+
+    HEAD = b"POST /devices/7 HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r1\r\n"
+
+    @pytest.mark.parametrize(
+        ("parts", "status"),
+        [
+            ([b"Content-Length: 10\r\n\r\n12345"], b"408"),
+            ([b"Content-Length: 100000\r\n\r\n12345"], b"408"),
+            ([CHUNKED + b"5\r\n12345\r\n"], b"408"),
+            ([CHUNKED + b"5\r\n123"], b"408"),
+            ([CHUNKED + b"no size\r\n"], b"400"),
+            ([CHUNKED + b"5\r\n12345\r\n", b"no size\r\n"], b"400"),
+            ([CHUNKED, b"5\r\n12345\r\nno size\r\n"], b"400"),
+            ([CHUNKED, b"5\r\n12345\r\n0;" + b"x" * 2_000], b"400"),
+        ],
+    )
+    async def test_nothing_is_forwarded(self, parts, status):
+        async with running(reply(), route=ONCE) as (world, backends):
+            world.forwarder.body_reader.limits = LimitSettings(idle_s=IDLE_S)
+            first, *others = parts
+            response = await send(world.url, self.HEAD + first, *others)
+        assert response[9:12] == status
+        assert ids_in(response) == [b"r1"]
+        assert backends[0].requests == []
