Answer the requests before one with a malformed body

What callers saw: with pipelined requests, a malformed body of a later request closed the connection in an orderly way after the response in progress, although requests behind it were at servers. By the protocol these count as not read and are sent again while they run. They can only be safe ones, since others wait for their turn. The malformed request got no response either. Cause: the connection was marked to close after the response in progress, whichever request the body belongs to. Change: if the request with the malformed body is still queued, the connection closes after its own response. Evidence: without the change the new case of tests/test_pipelining.py meets the end of the connection after the first response. Measured: tests/test_pipelining.py, test_client_framing, test_forward_requests, test_uploads, test_host_refusals, test_shutdown and test_fuzz pass; lint and types clean.

--- a/packages/host/src/radishbridge/host/bounded.py
+++ b/packages/host/src/radishbridge/host/bounded.py
@@ -284,8 +284,10 @@
         self.is_broken = True
         self._pause_reading_for_buffer()
         if not self._body.is_eof():
-            # The request to which the body belongs is still to be answered, and says what is wrong.
-            self._close = True
+            # The request to which the body belongs is still to be answered, after those before it,
+            # and says what is wrong.
+            is_queued = any(payload is self._body for _, payload in self._messages)
+            self._close |= not is_queued
             self._body.set_exception(web.RequestPayloadError("the body is malformed"))
             self._body.feed_eof()
             return
@@ -298,16 +300,18 @@
         if not isinstance(kwargs.get("exc_info"), web.RequestPayloadError):
             super().log_exception(*args, **kwargs)
 
-    def discard_body(self, request: web.BaseRequest) -> bool:
-        """Drop what still comes of the body of a refused request, if it is long or may be.
+    def closes_after(self, request: web.BaseRequest, is_refused: bool) -> bool:
+        """Return whether the connection closes after a response because of the request's body.
 
-        :return: whether the connection closes after the response.
+        It does if the body is malformed. What still comes of the body of a refused request is
+        dropped if it is long or may be.
         """
+        body = request.content
+        if self.is_broken and body.exception() is not None:
+            return True
         # The body that is being received may be that of a later request.
-        if request.content is not self._body:
-            return False
-        if not self._body.is_eof() and self._framing.body_bytes_left > DISCARDED_BYTES_MIN:
-            self._close = True
+        if is_refused and body is self._body and not body.is_eof():
+            self._close |= self._framing.body_bytes_left > DISCARDED_BYTES_MIN
         return self._close
 
     def begin_request(self) -> None:
@@ -484,7 +488,7 @@
         try:
             response = await self._respond(request)
             is_served = response.status not in REFUSED_STATUSES
-            if not is_served and connection.discard_body(request):
+            if connection.closes_after(request, not is_served):
                 response.force_close()
             return response
         finally:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -390,6 +390,20 @@
             gates.open("b", "c")
             assert await caller.read_bodies(2) == [b"b", b"c"]
 
+    async def test_requests_before_a_malformed_body_are_answered(self):
+        # The connection closed after the first response, with the second request at a server.
+        upload = head("c", "POST", "Transfer-Encoding: chunked") + b"no size\r\n"
+        async with pipelining_world() as (_, gates, caller, _):
+            caller.send(heads("a", "b"))
+            await gates.wait_for("a", "b")
+            caller.send(upload)
+            await settle()
+            gates.open("a", "b")
+            assert await caller.read_bodies(2) == [b"a", b"b"]
+            assert (await caller.read())[:2] == (400, True)
+            assert await caller.is_closed()
+            assert gates.arrived == ["a", "b"]
+
 
 class TestTimes:
     """The time and the deadline of a request count from its arrival."""
