Close a connection after a refusal that may be a late copy

Callers saw: after a refusal that may have been a late copy, the connection went back to the pool, and the response to the request, which runs, met the next request on it: 502 for a request that was at a server, or the connection's end. Cause: only answers with another id closed their connection; here the answer has the right id and the wrong request. Change: a refusal of an id that another request was sent with closes its connection too. Evidence: tests/test_ambiguous_refusals.py::TestIdUsedAgain::test_a_copy_of_a_refusal_proves_nothing fails in both cases without the change (the next request got 502) and passes with it.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -232,7 +232,8 @@
         self.state.record_response(now)
         if metadata.load is not None:
             self.steering_state.load_exchange.record(self.state, metadata.load, now)
-        if self.state.is_leaving or not request_id:
+        # After a refusal that may be a late copy, the response to this request is still to come.
+        if self.state.is_leaving or not request_id or judgement.is_late_copy:
             connection.close()
         connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -62,6 +62,11 @@
     reason: str = ""
     is_servers_fault: bool = False
 
+    @property
+    def is_late_copy(self) -> bool:
+        """Whether the answer may be a late copy of the one to another request."""
+        return self.verdict is Verdict.UNPROVEN and not self.is_servers_fault
+
     @property
     def proves_not_run(self) -> bool:
         """Whether the request did not run and never will."""
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -100,7 +100,8 @@
         refuses = True
 
         async def serve(connection: RawConnection, request_id: str) -> None:
-            connection.write(WITH_ID, request_id)
+            if request_id == "r9":
+                connection.write(WITH_ID, request_id)
             if not refuses:
                 executed.append(request_id)
                 await asyncio.sleep(0.1)
@@ -117,6 +118,8 @@
             statuses.append((await world.request(method="POST", Request_Id="r9"))[0])
             assert statuses == [503, 502]
             assert executed == ["r9"]
+            # The response to r9 is still to come, and must not meet the next request.
+            assert (await world.request(method="POST", Request_Id="r10"))[0] == 200
 
     @pytest.mark.parametrize("first", [WITH_ID, GOOD])
     async def test_a_copy_on_a_kept_connection_meets_no_request_with_its_id(self, first):
