Answer 502 instead of 408 when a streamed body ends early

To callers 408 says that the request has not run and never will, while a server had a part of it and may have acted on that. Cause: code 121 was declared "may have run" with status 408, so that failure_for_caller let it pass after an attempt. Change: 121 means "not run" and is used only before anything is sent. Once a part was sent, the caller gets the new code 128, REQUEST_CUT_OFF, with 502; like 121 it counts as caused by the caller and closes the connection. Every failure passes failure_for_caller where its response is made, whichever way it came. Evidence: with the old table and rule the two changed cases of tests/test_forward_requests.py get 408. They asserted 408 (or its code) before, which was wrong for a request that a server has begun to receive; they now assert status, code and the closed connection, and that nothing was sent where 408 remains.

--- a/packages/host/src/radishbridge/host/burn.py
+++ b/packages/host/src/radishbridge/host/burn.py
@@ -21,6 +21,7 @@
         ResultCode.REQUEST_TOO_LARGE,
         ResultCode.REQUEST_MALFORMED,
         ResultCode.REQUEST_INCOMPLETE,
+        ResultCode.REQUEST_CUT_OFF,
         ResultCode.CONNECTIONS_EXCEEDED,
         ResultCode.POISON_REQUEST,
         ResultCode.DUPLICATE_REQUEST,
--- a/packages/host/src/radishbridge/host/context.py
+++ b/packages/host/src/radishbridge/host/context.py
@@ -57,6 +57,8 @@
         """Replace a failure that claims "not run" if an earlier attempt may have run."""
         if not self.may_have_run or failure.info.execution is not Execution.NOT_RUN:
             return failure
+        if failure is self.body.failure:
+            return Failure(ResultCode.REQUEST_CUT_OFF, failure.reason)
         if failure.code is ResultCode.DEADLINE_BEFORE_SENT:
             return Failure(ResultCode.DEADLINE_EXCEEDED, failure.reason)
         return Failure(ResultCode.BACKEND_FAILED, f"an earlier attempt failed; {failure.reason}")
--- a/packages/host/src/radishbridge/host/forward.py
+++ b/packages/host/src/radishbridge/host/forward.py
@@ -120,6 +120,8 @@
             return Failure(ResultCode.CALLER_GONE, "the caller disconnected")
 
     async def _refuse(self, context: RequestContext, failure: Failure) -> web.StreamResponse:
+        # The last place where a failure may say that a request did not run although it may have.
+        failure = context.failure_for_caller(failure)
         context.code = failure.code
         retry_after_s = 0.0
         if failure.code is ResultCode.RATE_EXCEEDED:
@@ -228,6 +230,7 @@
     {
         ResultCode.CONNECTIONS_EXCEEDED,
         ResultCode.REQUEST_INCOMPLETE,
+        ResultCode.REQUEST_CUT_OFF,
         ResultCode.REQUEST_MALFORMED,
         ResultCode.REQUEST_TOO_LARGE,
     }
--- a/packages/records/src/radishbridge/records/codes.py
+++ b/packages/records/src/radishbridge/records/codes.py
@@ -49,6 +49,7 @@
     HOST_OVERLOADED = 125
     HEAD_TOO_LARGE = 126
     HEAD_INCOMPLETE = 127
+    REQUEST_CUT_OFF = 128
     RECORD_INVALID = 201
     SCHEMA_TOO_NEW = 202
     SETTINGS_INVALID = 203
@@ -126,7 +127,7 @@
         "The deadline passed before the request was sent to a backend server.", _NOT_RUN, 504
     ),
     ResultCode.REQUEST_INCOMPLETE: CodeInfo(
-        "The body of the request did not arrive whole.", _MAY_HAVE_RUN, 408
+        "The body of the request did not arrive whole.", _NOT_RUN, 408
     ),
     ResultCode.INTERNAL_ERROR: CodeInfo("The host failed on the request.", _MAY_HAVE_RUN, 500),
     ResultCode.CALLER_GONE: CodeInfo("The caller went away before its answer.", _MAY_HAVE_RUN, 499),
@@ -140,6 +141,11 @@
     ResultCode.HEAD_INCOMPLETE: CodeInfo(
         "The head of the request did not arrive in time.", _NOT_RUN, 408
     ),
+    ResultCode.REQUEST_CUT_OFF: CodeInfo(
+        "The body of the request ended early while a backend server had a part of it.",
+        _MAY_HAVE_RUN,
+        502,
+    ),
     ResultCode.RECORD_INVALID: CodeInfo("A record has an invalid field.", _NOT_APPLICABLE),
     ResultCode.SCHEMA_TOO_NEW: CodeInfo(
         "A record's schema version is newer than known.", _NOT_APPLICABLE
--- a/tests/test_forward_requests.py
+++ b/tests/test_forward_requests.py
@@ -237,7 +237,9 @@
         async with Harness(LimitSettings(body_bytes=100_000)) as host:
             server = await host.add_backend()
             async with host.caller.post(host.url(), headers=WITH_KEY, data=chunks()) as response:
-                assert problem_code(await response.read()) == ResultCode.REQUEST_INCOMPLETE
+                # 408 would say that the request, of which a server has a part, never runs.
+                assert response.status == 502
+                assert problem_code(await response.read()) == ResultCode.REQUEST_CUT_OFF
             await until(lambda: server.in_flight == 0)
 
     async def test_connection_that_never_completes_the_headers(self) -> None:
@@ -256,15 +258,26 @@
             sending.cancel()
             await until(lambda: host.server.open_connections == 0)
 
-    @pytest.mark.parametrize("length", [100, MAX_REPLAY_BYTES + 1])
-    async def test_body_that_stalls(self, length: int) -> None:
+    @pytest.mark.parametrize(
+        ("length", "status", "code"),
+        [
+            (100, 408, ResultCode.REQUEST_INCOMPLETE),
+            # Streamed, so that a server has a part of it and may act on that.
+            (MAX_REPLAY_BYTES + 1, 502, ResultCode.REQUEST_CUT_OFF),
+        ],
+    )
+    async def test_body_that_stalls(self, length: int, status: int, code: ResultCode) -> None:
         async with Harness(LimitSettings(idle_s=0.2)) as host:
             server = await host.add_backend()
             reader, writer = await host.open_connection()
             head = f"POST /catalogue/public/1 HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n"
             writer.write(f"{head}\r\nabc".encode())
-            assert (await reader.readline()).startswith(b"HTTP/1.1 408 ")
+            response_head, _, problem = (await reader.read()).partition(b"\r\n\r\n")
+            assert response_head.startswith(b"HTTP/1.1 %d " % status)
+            assert b"Connection: close" in response_head
+            assert problem_code(problem) == code
             await until(lambda: server.in_flight == 0)
+            assert server.requests == 0 or status == 502
             writer.close()
 
     async def test_connections_of_a_workspace_are_limited(self) -> None:
