Tests: pauses, timeouts and shutdowns never deny or resend a request that ran

What they guard: a connection made while the process was stopped is closed without sending; a deadline that passes during a pause never turns a request at a server into a refusal, whichever response is on its way; the rest of a head after its 408, a request that meets the idle timeout, half a head at a shutdown, and a request behind a response that closes are never forwarded; a 408 for a head in progress does not overtake the response before it; nothing runs between the check and the send of an attempt.

--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import random
+import time
 import types
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
-from entry_world import GENEROUS_BOUNDS, reply, running
+from entry_world import GENEROUS_BOUNDS, reply, running, shed
 from prometheus_client import CollectorRegistry
 from steering_world import make_route, make_server
 
 from radishbridge.entry import AccessLog, BackendPool, RequestForwarder, SteeringState, uptime
-from radishbridge.entry.backends import BackendResponse
+from radishbridge.entry.backends import CONNECT_TIMEOUT_S, BackendResponse
 from radishbridge.entry.context import AttemptOutcome, RequestContext
 from radishbridge.entry.refusals import REFUSAL_STATUSES, ServerAnswer
+from radishbridge.host.bounded import ClientLimits
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import CODE_INFO, Failure, LimitSettings, ResultCode
 from radishbridge.steering import ServerState, WorkspaceRule
@@ -144,11 +146,40 @@
         assert connection.sent == (0 if is_answered else 1)
         assert context.may_have_run is not is_answered
 
+    async def test_nothing_happens_between_the_check_and_the_send(self, forwarder, monkeypatch):
+        # Otherwise the request could be answered in between.
+        steps: list[str] = []
+
+        class Connection(RecordingConnection):
+            async def exchange(self, *_: object) -> Failure:
+                steps.append("sent")
+                return await super().exchange()
+
+        def check(*_: object) -> None:
+            steps.append("checked")
+            asyncio.get_running_loop().call_soon(steps.append, "other work")
+
+        async def connect(*_: object) -> RecordingConnection:
+            return Connection()
+
+        monkeypatch.setattr(RequestForwarder, "_check_before_send", check)
+        monkeypatch.setattr(
+            type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
+        )
+        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        state = ServerState(make_server(1), uptime.now())
+        await forwarder._create_attempt(make_context(), state).run()
+        assert steps == ["checked", "sent"]
+
+
+async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.removeprefix("http://").rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
 
 async def send(address: str, *parts: bytes, pause_s: float = 0.05, wait_s: float = 5.0) -> bytes:
     """Send bytes with pauses between the parts; return what comes until the connection ends."""
-    host, _, port = address.removeprefix("http://").rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await connect(address)
     for part in parts:
         writer.write(part)
         await asyncio.sleep(pause_s)
@@ -258,3 +289,107 @@
         assert response[9:12] == status
         assert ids_in(response) == [b"r1"]
         assert backends[0].requests == []
+
+
+class TestPausedProcess:
+    """A process that is stopped for a while finds timers that are due beside bytes that came."""
+
+    async def test_a_connection_made_meanwhile_is_closed_without_sending(self, monkeypatch):
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+
+        async def connect_while_paused(*arguments):
+            loop.call_soon(time.sleep, CONNECT_TIMEOUT_S + 0.05)
+            return await create_connection(*arguments)
+
+        async with running(reply(), route=ONCE) as (world, backends):
+            client = asyncio.create_task(send(world.url, post(b"Request-Id: r1")))
+            # The caller has begun to connect, with the loop's own method.
+            await asyncio.sleep(0.0)
+            monkeypatch.setattr(loop, "create_connection", connect_while_paused, raising=False)
+            response = await client
+            await asyncio.sleep(0.05)
+        assert response[9:12] == b"503"
+        assert b"TimeoutError" in response
+        assert backends[0].requests == []
+
+    @pytest.mark.parametrize("delay_ms", range(0, 40, 4))
+    @pytest.mark.parametrize("sheds", [False, True])
+    async def test_a_deadline_that_passes_meanwhile(self, delay_ms, sheds):
+        async def respond_slowly(request):
+            await asyncio.sleep(0.02)
+            return await (shed() if sheds else reply())(request)
+
+        route = make_route(timeout_s=0.1, attempts=3, repeatable=False)
+        async with running(respond_slowly, respond_slowly, route=route) as (world, backends):
+            client = asyncio.create_task(send(world.url, post(b"Request-Id: r1")))
+            await asyncio.sleep(delay_ms / 1000.0)
+            time.sleep(0.15)
+            response = await client
+            await asyncio.sleep(0.1)
+        ran = not sheds and sum(len(backend.requests) for backend in backends)
+        assert not ran or int(response[9:12]) not in REFUSAL_STATUSES
+
+
+class TestClosedConnections:
+    """A connection that the host ends by itself has no request at a server, then or later."""
+
+    LIMITS = ClientLimits(header_bytes=16_384, header_s=1.0, idle_s=1.0)
+
+    async def test_the_rest_of_a_head_that_timed_out_is_never_forwarded(self):
+        request = post(b"Request-Id: r1")
+        async with running(reply(), route=ONCE) as (world, backends):
+            world.server.client_limits = lambda: self.LIMITS
+            reader, writer = await connect(world.url)
+            writer.write(request[:40])
+            await asyncio.sleep(0.05)
+            # The host was paused: the rest is in the kernel's buffer when the timer is due.
+            writer.write(request[40:])
+            world.server.now += 10.0
+            world.server.sweep()
+            response = await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.close()
+        assert response[9:12] == b"408"
+        assert backends[0].requests == []
+
+    @pytest.mark.parametrize("steps", range(6))
+    async def test_a_request_that_meets_the_idle_timeout(self, steps):
+        async with running(reply(), route=ONCE) as (world, backends):
+            world.server.client_limits = lambda: self.LIMITS
+            reader, writer = await connect(world.url)
+            await asyncio.sleep(0.05)
+            world.server.now += 10.0
+            world.server.connections[0].data_received(post(b"Request-Id: r1"))
+            for _ in range(steps):
+                await asyncio.sleep(0.0)
+            world.server.sweep()
+            response = await reader.read()
+            await asyncio.sleep(0.05)
+            writer.close()
+        assert len(backends[0].requests) == (response[9:12] == b"200")
+
+    async def test_a_timeout_of_a_head_does_not_overtake_the_response_before_it(self):
+        gate = asyncio.Event()
+
+        async def respond(request):
+            await gate.wait()
+            return await reply()(request)
+
+        first = post(b"Request-Id: r1").replace(b"Connection: close\r\n", b"")
+        async with running(respond, route=ONCE) as (world, backends):
+            world.server.client_limits = lambda: self.LIMITS
+            reader, writer = await connect(world.url)
+            writer.write(first + first[:40])
+            while not backends[0].requests:
+                await asyncio.sleep(0.01)
+            for _ in range(2):
+                world.server.now += 10.0
+                world.server.sweep()
+            gate.set()
+            assert (await reader.readuntil(b"good"))[9:12] == b"200"
+            world.server.now += 10.0
+            world.server.sweep()
+            assert (await reader.read())[9:12] == b"408"
+            writer.close()
+        assert len(backends[0].requests) == 1
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -193,6 +193,49 @@
         assert status_line[:12] == (b"HTTP/1.1 200" if server.requests else b"HTTP/1.1 503")
 
 
+class TestRequestsThatAreReadInPart:
+    """What a shutdown closes in an orderly way counts as not read, and is never forwarded."""
+
+    LIMITS = LimitSettings(shutdown_lookup_s=0.1, shutdown_s=0.5)
+
+    @pytest.mark.parametrize("is_behind_another", [False, True])
+    async def test_half_a_head_is_closed_and_never_forwarded(self, is_behind_another):
+        request = PARTIAL_REQUEST.format(path="/devices/7").encode() + b"67890"
+        served = request if is_behind_another else b""
+        route = make_route(timeout_s=2.0, repeatable=False)
+        async with running(reply(), route=route) as (world, backends):
+            host, port = world.url[7:].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(served + request[:40])
+            await asyncio.sleep(0.05)
+            shutdown = Shutdown(world.forwarder, world.server, FakeListener(), self.LIMITS)
+            await shutdown.run()
+            response = await reader.read()
+            with contextlib.suppress(ConnectionError):
+                writer.write(request[40:])
+                await asyncio.sleep(0.05)
+            writer.close()
+        assert response.count(b"HTTP/1.1 200") == is_behind_another
+        assert len(backends[0].requests) == is_behind_another
+
+    async def test_a_request_behind_a_response_that_closes_is_never_forwarded(self):
+        request = PARTIAL_REQUEST.format(path="/devices/7").encode() + b"67890"
+        route = make_route(timeout_s=2.0, repeatable=False)
+        async with running(respond_slowly, route=route) as (world, backends):
+            host, port = world.url[7:].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request + request)
+            await asyncio.sleep(0.05)
+            limits = LimitSettings(shutdown_lookup_s=0.1, shutdown_s=2.0)
+            await Shutdown(world.forwarder, world.server, FakeListener(), limits).run()
+            response = await reader.read()
+            await asyncio.sleep(0.05)
+            writer.close()
+        assert response.count(b"HTTP/1.1 200") == 1
+        assert b"Connection: close" in response
+        assert len(backends[0].requests) == 1
+
+
 class TestBodyThatArrivesWhileConnectionsAreClosed:
     """A request whose head was read just now must get the rest of its body.
 
