Count an application's own 408 or 429 as no failure of its server

Callers that provoke an application's limits (429) could have its servers ejected, since counts every status without a statement as a failure of the server. Now only a bare 503, as before, and a bare 421 count. A refusal that may be a late copy is a verdict of its own. Evidence: the cases 408 and 429 of test_a_limit_of_the_application_is_no_failure_of_its_server fail before (2 failures counted).

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -233,7 +233,8 @@
         if metadata.load is not None:
             self.steering_state.load_exchange.record(self.state, metadata.load, now)
         # After a refusal that may be a late copy, the response to this request is still to come.
-        if self.state.is_leaving or not request_id or judgement.is_late_copy:
+        is_late_copy = judgement.verdict is Verdict.LATE_COPY
+        if self.state.is_leaving or not request_id or is_late_copy:
             connection.close()
         connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
@@ -241,7 +242,7 @@
             return self._record_refusal(judgement, metadata)
         if metadata.is_signed:
             self.steering_state.crash_reports.record_completed_run(self.context.fingerprint, now)
-        if judgement.verdict is Verdict.UNPROVEN:
+        if is_late_copy or judgement.verdict is Verdict.UNPROVEN:
             return self._record_unproven_refusal(judgement)
         success = FIRST_SUCCESS <= response.status < FIRST_REDIRECT
         if success and (not metadata.is_signed or metadata.is_encoded):
--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -40,14 +40,15 @@
 class Verdict(enum.Enum):
     """What a server's answer says of the request.
 
-    ``FOREIGN`` is an answer to another request, and ``UNPROVEN`` a refusal without proof that it is
-    one of this request. After both the request may have run.
+    ``FOREIGN`` is an answer to another request, ``LATE_COPY`` may be one, and ``UNPROVEN`` is a
+    refusal without proof. After these the request may have run.
     """
 
     FOREIGN = "foreign"
     RESPONSE = "response"
     SHED = "shed"
     MISDIRECTED = "misdirected"
+    LATE_COPY = "late copy"
     UNPROVEN = "unproven"
 
 
@@ -62,11 +63,6 @@
     reason: str = ""
     is_servers_fault: bool = False
 
-    @property
-    def is_late_copy(self) -> bool:
-        """Whether the answer may be a late copy of the one to another request."""
-        return self.verdict is Verdict.UNPROVEN and not self.is_servers_fault
-
     @property
     def proves_not_run(self) -> bool:
         """Whether the request did not run and never will."""
@@ -78,9 +74,10 @@
 _RESPONSE = Judgement(Verdict.RESPONSE)
 _SHED = Judgement(Verdict.SHED)
 _MISDIRECTED = Judgement(Verdict.MISDIRECTED)
-_STATUS_ALONE = Judgement(
-    Verdict.UNPROVEN, "the server did not state that the request did not run", True
-)
+_STATUS_ALONE = "the server did not state that the request did not run"
+# No fault of the server: applications limit their callers by 429.
+_OWN_STATUS_ALONE = Judgement(Verdict.UNPROVEN, _STATUS_ALONE)
+_FAULTY_STATUS_ALONE = Judgement(Verdict.UNPROVEN, _STATUS_ALONE, True)
 _CONTRADICTION = Judgement(
     Verdict.UNPROVEN,
     "the server states that the request did not run, but its status does not",
@@ -88,7 +85,7 @@
 )
 # No fault of the server, or callers could have servers ejected by using an id again.
 _ID_USED_AGAIN = Judgement(
-    Verdict.UNPROVEN, "the refusal may be that of another request with the same id"
+    Verdict.LATE_COPY, "the refusal may be that of another request with the same id"
 )
 
 
@@ -115,7 +112,8 @@
     elif status not in REFUSAL_STATUSES:
         return _RESPONSE
     elif status != MISDIRECTED or metadata.server in ("", server):
-        return _STATUS_ALONE
+        has_fault = status >= FIRST_SERVER_ERROR or status == MISDIRECTED
+        return _FAULTY_STATUS_ALONE if has_fault else _OWN_STATUS_ALONE
     if id_used_again:
         return _ID_USED_AGAIN
     return _MISDIRECTED if status == MISDIRECTED else _SHED
--- a/tests/test_ambiguous_refusals.py
+++ b/tests/test_ambiguous_refusals.py
@@ -148,6 +148,13 @@
         assert statuses == [503, 502, 502, 502]
         assert (state.ejections, state.consecutive_failures) == (0, 0)
 
+    @pytest.mark.parametrize(("status", "failures"), [(408, 0), (429, 0), (503, 2)])
+    async def test_a_limit_of_the_application_is_no_failure_of_its_server(self, status, failures):
+        async with running(reply(status), route=ONCE) as (world, _):
+            assert [(await world.request(method="POST"))[0] for _ in range(2)] == [502, 502]
+            (state,) = world.steering_state.selector.states.values()
+        assert state.consecutive_failures == failures
+
     async def test_attempts_of_one_request_have_one_sender(self):
         async with running(shed(), shed(), reply(), route=ONCE) as (world, _):
             answers = [(await world.request(Affinity_Key=str(n)))[0] for n in range(6)]
--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -106,6 +106,13 @@
         assert response.status == status
 
 
+def make_pool(connect) -> types.SimpleNamespace:
+    """Return a pool whose connections come from a function."""
+    return types.SimpleNamespace(
+        open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
+    )
+
+
 class RecordingConnection:
     """A connection to a server that records what is sent on it."""
 
@@ -139,9 +146,7 @@
                 assert forwarder._create_response(context, refusal).status == 503
             return connection
 
-        forwarder.pool = types.SimpleNamespace(
-            open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
-        )
+        forwarder.pool = make_pool(connect)
         monkeypatch.setattr(
             type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
         )
@@ -169,7 +174,7 @@
         monkeypatch.setattr(
             type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
         )
-        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        forwarder.pool = make_pool(connect)
         state = ServerState(make_server(1), uptime.now())
         await forwarder._create_attempt(make_context(), state).run()
         assert steps == ["checked", "sent"]
