Reset the connection of a caller that closes its sending side while its request runs

Callers saw: a request, then the end of the sending side; the connection ended in an orderly way without a byte of a response, as if the request had not been read, while a server ran it. By the protocol such a request is sent again, whatever its kind. Cause: asyncio closes a transport in an orderly way at the peer's end; the handler is cancelled and writes nothing (found by the review). Change: a connection with a request that is being answered is reset instead, which promises nothing.

--- a/packages/host/src/radishbridge/host/connections.py
+++ b/packages/host/src/radishbridge/host/connections.py
@@ -84,6 +84,15 @@
         if self.pipeline is not None and self._messages:
             self.pipeline.record_arrivals()
 
+    def eof_received(self) -> None:
+        """Reset the connection of a caller that closed its sending side during a request.
+
+        Its requests are cancelled. An orderly close would say that they were not read.
+        """
+        super().eof_received()
+        if self.in_flight:
+            self.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the connection's requests and stop counting it."""
         super().connection_lost(exc)
