Close connections as they become idle during a shutdown

Operators saw: a host that shuts down with a refused request whose body was still arriving ran until the end of its grace (4.05 s of 4 s in the test) although nothing was left to answer. Cause: idle connections were closed once; one that became idle later without a response was not. Change: they are closed in each step of the wait.

--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -93,8 +93,7 @@
         await self.listener.stop()
         logger.info("stopped accepting", extra={"in_flight": self.forwarder.in_flight})
         await asyncio.sleep(min(FIRST_REQUEST_WAIT_S, self.limits.shutdown_s))
-        await self._close_idle()
-        finished = await self._wait(lambda: not self.server.open_connections)
+        finished = await self._close_connections()
         logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
         for connection in list(self.server.connections):
             if isinstance(connection, CallerConnection):
@@ -111,11 +110,12 @@
         for connection in connections:
             connection.close_idle()
 
-    async def _wait(self, done: t.Callable[[], bool]) -> bool:
+    async def _close_connections(self) -> bool:
+        """Close connections as they become idle; return whether all have ended in time."""
         try:
             async with asyncio.timeout_at(self.forwarder.shutdown_schedule.ends_at):
-                while not done():
-                    await asyncio.sleep(CLOSE_POLL_S)
+                while self.server.open_connections:
+                    await self._close_idle()
         except TimeoutError:
             return False
         return True
