Fail a response whose head holds the status line of another one

Callers saw: 503 for a request that ran, or it ran at a second server as well, where a server had sent the first part of a refusal after a complete response. Cause: a header's value and a reason may hold any text. Change: a status line in either makes the response invalid; the request may have run.

--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -43,6 +43,8 @@
 CARRIED_IDS = 8
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
+# A status line inside a head: the rest of a response that broke off runs into the next one.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _KEEPALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -80,6 +82,7 @@
     :param on_head: called with status and headers of a final response, before its body is in.
     :param received_bytes: bytes received for the current request, head and framing included.
     :param requests: requests sent on the connection.
+    :param is_spliced: the head holds the status line of another response.
     :param carried_ids: hashes of the ids of its last requests; ids may be long.
     :param body_bytes: bytes of the response's body received so far.
     """
@@ -94,6 +97,7 @@
         "idle_before_s",
         "idle_since",
         "is_head_request",
+        "is_spliced",
         "keep_alive",
         "loop",
         "lost_unanswered",
@@ -131,6 +135,7 @@
         self.body_bytes = 0
         self.received_bytes = 0
         self.requests = 0
+        self.is_spliced = False
         self.carried_ids: collections.deque[int] = collections.deque(maxlen=CARRIED_IDS)
         self.complete = False
         self.keep_alive = False
@@ -162,6 +167,9 @@
             if not self.complete:
                 self._fail(f"invalid response: {type(error).__name__}")
                 return
+        if self.is_spliced:
+            self._fail("the head holds the status line of another response")
+            return
         if self.complete and self._has_final_status():
             self._deliver()
             return
@@ -260,10 +268,16 @@
         self.status = 0
         self.complete = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the reason of a status line."""
+        if not self.complete:
+            self._detect_status_line(reason)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header of the response's head; trailers come after its status is known."""
         if not (self.complete or self.status):
             self.headers.append((name, value))
+            self._detect_status_line(value)
 
     def on_headers_complete(self) -> None:
         """Store the status; a response to a HEAD request is complete with its head."""
@@ -299,9 +313,14 @@
         self.headers = []
         self._discard_body()
         self.received_bytes = 0
+        self.is_spliced = False
         self.complete = False
         self.keep_alive = False
 
+    def _detect_status_line(self, text: bytes) -> None:
+        if b"HTTP/" in text and _STATUS_LINE.search(text):
+            self.is_spliced = True
+
     def _discard_body(self) -> None:
         self.memory.release(self.body_bytes)
         self.memory.unfinished.discard(self)
