Pass on a client error that states that the request did not run

Cause: any 4xx with the statement counted as a server that sheds, with free slots. Change: only 408, 421, 429 and 503 are refusals; another client error is the response for its caller, and no failure of the server.

--- a/packages/entry/src/radishbridge/entry/refusals.py
+++ b/packages/entry/src/radishbridge/entry/refusals.py
@@ -97,21 +97,20 @@
     An answer without the request's id proves nothing, as it may answer an earlier one. With the id,
     the server's statement proves it, and so does the name of another server with status 421, by
     which servers reject requests for others. A status alone proves nothing: it may come from a
-    server that ran the request, or from something in front of it. A statement with a status that
-    is no refusal contradicts itself; with a success the request ran.
+    server that ran the request, or from something in front of it. A statement with a redirect or
+    another server error contradicts itself. With a success the request ran; with another client
+    error the response is for the caller, since the request is at fault and no server takes it.
 
     :param server: name of the server that the request was meant for.
     :param id_used_again: another request with the same id was sent, whose refusal this may be.
     """
     if metadata.request_id != request_id:
         return _OTHER_ID if metadata.request_id else _NO_ID
-    if metadata.not_run:
-        is_refusal = FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR or status == UNAVAILABLE
-        if not is_refusal:
-            return _RESPONSE if status < FIRST_REDIRECT else _CONTRADICTION
-    elif status not in REFUSAL_STATUSES:
-        return _RESPONSE
-    elif status != MISDIRECTED or metadata.server in ("", server):
+    if status not in REFUSAL_STATUSES:
+        is_own = status < FIRST_REDIRECT or FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR
+        return _RESPONSE if is_own or not metadata.not_run else _CONTRADICTION
+    names_another = status == MISDIRECTED and metadata.server not in ("", server)
+    if not (metadata.not_run or names_another):
         has_fault = status >= FIRST_SERVER_ERROR or status == MISDIRECTED
         return _FAULTY_STATUS_ALONE if has_fault else _OWN_STATUS_ALONE
     if id_used_again:
