Soak: refusals are checked against runs by attempt, beside servers and links as on real machines

The check matched refusals and runs by request id and passed over requests that may be repeated, and no caller used an id again, no server ran a request and answered with the status of a refusal, and no link broke within a message. The incident of refused requests that ran could not show.

Callers mark each attempt with a header of its own, by which all checks go now. An attempt of any kind that was answered 408, 421, 429 or 503 must not run, an unsafe one runs once, and a run of an unknown attempt counts as unasked. Callers share connections, send ids again or none, stop midway and use connections that were announced to close. Servers answer bare refusals after a run and send copies of refusals; proxies cut at any byte and reset right after data; hosts stop many times in a row.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,10 +7,15 @@
 import typing as t
 
 from soak.callers import Key
-from soak.history import Arrival, History, Notice, Outcome, process_name
+from soak.history import (
+    NOT_EXECUTED_STATUSES,
+    Arrival,
+    History,
+    Notice,
+    Outcome,
+    process_name,
+)
 
-# Statuses that promise that the request was not executed and will not be.
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Time bounds set by the operators, plus the time that a request may still wait at its server.
 DRAIN_BOUND_S = 2.5
 REVOCATION_BOUND_S = 5.0
@@ -49,66 +54,75 @@
     :param check_timing: whether to check the promises with a time bound too. CI doesn't, so that
         its result does not depend on the load of its machine.
     """
-    outcome_by_id = {outcome.request_id: outcome for outcome in history.outcomes}
+    outcome_by_tag = {outcome.tag: outcome for outcome in history.outcomes}
     always_checked = itertools.chain(
         (note for note in history.notes if note.startswith("VIOLATION")),
-        _executed_twice(history, outcome_by_id),
-        _executed_though_refused(history, outcome_by_id),
+        _executed_twice(history, outcome_by_tag),
+        _executed_though_refused(history, outcome_by_tag),
+        _executed_unasked(history, outcome_by_tag),
         _mixed_responses(history),
-        _executed_for_other_tenant(history, outcome_by_id, keys),
+        _executed_for_other_tenant(history, outcome_by_tag, keys),
         _wrongly_denied(history, keys),
     )
     time_bounded = itertools.chain(
         (note for note in history.notes if note.startswith("LATE")),
-        _executed_with_revoked_key(history, outcome_by_id, keys),
+        _executed_with_revoked_key(history, outcome_by_tag, keys),
         _executed_over_rate(history, rates),
-        _executed_on_drained_server(history, outcome_by_id, drains),
-        _executed_after_disconnect(history, outcome_by_id),
-        _sent_to_leaving_server(history, outcome_by_id),
-        _sent_to_paused_server(history, outcome_by_id),
+        _executed_on_drained_server(history, outcome_by_tag, drains),
+        _executed_after_disconnect(history, outcome_by_tag),
+        _sent_to_leaving_server(history, outcome_by_tag),
+        _sent_to_paused_server(history, outcome_by_tag),
         _not_recovered(history, undisturbed_from),
     )
     return [*always_checked, *(time_bounded if check_timing else ())]
 
 
-def _executed_twice(history: History, outcome_by_id: t.Mapping[str, Outcome]) -> t.Iterator[str]:
-    counts = collections.Counter(execution.request_id for execution in history.executions)
-    for request_id, count in counts.items():
-        outcome = outcome_by_id.get(request_id)
+def _executed_twice(history: History, outcome_by_tag: t.Mapping[str, Outcome]) -> t.Iterator[str]:
+    counts = collections.Counter(execution.tag for execution in history.executions)
+    for tag, count in counts.items():
+        outcome = outcome_by_tag.get(tag)
         if count > 1 and outcome is not None and outcome.unsafe:
-            yield f"TWICE {request_id} ran {count} times"
+            yield f"TWICE {tag} (id {outcome.request_id!r}) ran {count} times"
 
 
 def _executed_though_refused(
-    history: History, outcome_by_id: t.Mapping[str, Outcome]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome]
 ) -> t.Iterator[str]:
     for execution in history.executions:
-        outcome = outcome_by_id.get(execution.request_id)
-        if outcome is not None and outcome.unsafe and outcome.status in NOT_EXECUTED_STATUSES:
+        outcome = outcome_by_tag.get(execution.tag)
+        if outcome is not None and outcome.status in NOT_EXECUTED_STATUSES:
             yield (
-                f"REFUSED {execution.request_id} was answered {outcome.status} and ran at "
-                f"{execution.server}"
+                f"REFUSED {execution.tag} (id {outcome.request_id!r}, "
+                f"{'unsafe' if outcome.unsafe else 'safe'}) was answered {outcome.status} by "
+                f"{outcome.host} and ran at {execution.server}, "
+                f"{execution.at - outcome.ended_at:+.3f} s from the answer"
             )
 
 
+def _executed_unasked(history: History, outcome_by_tag: t.Mapping[str, Outcome]) -> t.Iterator[str]:
+    for execution in history.executions:
+        if execution.tag not in outcome_by_tag:
+            yield f"UNASKED {execution.tag!r} ran at {execution.server} and nobody sent it"
+
+
 def _mixed_responses(history: History) -> t.Iterator[str]:
-    return (f"MIXED {outcome.request_id}" for outcome in history.outcomes if not outcome.is_intact)
+    return (f"MIXED {outcome.tag}" for outcome in history.outcomes if not outcome.is_intact)
 
 
 def _executed_for_other_tenant(
-    history: History, outcome_by_id: t.Mapping[str, Outcome], keys: t.Mapping[str, Key]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome], keys: t.Mapping[str, Key]
 ) -> t.Iterator[str]:
     for execution in history.executions:
-        outcome = outcome_by_id.get(execution.request_id)
+        outcome = outcome_by_tag.get(execution.tag)
         if outcome is not None and execution.tenant != keys[outcome.key].tenant:
-            yield f"UNASKED {execution.request_id} ran for {execution.tenant!r}"
+            yield f"UNASKED {execution.tag} ran for {execution.tenant!r}"
 
 
 def _executed_with_revoked_key(
-    history: History, outcome_by_id: t.Mapping[str, Outcome], keys: t.Mapping[str, Key]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome], keys: t.Mapping[str, Key]
 ) -> t.Iterator[str]:
     for execution in history.executions:
-        outcome = outcome_by_id.get(execution.request_id)
+        outcome = outcome_by_tag.get(execution.tag)
         if outcome is None:
             continue
         revoked_at = keys[outcome.key].revoked_at
@@ -116,7 +130,7 @@
         start = revoked_at - CONTACT_BOUND_S
         if late and _had_store_contact(history, outcome.host, start, outcome.sent_at):
             yield (
-                f"CONFIG {execution.request_id} ran with a key revoked more than "
+                f"CONFIG {execution.tag} ran with a key revoked more than "
                 f"{REVOCATION_BOUND_S} s before"
             )
 
@@ -142,11 +156,11 @@
 
 
 def _executed_on_drained_server(
-    history: History, outcome_by_id: t.Mapping[str, Outcome], drains: t.Iterable[Drain]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome], drains: t.Iterable[Drain]
 ) -> t.Iterator[str]:
     for drain in drains:
         for execution in history.executions:
-            outcome = outcome_by_id.get(execution.request_id)
+            outcome = outcome_by_tag.get(execution.tag)
             if (
                 execution.server != drain.server
                 or outcome is None
@@ -159,17 +173,17 @@
                 and outcome.sent_at > drain.at
             ):
                 yield (
-                    f"DRAIN {execution.request_id} ran at {drain.server} "
+                    f"DRAIN {execution.tag} ran at {drain.server} "
                     f"{execution.at - drain.at:.2f} s after its drain"
                 )
 
 
 def _executed_after_disconnect(
-    history: History, outcome_by_id: t.Mapping[str, Outcome]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome]
 ) -> t.Iterator[str]:
     late = []
     for event in (*history.executions, *history.execution_ends):
-        outcome = outcome_by_id.get(event.request_id)
+        outcome = outcome_by_tag.get(event.tag)
         if (
             outcome is None
             or not outcome.caller_disconnected
@@ -182,42 +196,42 @@
             for component in (outcome.host, link_name(event.server))
         )
         if all(undisturbed):
-            late.append(f"{event.request_id} at {event.server} {event.at - outcome.ended_at:.2f} s")
+            late.append(f"{event.tag} at {event.server} {event.at - outcome.ended_at:.2f} s")
     if len(late) > CANCELLATION_SLACK_REQUESTS:
         yield f"GONE {len(late)} executions after the caller disconnected, the first {late[0]}"
 
 
 def _sent_to_leaving_server(
-    history: History, outcome_by_id: t.Mapping[str, Outcome]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome]
 ) -> t.Iterator[str]:
     """Find requests to a server that were sent after their host had passed on that it leaves."""
     passed_on: dict[tuple[str, str, int], float] = {}
     for notice in history.notices:
-        outcome = outcome_by_id.get(notice.request_id)
+        outcome = outcome_by_tag.get(notice.tag)
         if notice.pause_s or outcome is None or not outcome.status:
             continue
         key = (outcome.host, notice.server, notice.incarnation)
         passed_on[key] = min(outcome.ended_at, passed_on.get(key, outcome.ended_at))
-    for host, arrival, sent_at in _arrivals_by_host(history, outcome_by_id):
+    for host, arrival, sent_at in _arrivals_by_host(history, outcome_by_tag):
         at = passed_on.get((host, arrival.server, arrival.incarnation))
         if at is None or sent_at <= at + DRAIN_BOUND_S:
             continue
         if history.is_undisturbed(process_name(host), at, arrival.at):
             yield (
-                f"DRAIN {arrival.request_id} of {host} reached {arrival.server} "
+                f"DRAIN {arrival.tag} of {host} reached {arrival.server} "
                 f"{sent_at - at:.2f} s after it said that it leaves"
             )
 
 
 def _sent_to_paused_server(
-    history: History, outcome_by_id: t.Mapping[str, Outcome]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome]
 ) -> t.Iterator[str]:
     """Find pauses in which more than two requests of the host reached the server."""
     arrivals: dict[tuple[str, str, int], list[Arrival]] = collections.defaultdict(list)
-    for host, arrival, _ in _arrivals_by_host(history, outcome_by_id):
+    for host, arrival, _ in _arrivals_by_host(history, outcome_by_tag):
         arrivals[host, arrival.server, arrival.incarnation].append(arrival)
     for notice in history.notices:
-        outcome = outcome_by_id.get(notice.request_id)
+        outcome = outcome_by_tag.get(notice.tag)
         if not notice.pause_s or outcome is None:
             continue
         early = [
@@ -228,7 +242,7 @@
         if len(early) > PAUSE_SLACK_REQUESTS and _could_notice(history, outcome.host, notice):
             yield (
                 f"BUDGET {len(early)} requests of {outcome.host} reached {notice.server} in a "
-                f"pause of {notice.pause_s:.2f} s, the first {early[0].request_id}"
+                f"pause of {notice.pause_s:.2f} s, the first {early[0].tag}"
             )
 
 
@@ -241,11 +255,11 @@
 
 
 def _arrivals_by_host(
-    history: History, outcome_by_id: t.Mapping[str, Outcome]
+    history: History, outcome_by_tag: t.Mapping[str, Outcome]
 ) -> t.Iterator[tuple[str, Arrival, float]]:
     """Return arrivals with the host that sent the request and the time the caller sent it."""
     for arrival in history.arrivals:
-        outcome = outcome_by_id.get(arrival.request_id)
+        outcome = outcome_by_tag.get(arrival.tag)
         if outcome is not None:
             yield outcome.host, arrival, outcome.sent_at
 
@@ -262,7 +276,7 @@
         if outcome.status in (400, 401, 403, 404) and not keys[outcome.key].revoked_at
     ]
     if len(denied) > 5 + len(history.outcomes) / 500:
-        yield f"DENIED {len(denied)} valid requests, the first {denied[0].request_id}"
+        yield f"DENIED {len(denied)} valid requests, the first {denied[0].tag}"
 
 
 def _not_recovered(history: History, undisturbed_from: float) -> t.Iterator[str]:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -5,11 +5,19 @@
 import time
 import typing as t
 
+# Header that identifies an attempt of a caller, whatever its request id; hosts forward it.
+TAG = "Attempt-Tag"
+# Statuses that promise that the request was not executed and will not be.
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+
 
 class Execution(t.NamedTuple):
-    """A backend server started to execute a request."""
+    """A backend server started to execute a request.
+
+    :param tag: identifies the attempt of the caller; request ids may come again.
+    """
 
-    request_id: str
+    tag: str
     server: str
     service: str
     tenant: str
@@ -22,7 +30,7 @@
     :param incarnation: start of the server's process in Unix milliseconds.
     """
 
-    request_id: str
+    tag: str
     server: str
     incarnation: int
     at: float
@@ -34,7 +42,7 @@
     :param pause_s: length of the pause in seconds; 0 if it is leaving.
     """
 
-    request_id: str
+    tag: str
     server: str
     incarnation: int
     at: float
@@ -44,21 +52,23 @@
 class ExecutionEnd(t.NamedTuple):
     """A backend server responded to a request or stopped executing it."""
 
-    request_id: str
+    tag: str
     server: str
     at: float
 
 
 class Outcome(t.NamedTuple):
-    """How one request ended at its caller.
+    """How one attempt of a caller ended.
 
-    :param status: HTTP status; 0 if the connection ended without a response.
+    :param status: HTTP status; 0 if the connection ended without a response. A refusal counts from
+        its head on.
     :param is_intact: a successful response has the body and the signature of one server that
         executed the request.
     :param caller_disconnected: the caller closed its connection before the response.
+    :param request_id: id that it sent, if any; other attempts may have had the same.
     """
 
-    request_id: str
+    tag: str
     host: str
     unsafe: bool
     tenant: str
@@ -69,6 +79,7 @@
     status: int
     is_intact: bool
     caller_disconnected: bool = False
+    request_id: str = ""
 
 
 class Span(t.NamedTuple):
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -76,6 +76,7 @@
         self.settings_path = directory / f"{self.name}.toml"
         self.log_path = directory / f"{self.name}.log"
         self.store_proxy = Proxy(store)
+        self.caller_proxy = Proxy((self.ip, base_port + 4))
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -89,8 +90,9 @@
         return f"{self.ip}:{self.base_port + 5}"
 
     async def prepare(self) -> None:
-        """Write the settings file and start the proxy to the store."""
+        """Write the settings file and start the proxies to the store and for callers."""
         await self.store_proxy.start()
+        await self.caller_proxy.start()
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in self.zones.items())
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,8 +18,8 @@
 from soak.history import History
 from soak.hosts import CONTACT_BOUND_S, SHUTDOWN_GRACE_S, Host
 from soak.odd_entries import ODD_ENTRIES
-from soak.proxy import Direction
-from soak.servers import Mode, Server
+from soak.proxy import Direction, Proxy
+from soak.servers import Mode, Server, Statement
 from soak.store import Fault, Store
 from soak.usage import DELAY_S, UsageEndpoint
 
@@ -32,6 +32,11 @@
 SERVER_MODES: tuple[Mode, ...] = ("slow", "hang", "shed", "lose", "extra", "fail")
 # Messages in the log of a host that went on after an error of the program.
 CONTAINED_ERRORS = ("background task failed", "listener failed", "connection failed")
+STATEMENTS: tuple[Statement, ...] = ("bare", "copied")
+# Fraction of the chunks after which a disturbed proxy resets the connection.
+RESET_RATE = 0.05
+# Stops of a process in quick succession: their number, and the longest of a stop and between two.
+STUTTER_STOPS, STUTTER_S = 8, 0.25
 STORE_FAULTS: tuple[Fault, ...] = ("busy", "reset", "silent")
 
 
@@ -95,6 +100,7 @@
             for host in self.hosts:
                 host.kill()
                 await host.store_proxy.stop()
+                await host.caller_proxy.stop()
             for task in self.tasks:
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -151,6 +157,7 @@
         number = next(self.server_numbers)
         zone = sorted(REGION_BY_ZONE)[number % len(REGION_BY_ZONE)]
         server = Server(f"i-{number}", service, zone, self.history)
+        server.rng.seed(f"{self.seed}-{server.name}")
         await server.start()
         self.servers.append(server)
         await self.store.put("servers", server.name, spec=server.registration())
@@ -266,9 +273,10 @@
             self.revoke_key,
             self.write_odd_entry,
         ]
-        callers = Callers(self.hosts, self.keys, self.history, self.seed)
+        callers = Callers(self.hosts, self.keys, self.history, self.seed, misbehave=True)
         callers_task = asyncio.create_task(callers.run(caller_count))
         notices_task = asyncio.create_task(self._give_notices())
+        exchanges_task = asyncio.create_task(self._disturb_exchanges())
         await asyncio.sleep(CONTACT_BOUND_S)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -277,6 +285,7 @@
             fault()
             await asyncio.sleep(self.rng.expovariate(1.0 / 0.7))
         notices_task.cancel()
+        exchanges_task.cancel()
         while self.tasks:
             await asyncio.sleep(0.1)
         undisturbed_from = time.monotonic() + RECOVERY_BOUND_S
@@ -329,6 +338,32 @@
                 self.history.add_note(f"{server.name} leaves")
                 self._start_task(self._leave(server))
 
+    async def _disturb_exchanges(self) -> None:
+        """Make servers, links and processes do what makes it unclear whether a request ran."""
+        rng = random.Random(f"exchanges-{self.seed}")
+        while True:
+            await asyncio.sleep(rng.expovariate(1.0 / 0.7))
+            duration_s = rng.uniform(0.5, 4.0)
+            kind = rng.choice(["statement", "statements", "link", "callers", "stutter"])
+            statement = rng.choice(STATEMENTS)
+            server, host = rng.choice(self.servers), rng.choice(self.hosts)
+            self.history.add_note(f"{kind} {statement} {server.name} {host.name} {duration_s:.1f}")
+            if kind == "statement":
+                self._start_task(self._change_statement([server], statement, duration_s))
+            elif kind == "statements":
+                servers = [one for one in self.servers if one.service == server.service]
+                self._start_task(self._change_statement(servers, statement, duration_s))
+            elif kind == "stutter":
+                self._start_task(self._stutter(host, rng))
+            else:
+                is_link = kind == "link"
+                name = link_name(server.name) if is_link else host.name
+                self.history.record_disturbance(name, duration_s + CONTACT_BOUND_S)
+                proxy = server.proxy if is_link else host.caller_proxy
+                reset_rate = rng.choice([0.0, RESET_RATE])
+                proxy.rng.seed(rng.random())
+                self._start_task(self._cut_proxy(proxy, reset_rate, duration_s))
+
     def _may_leave(self, server: Server) -> bool:
         others = [
             one for one in self.servers if one.service == server.service and not one.is_leaving
@@ -376,11 +411,30 @@
         await asyncio.sleep(duration_s)
         blocked_directions -= directions
 
-    async def _delay_proxy(self, proxy: t.Any, duration_s: float) -> None:
+    async def _delay_proxy(self, proxy: Proxy, duration_s: float) -> None:
         proxy.delay_s = 0.1
         await asyncio.sleep(duration_s)
         proxy.delay_s = 0.0
 
+    async def _cut_proxy(self, proxy: Proxy, reset_rate: float, duration_s: float) -> None:
+        proxy.cuts, proxy.reset_rate = True, reset_rate
+        await asyncio.sleep(duration_s)
+        proxy.cuts, proxy.reset_rate = False, 0.0
+
+    async def _stutter(self, host: Host, rng: random.Random) -> None:
+        for _ in range(STUTTER_STOPS):
+            await self._pause(host, rng.uniform(0.0, STUTTER_S))
+            await asyncio.sleep(rng.uniform(0.0, STUTTER_S))
+
+    async def _change_statement(
+        self, servers: list[Server], statement: Statement, duration_s: float
+    ) -> None:
+        for server in servers:
+            server.statement = statement
+        await asyncio.sleep(duration_s)
+        for server in servers:
+            server.statement = "true"
+
     async def _change_store(self, name: str, value: t.Any, normal: t.Any) -> None:
         duration_s = self.rng.uniform(0.5, 5.0)
         self.history.record_disturbance("store", duration_s + CONTACT_BOUND_S)
--- a/tests/test_server_notices_fleet.py
+++ b/tests/test_server_notices_fleet.py
@@ -66,9 +66,9 @@
 
     def hosts_told(self, server: Server) -> set[str]:
         """Return the hosts that got a notice of a server."""
-        hosts = {outcome.request_id: outcome.host for outcome in self.world.history.outcomes}
+        hosts = {outcome.tag: outcome.host for outcome in self.world.history.outcomes}
         notices = [one for one in self.world.history.notices if one.server == server.name]
-        return {hosts[one.request_id] for one in notices if one.request_id in hosts}
+        return {hosts[one.tag] for one in notices if one.tag in hosts}
 
     async def status_of(self, host: Host) -> list[dict]:
         """Return the servers that a host shows to operators as leaving or paused."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 }
 
 
-def outcome(request_id: str = "r", **changes) -> Outcome:
+def outcome(tag: str = "r", **changes) -> Outcome:
     fields = {
         "host": "host-0",
         "unsafe": True,
@@ -32,11 +32,11 @@
         "status": 200,
         "is_intact": True,
     }
-    return Outcome(request_id, **{**fields, **changes})
+    return Outcome(tag, **{**fields, **changes})
 
 
-def execution(request_id: str = "r", at: float = 50.0, **changes) -> Execution:
-    return Execution(request_id, "i-2", "orders", "school", at)._replace(**changes)
+def execution(tag: str = "r", at: float = 50.0, **changes) -> Execution:
+    return Execution(tag, "i-2", "orders", "school", at)._replace(**changes)
 
 
 class TestChecks:
@@ -49,12 +49,25 @@
             ([execution(), execution()], [outcome()], ["TWICE"]),
             ([execution(), execution()], [outcome(unsafe=False)], []),
             ([execution()], [outcome(status=503)], ["REFUSED"]),
+            ([execution()], [outcome(status=408, unsafe=False)], ["REFUSED"]),
+            ([execution(at=55.0)], [outcome(status=429)], ["REFUSED"]),
+            ([execution(at=45.0)], [outcome(status=421)], ["REFUSED"]),
+            (
+                [execution()],
+                [outcome(request_id="x"), outcome("s", status=503, request_id="x")],
+                [],
+            ),
             ([execution()], [outcome(status=502)], []),
+            ([execution("s")], [outcome()], ["UNASKED"]),
             ([execution()], [outcome(is_intact=False)], ["MIXED"]),
             ([execution(tenant="salon")], [outcome()], ["UNASKED"]),
             ([execution(at=30.0)], [outcome(key="old", sent_at=30.0)], ["CONFIG"]),
             ([execution(at=14.0)], [outcome(key="old", sent_at=14.0)], []),
-            ([execution(str(n)) for n in range(120)], [], ["QUOTA"]),
+            (
+                [execution(str(n)) for n in range(120)],
+                [outcome(str(n)) for n in range(120)],
+                ["QUOTA"],
+            ),
             ([execution(at=45.0, server="i-1")], [outcome(sent_at=44.9)], ["DRAIN"]),
             ([execution(at=42.0, server="i-1")], [outcome(sent_at=41.9)], []),
             ([], [outcome(str(n), status=401) for n in range(7)], ["DENIED"]),
@@ -92,18 +105,14 @@
         self, late_s, count, link_disturbed, found, starts
     ):
         history = History()
-        request_ids = [str(number) for number in range(count)]
-        history.outcomes = [
-            outcome(request_id, caller_disconnected=True, status=0) for request_id in request_ids
-        ]
+        tags = [str(number) for number in range(count)]
+        history.outcomes = [outcome(tag, caller_disconnected=True, status=0) for tag in tags]
         history.outcomes.append(outcome("last", sent_at=90.0))
         at = 50.1 + late_s
         if starts:
-            history.executions = [execution(request_id, at=at) for request_id in request_ids]
+            history.executions = [execution(tag, at=at) for tag in tags]
         else:
-            history.execution_ends = [
-                ExecutionEnd(request_id, "i-2", at) for request_id in request_ids
-            ]
+            history.execution_ends = [ExecutionEnd(tag, "i-2", at) for tag in tags]
         if link_disturbed:
             history.disturbances["link to i-2"] = [Span(48.0, 49.0)]
         violations = check(history, KEYS, RATES, [], 80.0)
