--- a/packages/entry/src/radishbridge/entry/context.py
+++ b/packages/entry/src/radishbridge/entry/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import typing as t
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from radishbridge.records import Execution, Failure, ResultCode
 from radishbridge.steering import Choice, HomeRegion, RouteRule, WeightedService
 
+_numbers = itertools.count(1)
 _NO_ROUTE = RouteRule(
     name="",
     host="",
@@ -63,15 +65,20 @@
 
     @property
     def delivered(self) -> str:
-        """Return whether the server received the whole request: ``yes``, ``no`` or ``unknown``."""
+        """Return whether the server received the whole request.
+
+        ``yes``, ``unknown``, or ``unacknowledged``: the acknowledgement may have been late or lost,
+        so that this does not prove that it received less.
+        """
         if self.unacknowledged_bytes is None:
             return "unknown"
-        return "no" if self.unacknowledged_bytes else "yes"
+        return "unacknowledged" if self.unacknowledged_bytes else "yes"
 
 
 class RequestContext:
     """One request, the decisions made for it and its result.
 
+    :param number: tells requests of this host apart that have the same id.
     :param arrived_at: monotonic time in seconds.
     :param deadline: monotonic time at which the request fails.
     :param configuration_version: version of the configuration that the request was matched with.
@@ -102,6 +109,7 @@
         "fingerprint",
         "held_s",
         "metadata",
+        "number",
         "rank",
         "reason",
         "refused_choice",
@@ -117,6 +125,7 @@
     )
 
     def __init__(self, request: web.BaseRequest, arrived_at: float) -> None:
+        self.number = next(_numbers)
         self.request = request
         self.arrived_at = arrived_at
         self.metadata = RequestMetadata("", None, "", "")
@@ -159,9 +168,9 @@
         ]
         if not refusals:
             return Evidence.NOT_SENT
-        if all(refusal.states_not_run for refusal in refusals):
+        if all(refusal.proves_not_run for refusal in refusals):
             return Evidence.SERVER_STATEMENT
-        return Evidence.SERVER_STATUS
+        return Evidence.NONE
 
     @property
     def home_region(self) -> HomeRegion | None:
--- a/packages/host/src/radishbridge/host/shutdown.py
+++ b/packages/host/src/radishbridge/host/shutdown.py
@@ -96,15 +96,16 @@
         await self._close_idle()
         finished = await self._wait(lambda: not self.server.open_connections)
         logger.info("closed", extra={"cut_requests": 0 if finished else self.forwarder.in_flight})
-        for connection in self.server.connections:
-            connection.force_close()
+        for connection in list(self.server.connections):
+            if isinstance(connection, CallerConnection):
+                connection.cut()
 
     async def _close_idle(self) -> None:
         # A connection with a request in flight stays open for the rest of the request's body and
         # closes after the response. A request that was read just now is answered first.
         connections = [one for one in self.server.connections if isinstance(one, CallerConnection)]
         for connection in connections:
-            if not connection.in_flight:
+            if not connection.has_request:
                 connection.close()
         await asyncio.sleep(CLOSE_POLL_S)
         for connection in connections:
