--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 FAILED_ONCE = {
     200: "MIXED: the check kept one response per request; a retry at a second server overwrote it",
     808: "LATE: the check polled the host's next process, not the one told to stop",
+    301: "REFUSED, TWICE: a server's status alone, or a late copy of a refusal, counted as proof",
 }
 
 
