--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -22,7 +22,7 @@
 )
 from radishbridge.entry.crashes import CrashDetector
 from radishbridge.entry.protocol import HeaderCodec, ResponseMetadata
-from radishbridge.entry.refusals import ServerAnswer
+from radishbridge.entry.refusals import Judgement, ServerAnswer, Verdict, judge
 from radishbridge.entry.steering_state import SteeringState
 from radishbridge.host.sockets import round_trip_s
 from radishbridge.records import Failure, ResultCode
@@ -143,6 +143,9 @@
         self.outcome = AttemptOutcome.MAY_HAVE_RUN
         self.sent_at = uptime.now()
         self.context.send_count += 1
+        self.pool.sent_ids.record(
+            self.context.metadata.request_id, self.context.number, self.sent_at
+        )
         if self.steering_state.usage is not None:
             self.steering_state.usage.begin(
                 self,
@@ -166,9 +169,12 @@
 
     async def _connect(self) -> BackendConnection | Failure:
         address = self.state.server.address
-        if self.needs_new_connection:
+        # Without an id, nothing tells the response from a late one to an earlier request.
+        if self.needs_new_connection or not self.context.metadata.request_id:
             return await self.pool.open(address)
-        return await self.pool.acquire(address, not self.context.route.repeatable)
+        return await self.pool.acquire(
+            address, not self.context.route.repeatable, self.context.metadata.request_id
+        )
 
     async def _exchange(self, connection: BackendConnection) -> BackendResponse | Failure:
         context = self.context
@@ -182,7 +188,11 @@
             request.method, request.raw_path, headers, len(context.body) if sized else None
         )
         return await connection.exchange(
-            head, context.body, request.method == "HEAD", self._read_head
+            head,
+            context.body,
+            request.method == "HEAD",
+            self._read_head,
+            context.metadata.request_id,
         )
 
     def _read_head(self, status: int, headers: HeaderList) -> None:
@@ -204,26 +214,35 @@
     ) -> BackendResponse | Failure:
         self.ending = AttemptEnding.ANSWERED
         metadata = self.header_codec.read_response(response.status, response.headers)
-        self.answer = ServerAnswer(response.status, metadata.not_run, connection.requests)
+        request_id = self.context.metadata.request_id
+        judgement = judge(
+            response.status,
+            metadata,
+            request_id,
+            self.state.server.name,
+            self.pool.sent_ids.has_another_sender(request_id, self.context.number),
+        )
+        self.answer = ServerAnswer(response.status, judgement.proves_not_run, connection.requests)
         now = uptime.now()
-        if metadata.request_id != self.context.metadata.request_id:
-            # A refusal without an id is not trusted either: it may belong to an earlier request.
+        if judgement.verdict is Verdict.FOREIGN:
             connection.close()
-            fault = "belongs to another request" if metadata.request_id else "has no request id"
             return self._record_exchange_failure(
-                Failure(ResultCode.BACKEND_FAILED, f"the response {fault}")
+                Failure(ResultCode.BACKEND_FAILED, judgement.reason)
             )
         self.state.record_response(now)
         if metadata.load is not None:
             self.steering_state.load_exchange.record(self.state, metadata.load, now)
-        if self.state.is_leaving:
+        # After a refusal that may be a late copy, the response to this request is still to come.
+        if self.state.is_leaving or not request_id or judgement.is_late_copy:
             connection.close()
         connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
         self.pool.release(self.state.server.address, connection)
-        if metadata.not_run or metadata.misdirected:
-            return self._record_refusal(metadata, now)
+        if judgement.proves_not_run:
+            return self._record_refusal(judgement, metadata)
         if metadata.is_signed:
             self.steering_state.crash_reports.record_completed_run(self.context.fingerprint, now)
+        if judgement.verdict is Verdict.UNPROVEN:
+            return self._record_unproven_refusal(judgement)
         success = FIRST_SUCCESS <= response.status < FIRST_REDIRECT
         if success and (not metadata.is_signed or metadata.is_encoded):
             return self._record_exchange_failure(
@@ -242,9 +261,16 @@
         self.outcome = AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED
         return response
 
-    def _record_refusal(self, metadata: ResponseMetadata, now: float) -> Failure:
+    def _record_unproven_refusal(self, judgement: Judgement) -> Failure:
+        # The outcome stays that the request may have run.
+        if judgement.is_servers_fault:
+            self._count_failure(judgement.reason)
+            self._record_latency(True)
+        return Failure(ResultCode.BACKEND_FAILED, judgement.reason)
+
+    def _record_refusal(self, judgement: Judgement, metadata: ResponseMetadata) -> Failure:
         self.outcome = AttemptOutcome.NOT_RUN
-        if metadata.misdirected:
+        if judgement.verdict is Verdict.MISDIRECTED:
             self._count_failure("the address belongs to another server now", FAILURES_TO_EJECT)
             return Failure(ResultCode.BACKEND_REFUSED, "the address belongs to another server now")
         load = metadata.load
@@ -289,7 +315,8 @@
 
     def _record_abandoned(self, connection: BackendConnection) -> None:
         if connection.unacknowledged_bytes:
-            # The reset discards these bytes, so the server does not begin.
+            # The reset discards bytes that are still under way, so the server most likely does not
+            # begin. It is no proof, so that only the usage counts rely on it: the outcome stays.
             self.ending = AttemptEnding.NOT_RUN
         running_ms = round((uptime.now() - self.sent_at) * 1000.0)
         self.context.abandoned.append(
--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -6,6 +6,7 @@
 import random
 import time
 import types
+import typing as t
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
@@ -17,6 +18,7 @@
 from radishbridge.entry.backends import CONNECT_TIMEOUT_S, BackendResponse
 from radishbridge.entry.context import AttemptOutcome, RequestContext
 from radishbridge.entry.refusals import REFUSAL_STATUSES, ServerAnswer
+from radishbridge.entry.sent_ids import SentIds
 from radishbridge.host.bounded import ClientLimits
 from radishbridge.platform.headers import PlatformHeaderCodec
 from radishbridge.records import CODE_INFO, Failure, LimitSettings, ResultCode
@@ -123,6 +125,13 @@
         return False
 
 
+def make_pool(connect: t.Callable[..., t.Any]) -> types.SimpleNamespace:
+    """Return a pool whose connections a function makes."""
+    return types.SimpleNamespace(
+        open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
+    )
+
+
 class TestNothingIsSentAfterTheResponse:
     """An attempt that still connects when its request is answered must not send it any more."""
 
@@ -138,7 +147,7 @@
                 assert forwarder._create_response(context, refusal).status == 503
             return connection
 
-        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        forwarder.pool = make_pool(connect)
         monkeypatch.setattr(
             type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
         )
@@ -166,7 +175,7 @@
         monkeypatch.setattr(
             type(forwarder.steering_state.selector), "takes_requests", lambda *_: True
         )
-        forwarder.pool = types.SimpleNamespace(acquire=connect, release=lambda *_: None)
+        forwarder.pool = make_pool(connect)
         state = ServerState(make_server(1), uptime.now())
         await forwarder._create_attempt(make_context(), state).run()
         assert steps == ["checked", "sent"]
