--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -6,6 +6,7 @@
 import random
 import time
 import types
+import typing as t
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
@@ -131,6 +132,13 @@
         return False
 
 
+def make_pool(connect: t.Callable[..., t.Any]) -> types.SimpleNamespace:
+    """Return a pool whose connections a function makes."""
+    return types.SimpleNamespace(
+        open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
+    )
+
+
 class TestNothingIsSentAfterTheResponse:
     """An attempt that still connects when its request is answered must not send it any more."""
 
