--- a/tests/test_host_refusals.py
+++ b/tests/test_host_refusals.py
@@ -107,13 +107,6 @@
         assert response.status == status
 
 
-def make_pool(connect) -> types.SimpleNamespace:
-    """Return a pool whose connections come from a function."""
-    return types.SimpleNamespace(
-        open=connect, acquire=connect, release=lambda *_: None, sent_ids=SentIds()
-    )
-
-
 class RecordingConnection:
     """A connection to a server that records what is sent on it."""
 
