--- a/packages/entry/src/radishbridge/entry/backends.py
+++ b/packages/entry/src/radishbridge/entry/backends.py
@@ -10,7 +10,6 @@
 import collections
 import math
 import re
-import socket
 import typing as t
 
 import httptools
@@ -19,19 +18,13 @@
 from radishbridge.entry.idle import ANNOUNCED_IDLE_FRACTION, DROP_NOTICED_S, IDLE_MAX_S, IdleRules
 from radishbridge.entry.memory import ResponseMemory
 from radishbridge.entry.sent_ids import SentIds
+from radishbridge.entry.socket_options import set_socket_options
 from radishbridge.host.sockets import abandon
 from radishbridge.records import Failure, ResultCode
 
 # A new connection takes one round trip, at most some 50 ms between regions. The rest allows for a
 # lost packet, which the kernel retransmits after about 0.2 s on paths that it knows.
 CONNECT_TIMEOUT_S = 0.6
-# TCP keepalive, which detects an unreachable peer: delay of the first probe, interval of the next
-# ones, and number of unanswered probes after which the connection is closed.
-TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
-# The kernel closes a connection whose sent data stays unacknowledged for this long.
-TCP_USER_TIMEOUT_MS = 1_500
 # Largest response that is buffered; the usual ones have up to some hundred KB.
 RESPONSE_BYTES_MAX = 16 * 1_048_576
 # Bytes of a response outside of its body: heads, trailers and chunk framing. The first bound is
@@ -145,7 +138,7 @@
         self.transport = t.cast("asyncio.Transport", transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _set_socket_options(sock)
+            set_socket_options(sock)
 
     @property
     def descriptor(self) -> int:
@@ -509,16 +502,3 @@
     if body_bytes is not None:
         lines.append(b"Content-Length: %d" % body_bytes)
     return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def _set_socket_options(sock: socket.socket) -> None:
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        sock.setsockopt(level, option, value)
--- a/packages/entry/src/radishbridge/entry/forwarder.py
+++ b/packages/entry/src/radishbridge/entry/forwarder.py
@@ -10,7 +10,6 @@
 import typing as t
 
 from aiohttp import web
-from multidict import CIMultiDict
 
 from radishbridge.entry import uptime
 from radishbridge.entry.access_log import AccessLog
@@ -22,8 +21,8 @@
 from radishbridge.entry.protocol import HeaderCodec, RequestMetadata
 from radishbridge.entry.refusals import REFUSAL_STATUSES, Evidence
 from radishbridge.entry.request_body import BodyReader, is_large
+from radishbridge.entry.responses import response_from_backend, response_from_failure
 from radishbridge.entry.steering_state import SteeringState
-from radishbridge.host.headers import HOP_BY_HOP
 from radishbridge.host.pipelining import arrival_time, wait_to_respond, wait_to_run
 from radishbridge.host.shutdown import ShutdownSchedule
 from radishbridge.host.sockets import is_closed_by_peer, reset
@@ -51,9 +50,7 @@
 STARTUP_WAIT_S = 0.5
 # Failed connections after which a request is given up; nothing was sent on them.
 CONNECT_FAILURES_MAX = 3
-SERVER_ERROR = 500
 
-_OMITTED_HEADERS = HOP_BY_HOP | {"content-length", "date", "server"}
 _STARTING = Failure(ResultCode.HOST_STARTING, "the host has no configuration yet")
 _NO_ROUTE = Failure(ResultCode.SERVICE_UNKNOWN, "no route matches this host and path")
 _KEY_UNKNOWN = Failure(ResultCode.KEY_UNKNOWN, "the key is not known")
@@ -446,11 +443,11 @@
         result = self._withhold_unproven_refusal(context, result)
         if isinstance(result, BackendResponse):
             context.status = result.status
-            return _response_from_backend(result)
+            return response_from_backend(result)
         context.code = result.code
         context.reason = result.reason
         headers = self.header_codec.failure_headers(context.request.raw_headers)
-        response = _response_from_failure(result, context.retry_after_s, headers)
+        response = response_from_failure(result, context.retry_after_s, headers)
         context.status = response.status
         return response
 
@@ -478,24 +475,3 @@
 
 def _host_name(request: web.BaseRequest) -> str:
     return request.headers.get("Host", "").partition(":")[0].lower()
-
-
-def _response_from_backend(response: BackendResponse) -> web.Response:
-    headers: CIMultiDict[str] = CIMultiDict()
-    for name, value in response.headers:
-        decoded_name = name.decode("latin-1")
-        if decoded_name.lower() not in _OMITTED_HEADERS:
-            headers.add(decoded_name, value.decode("utf-8", "surrogateescape"))
-    return web.Response(status=response.status, headers=headers, body=response.body or None)
-
-
-def _response_from_failure(
-    failure: Failure, retry_after_s: float, headers: dict[str, str]
-) -> web.Response:
-    info = failure.info
-    status = info.http_status or SERVER_ERROR
-    headers["Content-Type"] = "text/plain"
-    if retry_after_s > 0.0 and status in (429, 503):
-        headers["Retry-After"] = f"{retry_after_s:.2f}"
-    text = f"{int(failure.code)} {failure.reason}\n"
-    return web.Response(status=status, text=text, headers=headers)
