Split the processing of a server's response into steps of their own

The method decided on the connection, the refusal and the response in one. Nothing else changes; the tests of refusals, the forwarder, connections, notices, crashes and usage counts pass.

--- a/packages/entry/src/radishbridge/entry/attempt.py
+++ b/packages/entry/src/radishbridge/entry/attempt.py
@@ -232,18 +232,27 @@
         self.state.record_response(now)
         if metadata.load is not None:
             self.steering_state.load_exchange.record(self.state, metadata.load, now)
-        # After a refusal that may be a late copy, the response to this request is still to come.
-        is_late_copy = judgement.verdict is Verdict.LATE_COPY
-        if self.state.is_leaving or not request_id or is_late_copy:
-            connection.close()
-        connection.may_idle_long = self.state.server.service in self.pool.rules.long_idle_services
-        self.pool.release(self.state.server.address, connection)
+        self._release_connection(connection, judgement)
         if judgement.proves_not_run:
             return self._record_refusal(judgement, metadata)
         if metadata.is_signed:
             self.steering_state.crash_reports.record_completed_run(self.context.fingerprint, now)
-        if is_late_copy or judgement.verdict is Verdict.UNPROVEN:
+        if judgement.verdict in (Verdict.LATE_COPY, Verdict.UNPROVEN):
             return self._record_unproven_refusal(judgement)
+        return self._process_own_response(response, metadata, now)
+
+    def _release_connection(self, connection: BackendConnection, judgement: Judgement) -> None:
+        server = self.state.server
+        # After a refusal that may be a late copy, the response to this request is still to come.
+        is_late_copy = judgement.verdict is Verdict.LATE_COPY
+        if self.state.is_leaving or not self.context.metadata.request_id or is_late_copy:
+            connection.close()
+        connection.may_idle_long = server.service in self.pool.rules.long_idle_services
+        self.pool.release(server.address, connection)
+
+    def _process_own_response(
+        self, response: BackendResponse, metadata: ResponseMetadata, now: float
+    ) -> BackendResponse | Failure:
         success = FIRST_SUCCESS <= response.status < FIRST_REDIRECT
         if success and (not metadata.is_signed or metadata.is_encoded):
             return self._record_exchange_failure(
